Lay down the design page, core types, error table and chart interpreter

Cause: the repository is empty; the design, the folders and the types that every part shares come first. Conclusion: the shape stands and the parts can be built against it.

--- /dev/null
+++ b/src/chart.rs
@@ -0,0 +1,403 @@
+//! State charts: SCXML files compiled to integer tables and interpreted.
+//!
+//! The `scxml` crate parses, validates and resolves a chart; it executes nothing. A [`Chart`] binds
+//! the names in the file to Rust enums and looks a transition up by state and event. A
+//! [`Machine`] is one running instance. The charts use atomic and compound states, `event`, `cond`
+//! (a guard name, negated by a leading `!`), `target` and `<script>` (an action name).
+
+use std::fmt::Debug;
+
+use compact_str::CompactString;
+use displaydoc::Display;
+use scxml::{ActionKind, ResolvedChart, ResolvedState, StateKind};
+
+/// A closed list of names of one kind (states, events, guards or actions) used by a chart.
+pub trait Names: Copy + Debug + PartialEq + 'static {
+    /// Every name with its value, in declaration order.
+    const NAMES: &'static [(&'static str, Self)];
+
+    /// Place of the value in [`Names::NAMES`].
+    fn index(self) -> usize;
+}
+
+/// Declares an enum whose variants are names in a chart file.
+#[macro_export]
+macro_rules! chart_names {
+    ($($(#[$doc:meta])* $vis:vis enum $name:ident { $($variant:ident = $text:literal),* $(,)? })*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        $vis enum $name { $(#[doc = concat!("`", $text, "` in the chart.")] $variant),* }
+
+        impl $crate::chart::Names for $name {
+            const NAMES: &'static [(&'static str, Self)] = &[$(($text, $name::$variant)),*];
+
+            fn index(self) -> usize {
+                self as usize
+            }
+        }
+    )*};
+}
+
+/// Guard list of a chart without guards.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoGuard {}
+
+impl Names for NoGuard {
+    const NAMES: &'static [(&'static str, Self)] = &[];
+
+    fn index(self) -> usize {
+        match self {}
+    }
+}
+
+/// Why a chart file is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum ChartError {
+    /// {file}: {detail}
+    Invalid {
+        /// Chart file.
+        file: CompactString,
+        /// Finding of the SCXML parser or validator.
+        detail: String,
+    },
+    /// {file}:{line}: {what} {name:?} is not known to the code
+    UnknownName {
+        /// Chart file.
+        file: CompactString,
+        /// Line of the first use, counted from 1.
+        line: usize,
+        /// state, event, guard or action.
+        what: &'static str,
+        /// Name in the file.
+        name: CompactString,
+    },
+    /// {file}: {what} {name:?} is known to the code but not used
+    UnusedName {
+        /// Chart file.
+        file: CompactString,
+        /// state, event, guard or action.
+        what: &'static str,
+        /// Name in the code.
+        name: CompactString,
+    },
+}
+
+impl std::error::Error for ChartError {}
+
+#[derive(Debug, Clone, Copy)]
+struct Guard<G> {
+    name: G,
+    negated: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Row<S, G, A> {
+    guard: Option<Guard<G>>,
+    actions: Vec<A>,
+    target: S,
+}
+
+/// A compiled chart: rows by state and event, in priority order.
+#[derive(Debug)]
+pub struct Chart<S, E, G, A> {
+    initial: S,
+    entry: Vec<A>,
+    finals: Vec<bool>,
+    rows: Vec<Vec<Vec<Row<S, G, A>>>>,
+    _event: std::marker::PhantomData<E>,
+}
+
+/// What one event did to a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Step<'a, S, A> {
+    /// State before the event.
+    pub from: S,
+    /// State after the event.
+    pub to: S,
+    /// Actions to carry out, in order: exit, transition, entry.
+    pub actions: &'a [A],
+    /// Whether the state has a transition for the event whose guard holds.
+    pub handled: bool,
+}
+
+impl<S: Names, E: Names, G: Names, A: Names> Chart<S, E, G, A> {
+    /// Compiles the chart `text` of the file named `file`.
+    ///
+    /// # Errors
+    ///
+    /// Names that the code does not know, names of the code that the file does not use,
+    /// and every finding of the SCXML validator, unreachable states among them.
+    pub fn load(file: &str, text: &str) -> Result<Self, Vec<ChartError>> {
+        let invalid = |detail: String| vec![ChartError::Invalid { file: file.into(), detail }];
+        let parsed = scxml::parse_xml(text).map_err(|error| invalid(error.to_string()))?;
+        scxml::validate(&parsed).map_err(|error| invalid(error.to_string()))?;
+        let resolved = scxml::resolve(&parsed);
+        let mut compiler = Compiler { file, text, resolved: &resolved, faults: Vec::new() };
+        let chart = compiler.compile();
+        match (chart, compiler.faults.is_empty()) {
+            (Some(chart), true) => Ok(chart),
+            (_, _) => Err(compiler.faults),
+        }
+    }
+
+    /// Draws the chart `text` as a Mermaid state diagram.
+    ///
+    /// # Errors
+    ///
+    /// The finding of the SCXML parser.
+    pub fn draw(text: &str) -> Result<String, scxml::ScxmlError> {
+        Ok(scxml::export::mermaid::to_mermaid(&scxml::parse_xml(text)?))
+    }
+
+    /// A new machine in the initial state. Its entry actions are [`Chart::entry`].
+    pub fn start(&'static self) -> Machine<S, E, G, A> {
+        Machine { chart: self, state: self.initial }
+    }
+
+    /// Entry actions of the initial state.
+    pub fn entry(&self) -> &[A] {
+        &self.entry
+    }
+
+    /// Every (state, event, guard, target) of the chart, for tests and drawings.
+    pub fn transitions(&self) -> Vec<(S, usize, Option<G>, S)> {
+        let mut all = Vec::new();
+        for (state, by_event) in self.rows.iter().enumerate() {
+            for (event, rows) in by_event.iter().enumerate() {
+                for row in rows {
+                    all.push((S::NAMES[state].1, event, row.guard.map(|g| g.name), row.target));
+                }
+            }
+        }
+        all
+    }
+
+    /// Whether `state` is final.
+    pub fn is_final(&self, state: S) -> bool {
+        self.finals[state.index()]
+    }
+}
+
+/// One running instance of a chart.
+#[derive(Debug)]
+pub struct Machine<S: 'static, E: 'static, G: 'static, A: 'static> {
+    chart: &'static Chart<S, E, G, A>,
+    state: S,
+}
+
+impl<S: Names, E: Names, G: Names, A: Names> Machine<S, E, G, A> {
+    /// The present state.
+    pub fn state(&self) -> S {
+        self.state
+    }
+
+    /// Whether the present state is final.
+    pub fn is_done(&self) -> bool {
+        self.chart.is_final(self.state)
+    }
+
+    /// Takes the first transition for `event` whose guard holds; without one nothing changes.
+    pub fn fire(&mut self, event: E, holds: impl Fn(G) -> bool) -> Step<'static, S, A> {
+        let from = self.state;
+        let rows = &self.chart.rows[from.index()][event.index()];
+        let row = rows.iter().find(|row| match row.guard {
+            Some(guard) => holds(guard.name) != guard.negated,
+            None => true,
+        });
+        match row {
+            Some(row) => {
+                self.state = row.target;
+                Step { from, to: row.target, actions: &row.actions, handled: true }
+            }
+            None => Step { from, to: from, actions: &[], handled: false },
+        }
+    }
+}
+
+struct Compiler<'a> {
+    file: &'a str,
+    text: &'a str,
+    resolved: &'a ResolvedChart,
+    faults: Vec<ChartError>,
+}
+
+impl Compiler<'_> {
+    fn compile<S: Names, E: Names, G: Names, A: Names>(&mut self) -> Option<Chart<S, E, G, A>> {
+        self.check_kinds();
+        self.check_unused::<S>("state", &self.used_states());
+        self.check_unused::<E>("event", &self.resolved.events.clone());
+        self.check_unused::<G>("guard", &self.used_guards());
+        self.check_unused::<A>("action", &self.used_actions());
+        let states = self.resolved.states.clone();
+        let mut rows = vec![vec![Vec::new(); E::NAMES.len()]; S::NAMES.len()];
+        let mut finals = vec![false; S::NAMES.len()];
+        for state in &states {
+            let Some(id) = self.bind::<S>("state", "id", &state.id) else { continue };
+            finals[id.index()] = state.kind == StateKind::Final;
+            for transition in &state.transitions {
+                let name = transition.event.clone().unwrap_or_default();
+                let event = self.bind::<E>("event", "event", &name);
+                let row = self.row::<S, G, A>(state, transition);
+                if let (Some(event), Some(row)) = (event, row) {
+                    rows[id.index()][event.index()].push(row);
+                }
+            }
+        }
+        let leaf = self.leaf(&self.resolved.initial.clone());
+        let initial = self.bind::<S>("state", "id", &leaf)?;
+        let entry = self.entry_actions::<A>(None, &leaf);
+        Some(Chart { initial, entry, finals, rows, _event: std::marker::PhantomData })
+    }
+
+    fn row<S: Names, G: Names, A: Names>(
+        &mut self,
+        state: &ResolvedState,
+        transition: &scxml::ResolvedTransition,
+    ) -> Option<Row<S, G, A>> {
+        let guard = match &transition.guard {
+            None => None,
+            Some(text) => {
+                let name = text.trim_start_matches('!');
+                let negated = text.starts_with('!');
+                Some(Guard { name: self.bind::<G>("guard", "cond", name)?, negated })
+            }
+        };
+        let mut actions = Vec::new();
+        let internal = transition.targets.is_empty();
+        let target = match transition.targets.first() {
+            None => state.id.clone(),
+            Some(target) => self.leaf(target),
+        };
+        if !internal {
+            actions.extend(self.exit_actions::<A>(&state.id, &target));
+        }
+        for action in &transition.actions {
+            actions.extend(self.action::<A>(action));
+        }
+        if !internal {
+            actions.extend(self.entry_actions::<A>(Some(&state.id), &target));
+        }
+        Some(Row { guard, actions, target: self.bind::<S>("state", "target", &target)? })
+    }
+
+    fn action<A: Names>(&mut self, action: &scxml::Action) -> Option<A> {
+        match &action.kind {
+            ActionKind::Script { content } => self.bind::<A>("action", "script", content.trim()),
+            other => {
+                let detail = format!("only <script> actions are supported, found {other:?}");
+                self.faults.push(ChartError::Invalid { file: self.file.into(), detail });
+                None
+            }
+        }
+    }
+
+    fn exit_actions<A: Names>(&mut self, from: &str, to: &str) -> Vec<A> {
+        let kept = self.ancestors(to);
+        let mut actions = Vec::new();
+        for id in self.ancestors(from) {
+            if kept.contains(&id) && id != from {
+                break;
+            }
+            let exits = self.state(&id).map(|state| state.on_exit.clone()).unwrap_or_default();
+            actions.extend(exits.iter().filter_map(|action| self.action::<A>(action)));
+        }
+        actions
+    }
+
+    fn entry_actions<A: Names>(&mut self, from: Option<&str>, to: &str) -> Vec<A> {
+        let kept = from.map(|from| self.ancestors(from)).unwrap_or_default();
+        let mut path = self.ancestors(to);
+        path.retain(|id| !kept.contains(id) || id == to);
+        path.reverse();
+        let mut actions = Vec::new();
+        for id in path {
+            let entries = self.state(&id).map(|state| state.on_entry.clone()).unwrap_or_default();
+            actions.extend(entries.iter().filter_map(|action| self.action::<A>(action)));
+        }
+        actions
+    }
+
+    fn ancestors(&self, id: &str) -> Vec<CompactString> {
+        let mut path = vec![CompactString::from(id)];
+        while let Some(parent) = path.last().and_then(|id| self.state(id)?.parent.clone()) {
+            path.push(parent);
+        }
+        path
+    }
+
+    fn leaf(&self, id: &str) -> CompactString {
+        let mut id = CompactString::from(id);
+        while let Some(child) = self.state(&id).and_then(|state| state.initial_child.clone()) {
+            id = child;
+        }
+        id
+    }
+
+    fn state(&self, id: &str) -> Option<&ResolvedState> {
+        self.resolved.states.iter().find(|state| state.id == id)
+    }
+
+    fn bind<N: Names>(&mut self, what: &'static str, attribute: &str, name: &str) -> Option<N> {
+        let found = N::NAMES.iter().find(|(text, _)| *text == name);
+        if found.is_none() {
+            let line = self.line_of(attribute, name);
+            let fault =
+                ChartError::UnknownName { file: self.file.into(), line, what, name: name.into() };
+            if !self.faults.contains(&fault) {
+                self.faults.push(fault);
+            }
+        }
+        found.map(|(_, value)| *value)
+    }
+
+    fn line_of(&self, attribute: &str, name: &str) -> usize {
+        let quoted = format!("{attribute}=\"{name}\"");
+        let negated = format!("{attribute}=\"!{name}\"");
+        let script = format!("<script>{name}</script>");
+        let wanted = [quoted, negated, script];
+        let found = self.text.lines().position(|line| wanted.iter().any(|w| line.contains(w)));
+        found.map_or(1, |index| index + 1)
+    }
+
+    fn check_kinds(&mut self) {
+        for state in &self.resolved.states {
+            let supported =
+                matches!(state.kind, StateKind::Atomic | StateKind::Compound | StateKind::Final);
+            if !supported {
+                let detail = format!("state {:?} is {:?}, not supported", state.id, state.kind);
+                self.faults.push(ChartError::Invalid { file: self.file.into(), detail });
+            }
+        }
+    }
+
+    fn check_unused<N: Names>(&mut self, what: &'static str, used: &[CompactString]) {
+        for (name, _) in N::NAMES {
+            if !used.iter().any(|text| text == name) {
+                let name = CompactString::from(*name);
+                self.faults.push(ChartError::UnusedName { file: self.file.into(), what, name });
+            }
+        }
+    }
+
+    fn used_states(&self) -> Vec<CompactString> {
+        self.resolved.states.iter().map(|state| state.id.clone()).collect()
+    }
+
+    fn used_guards(&self) -> Vec<CompactString> {
+        let transitions = self.resolved.states.iter().flat_map(|state| &state.transitions);
+        let guards = transitions.filter_map(|transition| transition.guard.as_ref());
+        guards.map(|text| text.trim_start_matches('!').into()).collect()
+    }
+
+    fn used_actions(&self) -> Vec<CompactString> {
+        let states = &self.resolved.states;
+        let own = states.iter().flat_map(|state| state.on_entry.iter().chain(&state.on_exit));
+        let taken =
+            states.iter().flat_map(|state| state.transitions.iter().flat_map(|t| &t.actions));
+        let names = own.chain(taken).filter_map(|action| match &action.kind {
+            ActionKind::Script { content } => Some(content.trim().into()),
+            _ => None,
+        });
+        names.collect()
+    }
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,154 @@
+//! The closed list of error kinds and the table from kind to answer in `data/answers.toml`.
+
+use std::collections::BTreeMap;
+use std::sync::LazyLock;
+
+use compact_str::CompactString;
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+
+/// Every kind of error that a caller or an operator can be told.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum ErrorKind {
+    /// start-up message is malformed
+    BadStartup,
+    /// message does not follow the protocol
+    BadMessage,
+    /// message is larger than the limit
+    MessageTooLarge,
+    /// feature is not supported
+    FeatureNotSupported,
+    /// session position is malformed
+    BadPosition,
+    /// no route for this database and client account
+    NoRoute,
+    /// key is not valid for this client account
+    WrongKey,
+    /// key was withdrawn
+    KeyWithdrawn,
+    /// the host's view of the tables is too old to serve this request
+    ViewExpired,
+    /// client account is over its rate
+    RateExceeded,
+    /// too many requests are waiting
+    Overloaded,
+    /// request waited past its deadline
+    DeadlineExceeded,
+    /// group has no reachable primary
+    NoPrimary,
+    /// no endpoint can serve the request
+    NoEndpoint,
+    /// no endpoint is as fresh as the route asks
+    Stale,
+    /// host is stopping
+    HostDraining,
+    /// request was cancelled before it ran
+    Canceled,
+    /// the outcome of the request is unknown
+    OutcomeUnknown,
+    /// setting is not valid
+    BadSetting,
+    /// table is not valid
+    BadTable,
+    /// another edit was accepted first
+    EditConflict,
+    /// platform does not answer
+    PlatformUnavailable,
+    /// internal error
+    Internal,
+}
+
+impl ErrorKind {
+    /// All kinds, in the order of the list.
+    pub const ALL: [ErrorKind; 23] = [
+        ErrorKind::BadStartup,
+        ErrorKind::BadMessage,
+        ErrorKind::MessageTooLarge,
+        ErrorKind::FeatureNotSupported,
+        ErrorKind::BadPosition,
+        ErrorKind::NoRoute,
+        ErrorKind::WrongKey,
+        ErrorKind::KeyWithdrawn,
+        ErrorKind::ViewExpired,
+        ErrorKind::RateExceeded,
+        ErrorKind::Overloaded,
+        ErrorKind::DeadlineExceeded,
+        ErrorKind::NoPrimary,
+        ErrorKind::NoEndpoint,
+        ErrorKind::Stale,
+        ErrorKind::HostDraining,
+        ErrorKind::Canceled,
+        ErrorKind::OutcomeUnknown,
+        ErrorKind::BadSetting,
+        ErrorKind::BadTable,
+        ErrorKind::EditConflict,
+        ErrorKind::PlatformUnavailable,
+        ErrorKind::Internal,
+    ];
+
+    /// The row of the answer table for this kind.
+    pub fn answer(self) -> &'static Answer {
+        ANSWERS.get(&self).expect("the answer table is complete, a test checks it")
+    }
+}
+
+/// What the receiver of an error may conclude about its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// No part of the request had an effect.
+    NotRun,
+    /// The request may or may not have had its effect.
+    Unknown,
+    /// The request had its effect.
+    Ran,
+}
+
+/// One row of the answer table.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Answer {
+    /// Kind that the row answers.
+    pub kind: ErrorKind,
+    /// SQLSTATE of the `ErrorResponse`, five characters.
+    pub sqlstate: CompactString,
+    /// What the caller may conclude.
+    pub ran: Ran,
+    /// Exit code of a command that ends with this kind.
+    pub exit_code: u8,
+    /// Whether the caller's connection closes after the answer.
+    pub fatal: bool,
+    /// What the receiver can do.
+    pub hint: CompactString,
+}
+
+/// {kind}: {detail}
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub struct Error {
+    /// Kind of the error.
+    pub kind: ErrorKind,
+    /// What was seen and what is allowed.
+    pub detail: CompactString,
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    /// An error of `kind` with a text about this case.
+    pub fn new(kind: ErrorKind, detail: impl Into<CompactString>) -> Self {
+        Self { kind, detail: detail.into() }
+    }
+}
+
+#[derive(Deserialize)]
+struct AnswerFile {
+    answer: Vec<Answer>,
+}
+
+static ANSWERS: LazyLock<BTreeMap<ErrorKind, Answer>> = LazyLock::new(|| {
+    let file: AnswerFile = toml::from_str(include_str!("../data/answers.toml"))
+        .expect("the answer table is valid, a test checks it");
+    file.answer.into_iter().map(|answer| (answer.kind, answer)).collect()
+});
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+//! medlarstile: a PostgreSQL proxy with session consistency.
+//!
+//! `docs/design.md` describes the modules, who owns which state, and the reasons behind the design.
+
+pub mod chart;
+pub mod error;
+pub mod types;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `medlarstile` binary.
+
+fn main() {}
--- /dev/null
+++ b/src/types/amount.rs
@@ -0,0 +1,39 @@
+//! Rates, bursts, costs and weights.
+
+use derive_more::{Add, AddAssign, Display, From, FromStr, Into, Sub, SubAssign, Sum};
+use serde::{Deserialize, Serialize};
+
+macro_rules! amount {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr,
+            From, Into, Add, AddAssign, Sub, SubAssign, Sum, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+amount! {
+    /// Statements a second that a client account may run over the whole fleet.
+    RatePerS(u64);
+    /// Statements that a client account may run at once over the whole fleet.
+    Burst(u64);
+    /// Thousandths of a token; one statement costs 1,000.
+    MilliTokens(u64);
+    /// Cost of a request in microseconds of slot time.
+    Cost(u64);
+    /// Relative share of a client account in a queue.
+    Weight(u32);
+}
+
+impl MilliTokens {
+    /// The tokens of one statement.
+    pub const ONE: MilliTokens = MilliTokens(1_000);
+
+    /// `self - other`, zero if `other` is larger.
+    pub fn saturating_sub(self, other: MilliTokens) -> MilliTokens {
+        MilliTokens(self.0.saturating_sub(other.0))
+    }
+}
--- /dev/null
+++ b/src/types/id.rs
@@ -0,0 +1,117 @@
+//! Identifiers of the things that the proxy talks about.
+
+use compact_str::CompactString;
+use derive_more::{AsRef, Display, From, FromStr, Into};
+use displaydoc::Display as DocDisplay;
+use serde::{Deserialize, Serialize};
+
+/// Longest text identifier in bytes, the limit of PostgreSQL identifiers.
+const MAX_ID_BYTES: usize = 63;
+
+/// Why a text is not an identifier.
+#[derive(Debug, Clone, PartialEq, Eq, DocDisplay)]
+pub enum IdError {
+    /// identifier is empty
+    Empty,
+    /// identifier has {0} bytes, at most 63 are allowed
+    TooLong(usize),
+    /// identifier has the character {0:?}, allowed are letters, digits, '_', '-' and '.'
+    Character(char),
+}
+
+impl std::error::Error for IdError {}
+
+fn check_id(text: &str) -> Result<CompactString, IdError> {
+    if text.is_empty() {
+        return Err(IdError::Empty);
+    }
+    if text.len() > MAX_ID_BYTES {
+        return Err(IdError::TooLong(text.len()));
+    }
+    let allowed = |c: &char| !(c.is_ascii_alphanumeric() || "_-.".contains(*c));
+    match text.chars().find(allowed) {
+        Some(c) => Err(IdError::Character(c)),
+        None => Ok(CompactString::from(text)),
+    }
+}
+
+macro_rules! text_id {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, AsRef, Into, Serialize,
+            Deserialize,
+        )]
+        #[serde(try_from = "CompactString")]
+        #[as_ref(str)]
+        pub struct $name(CompactString);
+
+        impl $name {
+            /// The identifier as text.
+            pub fn as_str(&self) -> &str {
+                self.0.as_str()
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                check_id(text).map(Self)
+            }
+        }
+
+        impl TryFrom<CompactString> for $name {
+            type Error = IdError;
+
+            fn try_from(text: CompactString) -> Result<Self, IdError> {
+                text.parse()
+            }
+        }
+    )*};
+}
+
+text_id! {
+    /// A process of the proxy.
+    HostId;
+    /// A set of hosts and endpoints that fail together and can be cut off together.
+    FailureDomain;
+    /// A client account: the unit of keys, rates and fairness.
+    AccountId;
+    /// A database server that belongs to one group.
+    EndpointId;
+    /// A database group: one log, one primary, several replicas.
+    GroupId;
+    /// The name that joins the routes table to the pools table.
+    PoolName;
+    /// A row of the routes table.
+    RouteName;
+    /// The database name that a caller asks for.
+    DatabaseName;
+    /// A key of a client account; the name, never the key itself.
+    KeyId;
+}
+
+macro_rules! number_id {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr, From, Into,
+            Serialize, Deserialize,
+        )]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+number_id! {
+    /// A caller's connection, unique within one host incarnation.
+    SessionId(u64);
+    /// A request of a caller, unique within one host incarnation.
+    RequestId(u64);
+    /// A connection to an endpoint, unique within one host incarnation.
+    ConnectionId(u64);
+    /// One attempt to change a row of the platform, recognised when read back.
+    AttemptId(u64);
+    /// One run of a host process; a restart gets another number.
+    Incarnation(u64);
+}
--- /dev/null
+++ b/src/types/time.rs
@@ -0,0 +1,82 @@
+//! Times on the host's own monotonic clock.
+
+use std::ops::{Add, AddAssign, Sub};
+use std::time::Duration;
+
+use derive_more::{Display, From, FromStr, Into};
+use serde::{Deserialize, Serialize};
+
+/// Microseconds on the host's monotonic clock since the host started.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr, From, Into,
+)]
+#[display("{_0}us")]
+pub struct Timestamp(pub u64);
+
+/// A span of time in milliseconds.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    FromStr,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}ms")]
+#[serde(transparent)]
+pub struct DurationMs(pub u64);
+
+impl Timestamp {
+    /// Time from `earlier` to `self`, zero if `earlier` is later.
+    pub fn since(self, earlier: Timestamp) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Time from `earlier` to `self` in whole milliseconds, zero if `earlier` is later.
+    pub fn ms_since(self, earlier: Timestamp) -> DurationMs {
+        DurationMs(self.0.saturating_sub(earlier.0) / 1_000)
+    }
+}
+
+impl DurationMs {
+    /// The same span for the standard library.
+    pub fn to_std(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+
+    /// The span in microseconds.
+    pub fn as_us(self) -> u64 {
+        self.0.saturating_mul(1_000)
+    }
+}
+
+impl Add<DurationMs> for Timestamp {
+    type Output = Timestamp;
+
+    fn add(self, span: DurationMs) -> Timestamp {
+        Timestamp(self.0.saturating_add(span.as_us()))
+    }
+}
+
+impl AddAssign<DurationMs> for Timestamp {
+    fn add_assign(&mut self, span: DurationMs) {
+        *self = *self + span;
+    }
+}
+
+impl Sub<DurationMs> for Timestamp {
+    type Output = Timestamp;
+
+    fn sub(self, span: DurationMs) -> Timestamp {
+        Timestamp(self.0.saturating_sub(span.as_us()))
+    }
+}
--- /dev/null
+++ b/tests/chart.rs
@@ -0,0 +1,69 @@
+//! Chart files are refused unless every name in file and code matches.
+
+use medlarstile::chart::{Chart, ChartError, Names, NoGuard};
+use medlarstile::chart_names;
+use yare::parameterized;
+
+chart_names! {
+    /// States of the test chart.
+    pub enum State { Open = "open", Idle = "idle", Busy = "busy", Done = "done" }
+    /// Events of the test chart.
+    pub enum Event { Begin = "begin", End = "end", Close = "close" }
+    /// Guards of the test chart.
+    pub enum Guard { Ready = "ready" }
+    /// Actions of the test chart.
+    pub enum Action { Log = "log", Start = "start", Stop = "stop" }
+}
+
+const GOOD: &str = include_str!("data/chart_good.scxml");
+
+type TestChart = Chart<State, Event, Guard, Action>;
+
+fn load(text: &str) -> Result<TestChart, Vec<ChartError>> {
+    Chart::load("test.scxml", text)
+}
+
+/// Guards against entry, exit and inherited transitions being lost in compilation.
+#[test]
+fn runs_exit_transition_and_entry_actions_in_order() {
+    let chart: &'static TestChart = Box::leak(Box::new(load(GOOD).expect("valid chart")));
+    let mut machine = chart.start();
+    assert_eq!(machine.state(), State::Idle);
+    assert!(!machine.fire(Event::Begin, |_| false).handled);
+    let step = machine.fire(Event::Begin, |_| true);
+    assert_eq!((step.from, step.to), (State::Idle, State::Busy));
+    assert_eq!(step.actions, [Action::Log, Action::Start]);
+    assert_eq!(machine.fire(Event::End, |_| true).actions, [Action::Stop]);
+    machine.fire(Event::Close, |_| true);
+    assert!(machine.is_done());
+}
+
+/// Guards against a chart that refers to code that does not exist, or the reverse.
+#[parameterized(
+    unknown_event = { "event=\"begin\"", "event=\"start\"", "test.scxml:6: event \"start\" is not known to the code" },
+    unknown_guard = { "cond=\"ready\"", "cond=\"able\"", "test.scxml:6: guard \"able\" is not known to the code" },
+    unknown_action = { "<script>start</script>", "<script>go</script>", "test.scxml:11: action \"go\" is not known to the code" },
+    unused_action = { "<script>stop</script>", "<script>start</script>", "test.scxml: action \"stop\" is known to the code but not used" },
+    unreachable = { "target=\"busy\"", "target=\"idle\"", "test.scxml: state 'busy' is unreachable from the initial configuration" },
+)]
+fn refuses(from: &str, to: &str, expected: &str) {
+    let faults = load(&GOOD.replace(from, to)).expect_err("a faulty chart");
+    let texts: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    assert!(texts.iter().any(|text| text == expected), "{texts:?}");
+}
+
+/// Guards against a parser error that passes as an empty chart.
+#[parameterized(empty = { "" }, not_xml = { "state idle" }, unknown_target = { "<scxml xmlns=\"http://www.w3.org/2005/07/scxml\" version=\"1.0\" initial=\"a\"><state id=\"a\"><transition event=\"e\" target=\"b\"/></state></scxml>" })]
+fn refuses_files_that_are_not_charts(text: &str) {
+    let faults = load(text).expect_err("not a chart");
+    assert!(matches!(faults[0], ChartError::Invalid { .. }), "{faults:?}");
+}
+
+/// Guards against the index of a name and its place in the list going apart.
+#[test]
+fn indexes_match_the_name_lists() {
+    for (place, (_, value)) in State::NAMES.iter().enumerate() {
+        assert_eq!(value.index(), place);
+    }
+    assert!(NoGuard::NAMES.is_empty());
+}
--- /dev/null
+++ b/tests/types.rs
@@ -0,0 +1,46 @@
+//! Newtypes read back what they write, and refuse what they cannot hold.
+
+use medlarstile::types::{AccountId, Burst, DurationMs, Position, RatePerS, Term, Timestamp};
+use yare::parameterized;
+
+/// Guards against a session token that changes on its way through text.
+#[parameterized(zero = { 0, 0 }, usual = { 3, 1042 }, large = { u64::MAX, u64::MAX })]
+fn position_reads_back(term: u64, index: u64) {
+    let position = Position::new(Term(term), index);
+    assert_eq!(position.to_string().parse(), Ok(position));
+}
+
+/// Guards against a malformed token that is taken for position zero.
+#[parameterized(empty = { "" }, no_index = { "3" }, words = { "a:b" }, negative = { "-1:2" }, three = { "1:2:3" })]
+fn refuses_positions(text: &str) {
+    assert!(text.parse::<Position>().is_err());
+}
+
+/// Guards against an order by index alone, under which an old primary looks newest.
+#[test]
+fn a_higher_term_is_later_than_any_index() {
+    assert!(Position::new(Term(4), 1) > Position::new(Term(3), 900));
+}
+
+/// Guards against identifiers that break logs, rows or file names.
+#[parameterized(empty = { "" }, space = { "a b" }, slash = { "a/b" }, newline = { "a\n" }, long = { &"x".repeat(64) })]
+fn refuses_identifiers(text: &str) {
+    assert!(text.parse::<AccountId>().is_err());
+}
+
+/// Guards against amounts that do not read back.
+#[test]
+fn amounts_read_back() {
+    assert_eq!("25".parse(), Ok(RatePerS(25)));
+    assert_eq!(Burst(7).to_string(), "7");
+}
+
+/// Guards against underflow when a clock reading is older than its reference.
+#[test]
+fn time_differences_never_wrap() {
+    let early = Timestamp(1_000);
+    let late = early + DurationMs(5);
+    assert_eq!(late.ms_since(early), DurationMs(5));
+    assert_eq!(early.ms_since(late), DurationMs(0));
+    assert_eq!(early - DurationMs(5), Timestamp(0));
+}
