Classify statements conservatively and frame the PostgreSQL protocol

Cause: routing needs to know whether a request may change data, and frames must pass through without being decoded. Change: core/classify.rs decides read, write or transaction control with sqlparser and a list of functions without side effects; wire/pg.rs splits frames; wire/batch.rs renames prepared statements so that a batch can run on any connection; net/stream.rs buffers a socket and releases empty buffers. Conclusion: whatever the parser does not know to be free of side effects runs on the primary.

--- /dev/null
+++ b/src/core/classify.rs
@@ -0,0 +1,239 @@
+//! Decides from its text whether a statement is a read, a write or transaction control.
+//!
+//! The decision is conservative: whatever is not known to be free of side effects is a write. A
+//! view or an operator that calls a function with side effects is not recognised.
+
+use std::collections::BTreeSet;
+use std::ops::ControlFlow;
+use std::sync::LazyLock;
+
+use compact_str::CompactString;
+use sqlparser::ast::{
+    Expr, ObjectName, Query, Select, Set, SetExpr, Statement, TableFactor, TransactionAccessMode,
+    TransactionMode, Visit, Visitor,
+};
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::Parser;
+
+/// Name of the session position as a run-time parameter.
+pub const POSITION_PARAMETER: &str = "medlarstile.position";
+
+/// What a request does to data.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Access {
+    /// Reads only; any endpoint that is fresh enough may run it.
+    #[default]
+    Read,
+    /// May change data; only the primary may run it.
+    Write,
+}
+
+/// A statement that the host answers itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SessionCommand {
+    /// `SET medlarstile.position = '...'`.
+    SetPosition(CompactString),
+    /// `SHOW medlarstile.position`.
+    ShowPosition,
+    /// `SET` of a parameter that has the same value on every endpoint connection.
+    SetKnown(CompactString),
+}
+
+/// Decision about one request, which may hold several statements.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Class {
+    /// Whether the request may change data.
+    pub access: Access,
+    /// The request has a statement that opens a transaction.
+    pub begins: bool,
+    /// The request has a statement that may end a transaction.
+    pub ends: bool,
+    /// The request is one statement that the host answers itself.
+    pub command: Option<SessionCommand>,
+    /// The request uses a feature that the proxy does not carry.
+    pub unsupported: Option<&'static str>,
+}
+
+impl Class {
+    /// The class of a request that holds this one and `other`.
+    pub fn and(self, other: Class) -> Class {
+        Class {
+            access: self.access.max(other.access),
+            begins: self.begins || other.begins,
+            ends: self.ends || other.ends,
+            command: self.command.or(other.command),
+            unsupported: self.unsupported.or(other.unsupported),
+        }
+    }
+
+    fn write() -> Class {
+        Class { access: Access::Write, ..Class::default() }
+    }
+
+    fn refused(feature: &'static str) -> Class {
+        Class { unsupported: Some(feature), ..Class::write() }
+    }
+}
+
+/// Classifies the text of a simple query or of a `Parse` message.
+pub fn classify(sql: &str) -> Class {
+    let Ok(statements) = Parser::parse_sql(&PostgreSqlDialect {}, sql) else {
+        return unparsed(sql);
+    };
+    let single = statements.len() == 1;
+    let mut class = Class::default();
+    for statement in &statements {
+        let one = classify_statement(statement);
+        if one.command.is_some() && !single {
+            return Class::refused("SET or SHOW of a proxy parameter beside other statements");
+        }
+        class = class.and(one);
+    }
+    class
+}
+
+/// Text that the parser does not know runs on the primary; it may also end a transaction.
+fn unparsed(sql: &str) -> Class {
+    let first = sql.trim_start().split(|c: char| !c.is_ascii_alphabetic()).next().unwrap_or("");
+    match first.to_ascii_lowercase().as_str() {
+        "copy" => Class::refused("COPY"),
+        "listen" | "unlisten" => Class::refused("LISTEN"),
+        _ => Class { ends: true, ..Class::write() },
+    }
+}
+
+fn classify_statement(statement: &Statement) -> Class {
+    match statement {
+        Statement::Query(_) => query_class(statement),
+        Statement::Explain { analyze: false, .. } => Class::default(),
+        Statement::ShowVariable { variable } => {
+            let name = variable.iter().map(|part| part.value.as_str()).collect::<Vec<_>>();
+            let position = name.join(".").eq_ignore_ascii_case(POSITION_PARAMETER);
+            Class { command: position.then_some(SessionCommand::ShowPosition), ..Class::default() }
+        }
+        Statement::StartTransaction { modes, .. } => {
+            let read_only = TransactionMode::AccessMode(TransactionAccessMode::ReadOnly);
+            let access = if modes.contains(&read_only) { Access::Read } else { Access::Write };
+            Class { access, begins: true, ..Class::default() }
+        }
+        Statement::Commit { .. } | Statement::Rollback { savepoint: None, .. } => {
+            Class { access: Access::Write, ends: true, ..Class::default() }
+        }
+        Statement::Set(set) => set_class(set),
+        Statement::Copy { .. } => Class::refused("COPY"),
+        Statement::LISTEN { .. } | Statement::UNLISTEN { .. } => Class::refused("LISTEN"),
+        Statement::Prepare { .. } | Statement::Execute { .. } | Statement::Deallocate { .. } => {
+            Class::refused("PREPARE, EXECUTE and DEALLOCATE as SQL; use the extended protocol")
+        }
+        Statement::Declare { .. } => Class::refused("DECLARE CURSOR"),
+        Statement::Discard { .. } => Class::refused("DISCARD"),
+        _ => Class::write(),
+    }
+}
+
+fn set_class(set: &Set) -> Class {
+    match set {
+        Set::SingleAssignment { scope: None, variable, values, .. } => {
+            let name = variable.to_string().to_ascii_lowercase();
+            let value = values.iter().map(unquoted).collect::<Vec<_>>().join(",");
+            if name == POSITION_PARAMETER {
+                let command = Some(SessionCommand::SetPosition(value.into()));
+                return Class { command, ..Class::default() };
+            }
+            if is_fixed_setting(&name, &value) {
+                let command = Some(SessionCommand::SetKnown(name.into()));
+                return Class { command, ..Class::default() };
+            }
+            Class::refused("SET outside of a transaction; use SET LOCAL")
+        }
+        Set::SingleAssignment { .. } | Set::SetTransaction { .. } => Class::write(),
+        _ => Class::refused("SET outside of a transaction; use SET LOCAL"),
+    }
+}
+
+/// Settings that drivers send at start-up and that every endpoint connection already has.
+fn is_fixed_setting(name: &str, value: &str) -> bool {
+    match name {
+        "application_name" => true,
+        "client_encoding" => matches!(value.to_ascii_lowercase().as_str(), "utf8" | "utf-8"),
+        "datestyle" => value.to_ascii_lowercase().starts_with("iso"),
+        "extra_float_digits" => true,
+        "standard_conforming_strings" => value.eq_ignore_ascii_case("on"),
+        _ => false,
+    }
+}
+
+fn unquoted(expr: &Expr) -> String {
+    expr.to_string().trim_matches('\'').to_owned()
+}
+
+fn query_class(statement: &Statement) -> Class {
+    let found = statement.visit(&mut WriteFinder);
+    match found {
+        ControlFlow::Continue(()) => Class::default(),
+        ControlFlow::Break(()) => Class::write(),
+    }
+}
+
+/// Stops at the first part of a query that may have a side effect.
+struct WriteFinder;
+
+impl Visitor for WriteFinder {
+    type Break = ();
+
+    fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
+        if query.locks.is_empty() && is_read_body(&query.body) {
+            ControlFlow::Continue(())
+        } else {
+            ControlFlow::Break(())
+        }
+    }
+
+    fn pre_visit_table_factor(&mut self, factor: &TableFactor) -> ControlFlow<()> {
+        let pure = match factor {
+            TableFactor::Table { name, args, .. } => args.is_none() || is_read_function(name),
+            TableFactor::Derived { .. }
+            | TableFactor::NestedJoin { .. }
+            | TableFactor::UNNEST { .. } => true,
+            TableFactor::Function { name, .. } => is_read_function(name),
+            _ => false,
+        };
+        if pure {
+            ControlFlow::Continue(())
+        } else {
+            ControlFlow::Break(())
+        }
+    }
+
+    fn pre_visit_expr(&mut self, expr: &Expr) -> ControlFlow<()> {
+        match expr {
+            Expr::Function(function) if !is_read_function(&function.name) => ControlFlow::Break(()),
+            _ => ControlFlow::Continue(()),
+        }
+    }
+}
+
+fn is_read_body(body: &SetExpr) -> bool {
+    match body {
+        SetExpr::Select(select) => is_read_select(select),
+        SetExpr::Query(query) => is_read_body(&query.body),
+        SetExpr::SetOperation { left, right, .. } => is_read_body(left) && is_read_body(right),
+        SetExpr::Values(_) | SetExpr::Table(_) => true,
+        SetExpr::Insert(_) | SetExpr::Update(_) | SetExpr::Delete(_) | SetExpr::Merge(_) => false,
+    }
+}
+
+fn is_read_select(select: &Select) -> bool {
+    select.into.is_none()
+}
+
+static READ_FUNCTIONS: LazyLock<BTreeSet<&'static str>> = LazyLock::new(|| {
+    let text = include_str!("../../data/read_functions.txt");
+    text.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#')).collect()
+});
+
+fn is_read_function(name: &ObjectName) -> bool {
+    let text = name.to_string().to_ascii_lowercase();
+    let plain = text.strip_prefix("pg_catalog.").unwrap_or(&text);
+    READ_FUNCTIONS.contains(plain)
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,3 @@
+//! Decisions, without sockets, encoding or clock: events with a time in, effects out.
+
+pub mod classify;
--- a/src/error.rs
+++ b/src/error.rs
@@ -21,6 +21,8 @@
     MessageTooLarge,
     /// feature is not supported
     FeatureNotSupported,
+    /// prepared statement does not exist
+    UnknownStatement,
     /// session position is malformed
     BadPosition,
     /// no route for this database and client account
@@ -63,11 +65,12 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the list.
-    pub const ALL: [ErrorKind; 23] = [
+    pub const ALL: [ErrorKind; 24] = [
         ErrorKind::BadStartup,
         ErrorKind::BadMessage,
         ErrorKind::MessageTooLarge,
         ErrorKind::FeatureNotSupported,
+        ErrorKind::UnknownStatement,
         ErrorKind::BadPosition,
         ErrorKind::NoRoute,
         ErrorKind::WrongKey,
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,3 @@
+//! Actors that own sockets. They feed events to the core and carry out its effects.
+
+pub mod stream;
--- /dev/null
+++ b/src/wire/batch.rs
@@ -0,0 +1,237 @@
+//! Requests of callers as batches of frames: a simple query, or extended messages up to `Sync`.
+//!
+//! Prepared statements live on the endpoint connection where they were parsed, and a caller's next
+//! batch may run on another one. The builder therefore renames named statements to names that are
+//! unique on a host and lists, per batch, which statements the connection must know.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use compact_str::{format_compact, CompactString};
+use pgwire::messages::extendedquery::{Bind, Close, Describe, Parse, TARGET_TYPE_BYTE_STATEMENT};
+use pgwire::messages::simplequery::Query;
+
+use crate::core::classify::{classify, Access, Class};
+use crate::error::{Error, ErrorKind};
+use crate::types::SessionId;
+use crate::wire::pg::{put, Frame};
+
+/// A prepared statement of one caller.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Prepared {
+    /// Name on endpoint connections, unique on this host; empty for the unnamed statement.
+    pub wire_name: CompactString,
+    /// Decision about its text.
+    pub class: Class,
+    /// `Parse` frame with the wire name.
+    pub parse: Bytes,
+}
+
+/// One request as it goes to an endpoint connection.
+#[derive(Debug, Clone, Default)]
+pub struct Batch {
+    /// Frames to send.
+    pub frames: BytesMut,
+    /// Statements that the connection must know before the frames are sent.
+    pub needs: Vec<Rc<Prepared>>,
+    /// Wire names that the batch itself defines.
+    pub defines: Vec<CompactString>,
+    /// Wire names that the batch closes.
+    pub closes: Vec<CompactString>,
+    /// Decision about the whole batch.
+    pub class: Class,
+    /// Text of a simple query.
+    pub text: Option<CompactString>,
+    executes: bool,
+    binds: bool,
+}
+
+/// What one frame did to the batch under construction.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// More frames belong to the batch.
+    Open,
+    /// The batch is complete.
+    Complete,
+    /// The caller ends the connection.
+    Terminate,
+}
+
+/// Builds batches from the frames of one caller.
+#[derive(Debug)]
+pub struct BatchBuilder {
+    session: SessionId,
+    next_statement: u64,
+    statements: BTreeMap<CompactString, Rc<Prepared>>,
+    batch: Batch,
+    fault: Option<Error>,
+}
+
+impl BatchBuilder {
+    /// A builder for the caller of `session`.
+    pub fn new(session: SessionId) -> Self {
+        Self {
+            session,
+            next_statement: 0,
+            statements: BTreeMap::new(),
+            batch: Batch::default(),
+            fault: None,
+        }
+    }
+
+    /// Adds a frame. A fault inside an extended batch is kept until its `Sync`, as PostgreSQL does.
+    ///
+    /// # Errors
+    ///
+    /// `bad_message` for a message type that a caller may not send here.
+    pub fn push(&mut self, frame: Frame) -> Result<Progress, Error> {
+        match frame.tag {
+            b'Q' => self.query(&frame),
+            b'P' => self.extended(frame, Self::parse),
+            b'B' => self.extended(frame, Self::bind),
+            b'D' => self.extended(frame, Self::describe),
+            b'C' => self.extended(frame, Self::close),
+            b'E' => self.extended(frame, Self::execute),
+            b'H' => self.extended(frame, |_, _| {
+                Err(Error::new(ErrorKind::FeatureNotSupported, "Flush; send Sync"))
+            }),
+            b'S' => {
+                self.batch.frames.extend_from_slice(&frame.bytes);
+                Ok(Progress::Complete)
+            }
+            b'X' => Ok(Progress::Terminate),
+            b'd' | b'c' | b'f' => {
+                Err(Error::new(ErrorKind::FeatureNotSupported, "COPY is not carried"))
+            }
+            tag => {
+                let detail = format!("message type {:?} is not one of a caller's", char::from(tag));
+                Err(Error::new(ErrorKind::BadMessage, detail))
+            }
+        }
+    }
+
+    /// Takes the complete batch, or the fault that it has.
+    pub fn take(&mut self) -> Result<Batch, Error> {
+        let mut batch = std::mem::take(&mut self.batch);
+        if let Some(fault) = self.fault.take() {
+            return Err(fault);
+        }
+        if let Some(feature) = batch.class.unsupported {
+            return Err(Error::new(ErrorKind::FeatureNotSupported, feature));
+        }
+        if batch.class.command.is_some() && batch.text.is_none() {
+            let detail = "proxy parameters by the extended protocol; use a simple query";
+            return Err(Error::new(ErrorKind::FeatureNotSupported, detail));
+        }
+        if batch.executes && !batch.binds {
+            // A portal bound in an earlier batch may hold any statement, a COMMIT too.
+            batch.class.access = Access::Write;
+            batch.class.ends = true;
+        }
+        Ok(batch)
+    }
+
+    fn query(&mut self, frame: &Frame) -> Result<Progress, Error> {
+        let query = frame.decode::<Query>()?;
+        self.batch.class = classify(&query.query);
+        self.batch.text = Some(query.query.into());
+        self.batch.frames.extend_from_slice(&frame.bytes);
+        Ok(Progress::Complete)
+    }
+
+    fn extended(
+        &mut self,
+        frame: Frame,
+        add: impl FnOnce(&mut Self, Frame) -> Result<(), Error>,
+    ) -> Result<Progress, Error> {
+        if self.fault.is_none() {
+            match add(self, frame) {
+                Err(error) if error.kind == ErrorKind::BadMessage => return Err(error),
+                Err(error) => self.fault = Some(error),
+                Ok(()) => {}
+            }
+        }
+        Ok(Progress::Open)
+    }
+
+    fn parse(&mut self, frame: Frame) -> Result<(), Error> {
+        let mut parse = frame.decode::<Parse>()?;
+        let class = classify(&parse.query);
+        let name = CompactString::from(parse.name.take().unwrap_or_default());
+        let wire_name = if name.is_empty() { name.clone() } else { self.fresh_name() };
+        parse.name = Some(wire_name.to_string()).filter(|name| !name.is_empty());
+        let mut encoded = BytesMut::new();
+        put(&mut encoded, &parse);
+        self.batch.frames.extend_from_slice(&encoded);
+        self.batch.defines.push(wire_name.clone());
+        self.batch.class.unsupported = self.batch.class.unsupported.or(class.unsupported);
+        if class.command.is_some() {
+            self.batch.class.command = class.command.clone();
+        }
+        let prepared = Prepared { wire_name, class, parse: encoded.freeze() };
+        self.statements.insert(name, Rc::new(prepared));
+        Ok(())
+    }
+
+    fn bind(&mut self, frame: Frame) -> Result<(), Error> {
+        let mut bind = frame.decode::<Bind>()?;
+        let prepared = self.statement(bind.statement_name.as_deref())?;
+        self.batch.class = std::mem::take(&mut self.batch.class).and(prepared.class.clone());
+        self.batch.binds = true;
+        bind.statement_name = self.use_statement(&prepared);
+        put(&mut self.batch.frames, &bind);
+        Ok(())
+    }
+
+    fn describe(&mut self, frame: Frame) -> Result<(), Error> {
+        let mut describe = frame.decode::<Describe>()?;
+        if describe.target_type == TARGET_TYPE_BYTE_STATEMENT {
+            let prepared = self.statement(describe.name.as_deref())?;
+            describe.name = self.use_statement(&prepared);
+        }
+        put(&mut self.batch.frames, &describe);
+        Ok(())
+    }
+
+    fn close(&mut self, frame: Frame) -> Result<(), Error> {
+        let mut close = frame.decode::<Close>()?;
+        if close.target_type == TARGET_TYPE_BYTE_STATEMENT {
+            let name = close.name.take().unwrap_or_default();
+            let removed = self.statements.remove(name.as_str());
+            let wire_name = removed.map(|prepared| prepared.wire_name.clone());
+            let wire_name = wire_name.unwrap_or_else(|| self.fresh_name());
+            close.name = Some(wire_name.to_string()).filter(|name| !name.is_empty());
+            self.batch.closes.push(wire_name);
+        }
+        put(&mut self.batch.frames, &close);
+        Ok(())
+    }
+
+    fn execute(&mut self, frame: Frame) -> Result<(), Error> {
+        self.batch.executes = true;
+        self.batch.frames.extend_from_slice(&frame.bytes);
+        Ok(())
+    }
+
+    fn statement(&self, name: Option<&str>) -> Result<Rc<Prepared>, Error> {
+        let name = name.unwrap_or_default();
+        self.statements.get(name).cloned().ok_or_else(|| {
+            let detail = format!("prepared statement {name:?} does not exist");
+            Error::new(ErrorKind::UnknownStatement, detail)
+        })
+    }
+
+    fn use_statement(&mut self, prepared: &Rc<Prepared>) -> Option<String> {
+        let listed = self.batch.needs.contains(prepared);
+        if !listed && !self.batch.defines.contains(&prepared.wire_name) {
+            self.batch.needs.push(Rc::clone(prepared));
+        }
+        Some(prepared.wire_name.to_string()).filter(|name| !name.is_empty())
+    }
+
+    fn fresh_name(&mut self) -> CompactString {
+        self.next_statement += 1;
+        format_compact!("m{}_{}", self.session, self.next_statement)
+    }
+}
--- /dev/null
+++ b/tests/classify.rs
@@ -0,0 +1,73 @@
+//! Statements are reads only when nothing in them can change data.
+
+use medlarstile::core::classify::{classify, Access, SessionCommand};
+use yare::parameterized;
+
+/// Guards against a read that is sent to the primary although a replica could serve it.
+#[parameterized(
+    select = { "SELECT a, b FROM t WHERE id = $1" },
+    aggregate = { "select count(*), max(a) from t group by b order by 1 limit 3" },
+    cte = { "WITH x AS (SELECT 1) SELECT * FROM x JOIN t ON true" },
+    union = { "SELECT 1 UNION ALL (SELECT 2)" },
+    values = { "VALUES (1), (2)" },
+    catalog = { "SELECT pg_catalog.format_type(1, 2)" },
+    show = { "SHOW server_version" },
+    explain = { "EXPLAIN SELECT 1" },
+    two = { "SELECT 1; SELECT 2" },
+    read_only = { "BEGIN READ ONLY" },
+    empty = { "" },
+)]
+fn reads(sql: &str) {
+    let class = classify(sql);
+    assert_eq!(class.access, Access::Read, "{class:?}");
+    assert!(!class.ends && class.unsupported.is_none());
+}
+
+/// Guards against a statement with side effects that is sent to a replica or sent twice.
+#[parameterized(
+    insert = { "INSERT INTO t VALUES (1)" },
+    cte_write = { "WITH x AS (INSERT INTO t VALUES (1) RETURNING a) SELECT * FROM x" },
+    lock = { "SELECT * FROM t FOR UPDATE" },
+    nested_lock = { "SELECT * FROM (SELECT * FROM t FOR SHARE) x" },
+    into = { "SELECT a INTO u FROM t" },
+    sequence = { "SELECT nextval('s')" },
+    own_function = { "SELECT book(1)" },
+    table_function = { "SELECT * FROM book(1)" },
+    hidden_call = { "SELECT 1 WHERE EXISTS (SELECT 1 FROM t WHERE a > book(2))" },
+    explain_analyze = { "EXPLAIN ANALYZE SELECT 1" },
+    begin = { "BEGIN" },
+    mixed = { "SELECT 1; UPDATE t SET a = 1" },
+    unparsed = { "FROBNICATE t" },
+    ddl = { "CREATE TABLE t (a int)" },
+)]
+fn writes(sql: &str) {
+    assert_eq!(classify(sql).access, Access::Write);
+}
+
+/// Guards against an acknowledged commit that is not held until it is durable.
+#[parameterized(commit = { "COMMIT" }, end = { "END" }, rollback = { "ROLLBACK" }, chain = { "INSERT INTO t VALUES (1); COMMIT" }, unknown = { "FINISH IT" })]
+fn may_end_a_transaction(sql: &str) {
+    assert!(classify(sql).ends);
+}
+
+/// Guards against session state that would leak to the next user of a connection.
+#[parameterized(set = { "SET work_mem = '1MB'" }, role = { "SET ROLE x" }, copy = { "COPY t FROM STDIN" }, listen = { "LISTEN c" }, prepare = { "PREPARE p AS SELECT 1" }, discard = { "DISCARD ALL" })]
+fn refused(sql: &str) {
+    assert!(classify(sql).unsupported.is_some());
+}
+
+/// Guards against the session token being sent to an endpoint.
+#[parameterized(
+    set = { "SET medlarstile.position = 'g=3:7'", SessionCommand::SetPosition("g=3:7".into()) },
+    show = { "SHOW medlarstile.position", SessionCommand::ShowPosition },
+    name = { "SET application_name = 'x'", SessionCommand::SetKnown("application_name".into()) },
+)]
+fn answered_by_the_host(sql: &str, command: SessionCommand) {
+    assert_eq!(classify(sql).command, Some(command));
+}
+
+/// Guards against `SET LOCAL` being refused, which is the way to change a setting.
+#[test]
+fn set_local_is_carried() {
+    assert_eq!(classify("SET LOCAL statement_timeout = 5").unsupported, None);
+}
