--- /dev/null
+++ b/src/core/group/anchor.rs
@@ -0,0 +1,111 @@
+//! Freshness anchors: proofs that a position covers every write acknowledged before some time.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::status::{EndpointStatus, Role};
+use crate::types::{DurationMs, EndpointId, Position, Term, Timestamp};
+
+/// Anchors kept. At one every 100 ms this covers 6 s exactly; older ones are thinned out.
+const ANCHORS_KEPT: usize = 64;
+
+/// Probe answers of the primary that may still become anchors.
+const CANDIDATES_KEPT: usize = 16;
+
+/// Clock rates differ by less than 0.1%, so that a span measured here is at most this part longer
+/// elsewhere.
+const CLOCK_RATE_DIVISOR: u64 = 1_000;
+
+/// `position` covers every write acknowledged before `sent`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Anchor {
+    /// When the probe that the primary answered was sent.
+    pub sent: Timestamp,
+    /// Position in the primary's answer.
+    pub position: Position,
+    /// Term of the primary.
+    pub term: Term,
+}
+
+#[derive(Debug, Clone, Default)]
+pub(super) struct Anchors {
+    candidates: VecDeque<Anchor>,
+    answers: BTreeMap<EndpointId, (Timestamp, Term)>,
+    proven: VecDeque<Anchor>,
+}
+
+impl Anchors {
+    /// Takes the answer to a probe sent at `sent`; `majority` is the size of a majority.
+    ///
+    /// An endpoint that is fenced to a higher term may already have taken part in a promotion, so
+    /// that its answer proves nothing although it still reports the old term.
+    pub fn on_answer(
+        &mut self,
+        sent: Timestamp,
+        endpoint: &EndpointId,
+        status: &EndpointStatus,
+        majority: usize,
+    ) {
+        if status.is_fenced_off() {
+            return;
+        }
+        let answer = self.answers.entry(endpoint.clone()).or_insert((sent, status.term));
+        if (status.term, sent) > (answer.1, answer.0) {
+            *answer = (sent, status.term);
+        }
+        if status.role == Role::Primary {
+            let anchor = Anchor { sent, position: status.position, term: status.term };
+            self.candidates.push_back(anchor);
+            if self.candidates.len() > CANDIDATES_KEPT {
+                self.candidates.pop_front();
+            }
+        }
+        self.prove(majority);
+    }
+
+    /// The earliest anchor sampled at or after `time`.
+    pub fn at_or_after(&self, time: Timestamp) -> Option<&Anchor> {
+        self.proven.iter().find(|anchor| anchor.sent >= time)
+    }
+
+    /// The oldest anchor that is at most `max_age` old on every clock.
+    pub fn within(&self, now: Timestamp, max_age: DurationMs) -> Option<&Anchor> {
+        self.proven.iter().find(|anchor| {
+            let age_us = now.0.saturating_sub(anchor.sent.0);
+            age_us + age_us.div_ceil(CLOCK_RATE_DIVISOR) <= max_age.as_us()
+        })
+    }
+
+    /// The latest anchor.
+    pub fn latest(&self) -> Option<&Anchor> {
+        self.proven.back()
+    }
+
+    fn prove(&mut self, majority: usize) {
+        let answers = &self.answers;
+        let proves = |anchor: &Anchor| {
+            let same =
+                |(sent, term): &&(Timestamp, Term)| *term == anchor.term && *sent >= anchor.sent;
+            answers.values().filter(same).count() >= majority
+        };
+        let Some(place) = self.candidates.iter().rposition(proves) else { return };
+        for anchor in self.candidates.drain(..=place) {
+            // Candidates before the proven one are covered by the same answers or are out of date.
+            if proves(&anchor) && self.proven.back().is_none_or(|last| last.sent < anchor.sent) {
+                self.proven.push_back(anchor);
+            }
+        }
+        if self.proven.len() > ANCHORS_KEPT {
+            self.thin_out();
+        }
+    }
+
+    /// Drops every second anchor of the older half.
+    fn thin_out(&mut self) {
+        let half = self.proven.len() / 2;
+        let mut place = 0;
+        self.proven.retain(|_| {
+            place += 1;
+            place > half || place % 2 == 0
+        });
+    }
+}
--- /dev/null
+++ b/src/core/group/mod.rs
@@ -0,0 +1,306 @@
+//! One host's view of a database group: statuses, confirmed positions, freshness anchors, and which
+//! endpoint may serve which request.
+
+mod anchor;
+mod eligible;
+mod lineage;
+mod probe;
+mod status;
+
+use std::collections::BTreeMap;
+
+pub use anchor::Anchor;
+pub use eligible::{Eligible, Floor, Freshness, Unserved, WaitFor};
+pub use lineage::Durability;
+pub use probe::{DEMAND_LASTS, PRIMARY_ALARM, PRIMARY_QUIET, PROBE_DEMAND, PROBE_IDLE};
+pub use status::{EndpointStatus, Role, StatusError};
+
+use anchor::Anchors;
+use lineage::Lineage;
+use probe::ProbeClock;
+
+use crate::core::promotion::{GroupRecord, Phase};
+use crate::types::{DurationMs, EndpointId, FailureDomain, GroupId, Position, Term, Timestamp};
+
+/// An endpoint of a group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberSpec {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Where it runs.
+    pub failure_domain: FailureDomain,
+}
+
+#[derive(Debug, Clone)]
+struct Member {
+    failure_domain: FailureDomain,
+    status: Option<EndpointStatus>,
+    heard: Option<Timestamp>,
+    highest_term: Term,
+}
+
+/// The endpoint that was last known as primary, and how it is doing.
+#[derive(Debug, Clone)]
+struct Leader {
+    endpoint: EndpointId,
+    term: Term,
+    heard: Timestamp,
+    confirmed: Position,
+    behind: bool,
+    progressed: Timestamp,
+}
+
+/// What one host knows about a group.
+#[derive(Debug, Clone)]
+pub struct GroupView {
+    group: GroupId,
+    home: Option<FailureDomain>,
+    members: BTreeMap<EndpointId, Member>,
+    record: Option<GroupRecord>,
+    term: Term,
+    leader: Option<Leader>,
+    started: Option<Timestamp>,
+    fenced_off: Option<Timestamp>,
+    lineage: Lineage,
+    anchors: Anchors,
+    probes: ProbeClock,
+}
+
+impl GroupView {
+    /// A view without any knowledge.
+    pub fn new(group: GroupId, members: Vec<MemberSpec>) -> Self {
+        let member = |spec: MemberSpec| {
+            let failure_domain = spec.failure_domain;
+            let (status, heard, highest_term) = (None, None, Term(0));
+            (spec.endpoint, Member { failure_domain, status, heard, highest_term })
+        };
+        Self {
+            group,
+            home: None,
+            members: members.into_iter().map(member).collect(),
+            record: None,
+            term: Term(0),
+            leader: None,
+            started: None,
+            fenced_off: None,
+            lineage: Lineage::default(),
+            anchors: Anchors::default(),
+            probes: ProbeClock::default(),
+        }
+    }
+
+    /// The same view for a host in `home`, whose replicas are preferred.
+    pub fn with_home(mut self, home: FailureDomain) -> Self {
+        self.home = Some(home);
+        self
+    }
+
+    /// Takes a status. `probe_sent` is the send time of the probe that it answers, if it answers
+    /// one. A status with a lower term than an earlier one of this endpoint is late and ignored.
+    pub fn on_status(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        status: EndpointStatus,
+        probe_sent: Option<Timestamp>,
+    ) {
+        self.started.get_or_insert(now);
+        let majority = self.majority();
+        let Some(member) = self.members.get_mut(endpoint) else { return };
+        if status.term < member.highest_term {
+            return;
+        }
+        member.highest_term = status.term;
+        member.status = Some(status);
+        member.heard = Some(now);
+        self.term = self.term.max(status.term);
+        if status.role == Role::Primary {
+            self.lineage.on_confirmed(status.term, status.confirmed);
+            self.on_primary(now, endpoint, &status);
+        }
+        if let Some(sent) = probe_sent {
+            self.anchors.on_answer(sent, endpoint, &status, majority);
+        }
+        self.note_fences(now);
+    }
+
+    /// The endpoint closed a connection, or a connection broke. Its status is unknown until the
+    /// next one. The caller must pass on no status from a connection opened before the loss,
+    /// because an endpoint closes its connections before it rewinds its log or restarts.
+    pub fn on_lost(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        self.started.get_or_insert(now);
+        if let Some(member) = self.members.get_mut(endpoint) {
+            member.status = None;
+        }
+        self.note_fences(now);
+    }
+
+    /// Takes the group's record from the platform or a peer. A lower term, or an earlier phase of
+    /// the same term, is late and ignored.
+    pub fn on_record(&mut self, now: Timestamp, record: &GroupRecord) {
+        self.started.get_or_insert(now);
+        let key = |record: &GroupRecord| (record.term, record.phase);
+        if self.record.as_ref().is_some_and(|known| key(known) >= key(record)) {
+            return;
+        }
+        self.record = Some(record.clone());
+        if record.phase == Phase::Promoted {
+            self.lineage.on_start(record.term, record.start);
+            self.term = self.term.max(record.term);
+            if let Some(primary) = &record.primary {
+                self.follow_leader(now, primary, record.term, Position::default());
+            }
+            self.note_fences(now);
+        }
+    }
+
+    /// The group.
+    pub fn group(&self) -> &GroupId {
+        &self.group
+    }
+
+    /// The endpoint that reports itself as primary at the highest known term and is not fenced to a
+    /// higher one.
+    pub fn primary(&self) -> Option<&EndpointId> {
+        let leads = |status: &EndpointStatus| {
+            status.role == Role::Primary && status.term == self.term && !status.is_fenced_off()
+        };
+        let mut members = self.members.iter();
+        members.find(|(_, member)| member.status.as_ref().is_some_and(leads)).map(|(id, _)| id)
+    }
+
+    /// Highest term of a promotion that is known.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Latest record, from the platform or a peer.
+    pub fn record(&self) -> Option<&GroupRecord> {
+        self.record.as_ref()
+    }
+
+    /// Latest status of an endpoint on its present connections.
+    pub fn status(&self, endpoint: &EndpointId) -> Option<&EndpointStatus> {
+        self.members.get(endpoint)?.status.as_ref()
+    }
+
+    /// Members in the order of their ids.
+    pub fn endpoints(&self) -> impl Iterator<Item = &EndpointId> {
+        self.members.keys()
+    }
+
+    /// Highest position known to survive every failover.
+    pub fn confirmed(&self) -> Position {
+        self.lineage.confirmed()
+    }
+
+    /// What is known about the future of a write at `position`.
+    pub fn durability(&self, position: Position) -> Durability {
+        self.lineage.durability(position, self.term)
+    }
+
+    /// Whether the answer of a read that the primary served outside a transaction may go out.
+    /// `position` is the primary's position when it answered: the answer may show entries up to
+    /// it. [`Durability::Lost`] means that the read has to be repeated.
+    pub fn read_release(&self, position: Position) -> Durability {
+        self.durability(position)
+    }
+
+    /// Whether the start position of the present term is known.
+    pub fn knows_start(&self) -> bool {
+        self.lineage.knows_start(self.term)
+    }
+
+    /// The latest freshness anchor.
+    pub fn anchor(&self) -> Option<&Anchor> {
+        self.anchors.latest()
+    }
+
+    /// Number of endpoints that form a majority.
+    pub fn majority(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+
+    /// Endpoints that said something at or after `since`.
+    pub fn answering(&self, since: Timestamp) -> usize {
+        let heard = |member: &&Member| member.heard.is_some_and(|heard| heard >= since);
+        self.members.values().filter(heard).count()
+    }
+
+    /// The endpoint last known as primary, whether or not it still reports so.
+    pub fn leader(&self) -> Option<&EndpointId> {
+        self.leader.as_ref().map(|leader| &leader.endpoint)
+    }
+
+    /// When the group last had a primary: the time of the last status of an endpoint that reported
+    /// itself as primary at the highest known term.
+    pub fn primary_heard(&self) -> Option<Timestamp> {
+        self.leader.as_ref().map(|leader| leader.heard).or(self.started)
+    }
+
+    /// Time since [`GroupView::primary_heard`].
+    pub fn primary_silence(&self, now: Timestamp) -> DurationMs {
+        self.primary_heard().map_or(DurationMs(0), |heard| now.ms_since(heard))
+    }
+
+    /// Since when the primary has had entries to confirm without confirming any; `None` if it has
+    /// none. A primary that reaches the hosts but not its replicas shows only by this.
+    pub fn stalled_since(&self) -> Option<Timestamp> {
+        let leader = self.leader.as_ref()?;
+        let status = self.status(self.primary()?)?;
+        (status.position > status.confirmed).then_some(leader.progressed)
+    }
+
+    /// Since when some endpoint has been fenced to a term without a known promotion.
+    pub fn fenced_off_since(&self) -> Option<Timestamp> {
+        self.fenced_off
+    }
+
+    /// Highest term to which an endpoint is known to be fenced.
+    pub fn highest_fence(&self) -> Term {
+        let fences = self.members.values().filter_map(|member| member.status);
+        fences.map(|status| status.fenced_term).max().unwrap_or_default()
+    }
+
+    /// Endpoints whose status satisfies `wanted`.
+    pub fn count(&self, wanted: impl Fn(&EndpointStatus) -> bool) -> usize {
+        let statuses = self.members.values().filter_map(|member| member.status.as_ref());
+        statuses.filter(|status| wanted(status)).count()
+    }
+
+    fn connected(&self) -> usize {
+        self.count(|_| true)
+    }
+
+    fn on_primary(&mut self, now: Timestamp, endpoint: &EndpointId, status: &EndpointStatus) {
+        if status.term < self.term || status.is_fenced_off() {
+            return;
+        }
+        self.follow_leader(now, endpoint, status.term, status.confirmed);
+        if let Some(leader) = &mut self.leader {
+            leader.heard = now;
+            if status.confirmed > leader.confirmed || !leader.behind {
+                leader.confirmed = status.confirmed;
+                leader.progressed = now;
+            }
+            leader.behind = status.position > status.confirmed;
+        }
+    }
+
+    fn follow_leader(&mut self, now: Timestamp, id: &EndpointId, term: Term, confirmed: Position) {
+        if self.leader.as_ref().is_some_and(|leader| leader.term >= term) {
+            return;
+        }
+        let endpoint = id.clone();
+        let (heard, progressed, behind) = (now, now, false);
+        self.leader = Some(Leader { endpoint, term, heard, confirmed, behind, progressed });
+    }
+
+    fn note_fences(&mut self, now: Timestamp) {
+        if self.highest_fence() <= self.term {
+            self.fenced_off = None;
+        } else {
+            self.fenced_off.get_or_insert(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/group/status.rs
@@ -0,0 +1,109 @@
+//! The status that an endpoint reports, and its text form.
+
+use std::str::FromStr;
+
+use compact_str::CompactString;
+use derive_more::Display;
+use displaydoc::Display as DocDisplay;
+
+use crate::types::{Position, Term};
+
+/// Part that an endpoint plays in its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+pub enum Role {
+    /// Accepts writes.
+    #[display("primary")]
+    Primary,
+    /// Receives the primary's log.
+    #[display("replica")]
+    Replica,
+}
+
+impl FromStr for Role {
+    type Err = StatusError;
+
+    fn from_str(text: &str) -> Result<Self, StatusError> {
+        match text {
+            "primary" => Ok(Role::Primary),
+            "replica" => Ok(Role::Replica),
+            other => Err(StatusError::Value { field: "role", value: other.into() }),
+        }
+    }
+}
+
+/// What an endpoint says about itself, written
+/// `term=3 role=primary position=3:1042 confirmed=3:1040 fenced=3`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display("term={term} role={role} position={position} confirmed={confirmed} fenced={fenced_term}")]
+pub struct EndpointStatus {
+    /// Term of the primary whose log the endpoint holds a prefix of.
+    pub term: Term,
+    /// Part that the endpoint plays.
+    pub role: Role,
+    /// Last position in its log.
+    pub position: Position,
+    /// Highest position that a majority holds durably, as the primary counts it. A replica passes
+    /// on the last value that it received.
+    pub confirmed: Position,
+    /// The endpoint refuses orders, writes and replication below this term.
+    pub fenced_term: Term,
+}
+
+impl EndpointStatus {
+    /// Whether the endpoint has promised to accept nothing more at its own term.
+    pub fn is_fenced_off(&self) -> bool {
+        self.fenced_term > self.term
+    }
+}
+
+/// Why a text is not a status.
+#[derive(Debug, Clone, PartialEq, Eq, DocDisplay)]
+pub enum StatusError {
+    /// status field {0:?} is not written NAME=VALUE
+    Shape(CompactString),
+    /// status has no field {0}
+    Missing(&'static str),
+    /// status field {0} occurs twice
+    Repeated(&'static str),
+    /// status field {field} has the value {value:?}, which cannot be read
+    Value {
+        /// Name of the field.
+        field: &'static str,
+        /// Text found.
+        value: CompactString,
+    },
+}
+
+impl std::error::Error for StatusError {}
+
+const FIELDS: [&str; 5] = ["term", "role", "position", "confirmed", "fenced"];
+
+impl FromStr for EndpointStatus {
+    type Err = StatusError;
+
+    fn from_str(text: &str) -> Result<Self, StatusError> {
+        let mut values = [None; FIELDS.len()];
+        for field in text.split_ascii_whitespace() {
+            let (name, value) =
+                field.split_once('=').ok_or_else(|| StatusError::Shape(field.into()))?;
+            // Unknown names are allowed, so that endpoints can report more than this version reads.
+            let Some(place) = FIELDS.iter().position(|known| *known == name) else { continue };
+            if values[place].replace(value).is_some() {
+                return Err(StatusError::Repeated(FIELDS[place]));
+            }
+        }
+        Ok(Self {
+            term: Term(read(&values, 0)?),
+            role: read(&values, 1)?,
+            position: read(&values, 2)?,
+            confirmed: read(&values, 3)?,
+            fenced_term: Term(read(&values, 4)?),
+        })
+    }
+}
+
+fn read<T: FromStr>(values: &[Option<&str>; 5], place: usize) -> Result<T, StatusError> {
+    let field = FIELDS[place];
+    let value = values[place].ok_or(StatusError::Missing(field))?;
+    value.parse().map_err(|_| StatusError::Value { field, value: value.into() })
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,4 @@
+//! Decision logic without sockets, encoding or clock reads: timestamped events in, effects out.
+
+pub mod group;
+pub mod promotion;
--- /dev/null
+++ b/src/core/promotion/actions.rs
@@ -0,0 +1,201 @@
+//! Actions of the promotion chart.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use rand::Rng;
+
+use super::rules::Reason;
+use super::{
+    Action, Attempt, Facts, GroupRecord, Phase, PromotionEffect, ORDER_REPEAT, RETRY_MAX, RETRY_MIN,
+};
+use crate::core::group::{EndpointStatus, GroupView, Role};
+use crate::types::{AttemptId, DurationMs, EndpointId, Position, RowVersion, Term, Timestamp};
+
+type Effects = Vec<PromotionEffect>;
+
+impl Facts {
+    pub(super) fn act(
+        &mut self,
+        action: Action,
+        now: Timestamp,
+        view: &GroupView,
+        effects: &mut Effects,
+    ) {
+        match action {
+            Action::Begin => self.begin(now, effects),
+            Action::Read => self.read(now, effects),
+            Action::ReadLater => self.retry_later(now),
+            Action::Bootstrap => self.bootstrap(now, view),
+            Action::Claim => self.claim(now, view),
+            Action::Swap => self.swap(now, effects),
+            Action::Fence => self.fence(now, view, effects),
+            Action::Choose => self.choose(view),
+            Action::Order => self.order(now, view, effects),
+            Action::BackOff => self.back_off(now),
+        }
+    }
+
+    fn begin(&mut self, now: Timestamp, effects: &mut Effects) {
+        self.begun = now;
+        self.attempt = None;
+        if self.calls.read_sent.is_none() {
+            self.read(now, effects);
+        }
+    }
+
+    fn read(&mut self, now: Timestamp, effects: &mut Effects) {
+        self.calls.read_sent = Some(now);
+        self.calls.swap_sent = None;
+        effects.push(PromotionEffect::ReadRecord);
+    }
+
+    /// Puts the next read off, doubling the delay up to [`RETRY_MAX`], with jitter.
+    pub(super) fn retry_later(&mut self, now: Timestamp) {
+        self.calls.swap_sent = None;
+        let delay = self.calls.delay;
+        self.calls.next_read = now + self.jitter(delay);
+        self.calls.delay = DurationMs((delay.0 * 2).min(RETRY_MAX.0));
+    }
+
+    fn jitter(&mut self, delay: DurationMs) -> DurationMs {
+        DurationMs(self.rng.random_range(delay.0 / 2..=delay.0))
+    }
+
+    /// Takes a row; false if it is older than the one already known.
+    pub(super) fn adopt(
+        &mut self,
+        now: Timestamp,
+        sent: Timestamp,
+        version: RowVersion,
+        record: Option<GroupRecord>,
+    ) -> bool {
+        if version < self.row.version {
+            return false;
+        }
+        if version > self.row.version {
+            self.row.version = version;
+            self.row.record = record;
+            self.row.seen = now;
+        }
+        self.row.read = self.row.read.max(Some(sent));
+        true
+    }
+
+    fn attempt(&mut self, now: Timestamp, record: GroupRecord, excluded: Option<EndpointId>) {
+        self.attempt = Some(Attempt {
+            record,
+            expected_version: self.row.version,
+            swaps: 0,
+            began: now,
+            fence_sent: now,
+            fenced: BTreeMap::new(),
+            excluded,
+        });
+    }
+
+    fn claim(&mut self, now: Timestamp, view: &GroupView) {
+        let attempt = AttemptId(self.rng.random());
+        let (term, phase) = (self.next_term(view), Phase::Fencing);
+        let record =
+            GroupRecord { term, primary: None, start: Position::default(), attempt, phase };
+        let stalled = self.reason(now, view) == Some(Reason::Stalled);
+        let others = view.endpoints().count().saturating_sub(1);
+        let excluded = view.leader().filter(|_| stalled && others >= view.majority());
+        self.attempt(now, record, excluded.cloned());
+    }
+
+    fn bootstrap(&mut self, now: Timestamp, view: &GroupView) {
+        let attempt = AttemptId(self.rng.random());
+        let (term, phase, primary) = (view.term(), Phase::Promoted, view.primary().cloned());
+        let record = GroupRecord { term, primary, start: Position::default(), attempt, phase };
+        self.attempt(now, record, None);
+    }
+
+    fn swap(&mut self, now: Timestamp, effects: &mut Effects) {
+        let Some(attempt) = &mut self.attempt else { return };
+        attempt.swaps += 1;
+        self.calls.swap_sent = Some(now);
+        self.calls.next_read = now;
+        let (expected_version, record) = (attempt.expected_version, attempt.record.clone());
+        effects.push(PromotionEffect::SwapRecord { expected_version, record });
+    }
+
+    fn fence(&mut self, now: Timestamp, view: &GroupView, effects: &mut Effects) {
+        self.calls.swap_sent = None;
+        let Some(attempt) = &mut self.attempt else { return };
+        attempt.fence_sent = now;
+        let term = attempt.record.term;
+        let missing = view.endpoints().filter(|id| !attempt.fenced.contains_key(id));
+        let fence = |id: &EndpointId| PromotionEffect::Fence { endpoint: id.clone(), term };
+        effects.extend(missing.map(fence));
+    }
+
+    /// The highest position among the fenced members wins, on ties the lowest id.
+    fn choose(&mut self, view: &GroupView) {
+        let Some(attempt) = &mut self.attempt else { return };
+        let candidates = attempt.candidates(view);
+        let rank = |(id, status): &(&EndpointId, &EndpointStatus)| {
+            (status.position, Reverse((*id).clone()))
+        };
+        let Some((id, status)) = candidates.iter().max_by_key(rank) else { return };
+        attempt.record.primary = Some(id.clone());
+        attempt.record.start = status.position;
+        attempt.record.phase = Phase::Promoted;
+        attempt.expected_version = self.row.version;
+        attempt.swaps = 0;
+    }
+
+    fn back_off(&mut self, now: Timestamp) {
+        self.attempt = None;
+        self.calls.swap_sent = None;
+        self.calls.next_read = now;
+        self.row.read = None;
+        self.pause_until = now + self.jitter(RETRY_MIN);
+    }
+
+    fn order(&mut self, now: Timestamp, view: &GroupView, effects: &mut Effects) {
+        self.calls.swap_sent = None;
+        self.ordered = now;
+        self.give_orders(view, effects);
+    }
+
+    /// Repeats the orders of a promoted record to members that do not match it.
+    pub(super) fn repeat_orders(&mut self, now: Timestamp, view: &GroupView, out: &mut Effects) {
+        let due = now >= self.ordered.max(self.row.seen) + ORDER_REPEAT;
+        if due {
+            self.ordered = now;
+            self.give_orders(view, out);
+        }
+    }
+
+    fn give_orders(&self, view: &GroupView, effects: &mut Effects) {
+        let known = [self.row.record.as_ref(), view.record()].into_iter().flatten();
+        let Some(record) = known.max_by_key(|record| (record.term, record.phase)) else { return };
+        let Some(primary) = &record.primary else { return };
+        for endpoint in view.endpoints() {
+            let Some(status) = view.status(endpoint) else { continue };
+            effects.extend(mismatch(endpoint, status, record.term, primary));
+        }
+    }
+}
+
+/// The order that brings a member in line with the promoted record, if it needs one.
+fn mismatch(
+    endpoint: &EndpointId,
+    status: &EndpointStatus,
+    term: Term,
+    primary: &EndpointId,
+) -> Option<PromotionEffect> {
+    if status.fenced_term > term || status.term > term {
+        return None;
+    }
+    let endpoint = endpoint.clone();
+    if endpoint == *primary {
+        let leads = status.term == term && status.role == Role::Primary;
+        return (!leads).then_some(PromotionEffect::Promote { endpoint, term });
+    }
+    let follows = status.term == term && status.role == Role::Replica;
+    let primary = primary.clone();
+    (!follows).then_some(PromotionEffect::Follow { endpoint, term, primary })
+}
--- /dev/null
+++ b/src/core/promotion/mod.rs
@@ -0,0 +1,249 @@
+//! Detection of a lost primary and the promotion procedure of one host for one group.
+//!
+//! `charts/group.scxml` holds the states. [`Promotion`] feeds it ticks and replies; `rules` answers
+//! its guards and `actions` carries out its actions.
+
+mod actions;
+mod names;
+mod record;
+mod rules;
+mod stagger;
+
+use std::collections::BTreeMap;
+
+use rand_chacha::ChaCha8Rng;
+
+pub use names::{Action, Event, Guard, PromotionChart, State, CHART_TEXT};
+pub use record::{GroupRecord, Phase, PromotionEffect, ReadFault, SwapFault};
+pub use stagger::{stagger, STAGGER_MAX, STAGGER_STEP};
+
+use crate::chart::Machine;
+use crate::core::group::{EndpointStatus, GroupView};
+use crate::types::{DurationMs, EndpointId, HostId, RowVersion, Timestamp};
+
+/// A primary is suspected after this long without a status from it.
+pub const PRIMARY_SILENCE: DurationMs = DurationMs(1_000);
+
+/// A primary that confirms nothing for this long although it has something to confirm is
+/// suspected. Longer than [`PRIMARY_SILENCE`], so that a short delay of both replicas causes no
+/// promotion, and short enough for a failover gap under 3 s.
+pub const PRIMARY_STALL: DurationMs = DurationMs(1_500);
+
+/// An attempt in phase fencing that is older than this, as observed here, is abandoned.
+pub const ATTEMPT_LASTS: DurationMs = DurationMs(1_500);
+
+/// Time between repeated orders to members that do not match a promoted record.
+pub const ORDER_REPEAT: DurationMs = DurationMs(500);
+
+/// Time between repeated fence orders within one attempt.
+pub const FENCE_REPEAT: DurationMs = DurationMs(200);
+
+/// A host without a tick for this long was paused. What it did not hear meanwhile says nothing
+/// about the primary.
+pub const PAUSE_NOTICED: DurationMs = DurationMs(500);
+
+/// First and longest delay between retries at the platform.
+pub const RETRY_MIN: DurationMs = DurationMs(50);
+/// See [`RETRY_MIN`].
+pub const RETRY_MAX: DurationMs = DurationMs(2_000);
+
+/// Time between reads of the row while a host waits for another host's attempt.
+pub const REREAD: DurationMs = DurationMs(300);
+
+/// An answer of the platform that takes longer is treated as lost.
+pub const ANSWER_OVERDUE: DurationMs = DurationMs(1_000);
+
+/// The row as this host last read or wrote it.
+#[derive(Debug, Clone, Default)]
+struct Row {
+    version: RowVersion,
+    record: Option<GroupRecord>,
+    seen: Timestamp,
+    /// Send time of the last read that was answered.
+    read: Option<Timestamp>,
+}
+
+/// Calls to the platform and their retries.
+#[derive(Debug, Clone)]
+struct Calls {
+    read_sent: Option<Timestamp>,
+    swap_sent: Option<Timestamp>,
+    next_read: Timestamp,
+    delay: DurationMs,
+}
+
+/// This host's attempt to promote a term.
+#[derive(Debug, Clone)]
+struct Attempt {
+    record: GroupRecord,
+    expected_version: RowVersion,
+    /// Compare-and-set calls made for `record`.
+    swaps: u32,
+    began: Timestamp,
+    fence_sent: Timestamp,
+    fenced: BTreeMap<EndpointId, EndpointStatus>,
+    /// The stalled primary; it is not a candidate if the others form a majority without it.
+    excluded: Option<EndpointId>,
+}
+
+#[derive(Debug)]
+struct Facts {
+    host: HostId,
+    hosts: Vec<HostId>,
+    rng: ChaCha8Rng,
+    row: Row,
+    calls: Calls,
+    attempt: Option<Attempt>,
+    begun: Timestamp,
+    last_tick: Option<Timestamp>,
+    resumed: Timestamp,
+    ordered: Timestamp,
+    pause_until: Timestamp,
+}
+
+/// One host's part in the promotions of one group.
+///
+/// After each call the host passes [`Promotion::record`] to [`GroupView::on_record`].
+#[derive(Debug)]
+pub struct Promotion {
+    machine: Machine<State, Event, Guard, Action>,
+    facts: Facts,
+}
+
+impl Promotion {
+    /// A promotion at rest. `rng` must be seeded differently in each incarnation of each host,
+    /// because attempt ids come from it.
+    pub fn new(host: HostId, rng: ChaCha8Rng) -> Self {
+        let start = Timestamp(0);
+        let calls = Calls { read_sent: None, swap_sent: None, next_read: start, delay: RETRY_MIN };
+        let facts = Facts {
+            hosts: vec![host.clone()],
+            host,
+            rng,
+            row: Row::default(),
+            calls,
+            attempt: None,
+            begun: start,
+            last_tick: None,
+            resumed: start,
+            ordered: start,
+            pause_until: start,
+        };
+        Self { machine: names::CHART.start(), facts }
+    }
+
+    /// Sets the live hosts, among which attempts are staggered.
+    pub fn set_hosts(&mut self, hosts: Vec<HostId>) {
+        self.facts.hosts = hosts;
+    }
+
+    /// State of the chart.
+    pub fn state(&self) -> State {
+        self.machine.state()
+    }
+
+    /// The row as last read or written by this host.
+    pub fn record(&self) -> Option<&GroupRecord> {
+        self.facts.row.record.as_ref()
+    }
+
+    /// Lets time pass; to be called at least every 50 ms.
+    pub fn tick(&mut self, now: Timestamp, view: &GroupView) -> Vec<PromotionEffect> {
+        self.facts.on_time(now);
+        let mut effects = self.fire(Event::Tick, now, view);
+        self.facts.repeat_orders(now, view, &mut effects);
+        effects
+    }
+
+    /// Takes the answer to [`PromotionEffect::ReadRecord`]; `None` means that the row is absent.
+    pub fn on_record_read(
+        &mut self,
+        now: Timestamp,
+        view: &GroupView,
+        result: Result<Option<(RowVersion, GroupRecord)>, ReadFault>,
+    ) -> Vec<PromotionEffect> {
+        let sent = self.facts.calls.read_sent.take().unwrap_or(now);
+        match result {
+            Err(ReadFault) => {
+                self.facts.retry_later(now);
+                Vec::new()
+            }
+            Ok(row) => {
+                let (version, record) = row.map_or((RowVersion(0), None), |(v, r)| (v, Some(r)));
+                if !self.facts.adopt(now, sent, version, record) {
+                    self.facts.retry_later(now);
+                    return Vec::new();
+                }
+                self.facts.calls.delay = RETRY_MIN;
+                self.facts.calls.next_read = now + REREAD;
+                self.fire(Event::Record, now, view)
+            }
+        }
+    }
+
+    /// Takes the answer to [`PromotionEffect::SwapRecord`] with the same `record`. An answer to an
+    /// earlier attempt is ignored.
+    pub fn on_record_swapped(
+        &mut self,
+        now: Timestamp,
+        view: &GroupView,
+        record: &GroupRecord,
+        result: Result<RowVersion, SwapFault>,
+    ) -> Vec<PromotionEffect> {
+        let attempt = self.facts.attempt.as_ref().filter(|attempt| attempt.record == *record);
+        let Some(swaps) = attempt.map(|attempt| attempt.swaps) else { return Vec::new() };
+        let event = match result {
+            Ok(version) => {
+                self.facts.calls.delay = RETRY_MIN;
+                self.facts.adopt(now, now, version, Some(record.clone()));
+                Event::Swapped
+            }
+            // A repeated compare-and-set may conflict with its own first try; the row is read back.
+            Err(SwapFault::Conflict) if swaps == 1 => Event::Conflict,
+            Err(SwapFault::Conflict | SwapFault::Unknown) => Event::Uncertain,
+        };
+        self.fire(event, now, view)
+    }
+
+    /// Takes an endpoint's status after [`PromotionEffect::Fence`].
+    pub fn on_fenced(
+        &mut self,
+        now: Timestamp,
+        view: &GroupView,
+        endpoint: &EndpointId,
+        status: EndpointStatus,
+    ) -> Vec<PromotionEffect> {
+        if let Some(attempt) = &mut self.facts.attempt {
+            attempt.take_fence(endpoint, status);
+        }
+        self.fire(Event::Fenced, now, view)
+    }
+
+    /// An endpoint carried out an order. Its status goes to [`GroupView::on_status`] as well.
+    pub fn on_order_done(&mut self, now: Timestamp, view: &GroupView) -> Vec<PromotionEffect> {
+        self.tick(now, view)
+    }
+
+    /// An endpoint refused an order, which means that it is fenced to a higher term, or did not
+    /// answer. The row is read again; the order is repeated for as long as it stands.
+    pub fn on_order_failed(&mut self, now: Timestamp) {
+        self.facts.calls.next_read = self.facts.calls.next_read.min(now);
+        self.facts.row.read = None;
+    }
+
+    fn fire(&mut self, event: Event, now: Timestamp, view: &GroupView) -> Vec<PromotionEffect> {
+        let mut effects = Vec::new();
+        let mut next = Some(event);
+        while let Some(event) = next.take() {
+            let facts = &self.facts;
+            let step = self.machine.fire(event, |guard| facts.holds(guard, now, view));
+            for action in step.actions {
+                self.facts.act(*action, now, view, &mut effects);
+            }
+            if step.to == State::Choosing {
+                next = Some(Event::Chosen);
+            }
+        }
+        effects
+    }
+}
--- /dev/null
+++ b/src/core/promotion/names.rs
@@ -0,0 +1,70 @@
+//! Names of `charts/group.scxml`.
+
+use std::sync::LazyLock;
+
+use crate::chart::Chart;
+use crate::chart_names;
+
+chart_names! {
+    /// States of a promotion.
+    pub enum State {
+        Idle = "idle",
+        Suspecting = "suspecting",
+        Claiming = "claiming",
+        Fencing = "fencing",
+        Choosing = "choosing",
+        Recording = "recording",
+        Ordering = "ordering",
+        BackingOff = "backing_off",
+    }
+    /// Events of a promotion.
+    pub enum Event {
+        Tick = "tick",
+        Record = "record",
+        Swapped = "swapped",
+        Conflict = "conflict",
+        Uncertain = "uncertain",
+        Fenced = "fenced",
+        Chosen = "chosen",
+    }
+    /// Guards of a promotion.
+    pub enum Guard {
+        Suspect = "suspect",
+        Settled = "settled",
+        ReadDue = "read_due",
+        MayBootstrap = "may_bootstrap",
+        MayClaim = "may_claim",
+        OwnAttempt = "own_attempt",
+        RowUnchanged = "row_unchanged",
+        RowTaken = "row_taken",
+        Superseded = "superseded",
+        MajorityFenced = "majority_fenced",
+        AttemptOverdue = "attempt_overdue",
+        FenceDue = "fence_due",
+        PauseOver = "pause_over",
+    }
+    /// Actions of a promotion.
+    pub enum Action {
+        Begin = "begin",
+        Read = "read",
+        ReadLater = "read_later",
+        Bootstrap = "bootstrap",
+        Claim = "claim",
+        Swap = "swap",
+        Fence = "fence",
+        Choose = "choose",
+        Order = "order",
+        BackOff = "back_off",
+    }
+}
+
+/// The chart of a promotion.
+pub type PromotionChart = Chart<State, Event, Guard, Action>;
+
+/// Text of the chart file.
+pub const CHART_TEXT: &str = include_str!("../../../charts/group.scxml");
+
+/// The compiled chart.
+pub(super) static CHART: LazyLock<PromotionChart> = LazyLock::new(|| {
+    Chart::load("charts/group.scxml", CHART_TEXT).expect("the chart is valid, a test loads it")
+});
--- /dev/null
+++ b/src/core/promotion/rules.rs
@@ -0,0 +1,188 @@
+//! Guards of the promotion chart.
+
+use std::collections::BTreeMap;
+
+use super::stagger::stagger;
+use super::{
+    Attempt, EndpointStatus, Facts, GroupRecord, Guard, Phase, ANSWER_OVERDUE, ATTEMPT_LASTS,
+    FENCE_REPEAT, PAUSE_NOTICED, PRIMARY_SILENCE, PRIMARY_STALL,
+};
+use crate::core::group::{GroupView, Role};
+use crate::types::{DurationMs, EndpointId, Term, Timestamp};
+
+/// Why a group needs a new record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reason {
+    /// The primary says nothing.
+    Silent,
+    /// The primary confirms nothing.
+    Stalled,
+    /// An attempt fenced endpoints, or claimed the row, and was not completed.
+    Abandoned,
+    /// The row is absent.
+    NoRecord,
+}
+
+impl Facts {
+    pub(super) fn holds(&self, guard: Guard, now: Timestamp, view: &GroupView) -> bool {
+        match guard {
+            Guard::Suspect => self.suspect(now, view),
+            Guard::Settled => self.reason(now, view).is_none(),
+            Guard::ReadDue => self.read_due(now, view),
+            Guard::MayBootstrap => {
+                self.reason(now, view) == Some(Reason::NoRecord)
+                    && self.may_claim(now, view)
+                    && self.may_bootstrap(view)
+            }
+            Guard::MayClaim => {
+                self.may_claim(now, view) && self.reason(now, view) != Some(Reason::NoRecord)
+            }
+            Guard::OwnAttempt => self.own_attempt(),
+            Guard::RowUnchanged => self.row_unchanged(),
+            Guard::RowTaken => !self.own_attempt() && !self.row_unchanged(),
+            Guard::Superseded => self.superseded(view),
+            Guard::MajorityFenced => self.majority_fenced(view),
+            Guard::AttemptOverdue => {
+                self.attempt.as_ref().is_none_or(|a| now >= a.began + ATTEMPT_LASTS)
+            }
+            Guard::FenceDue => {
+                self.attempt.as_ref().is_some_and(|a| now >= a.fence_sent + FENCE_REPEAT)
+            }
+            Guard::PauseOver => now >= self.pause_until,
+        }
+    }
+
+    /// Why the group needs a promotion or its first record, if it does.
+    pub(super) fn reason(&self, now: Timestamp, view: &GroupView) -> Option<Reason> {
+        let lasted = |since: Option<Timestamp>, span: DurationMs| {
+            since.is_some_and(|since| now >= since.max(self.resumed) + span)
+        };
+        if lasted(view.primary_heard(), PRIMARY_SILENCE) {
+            Some(Reason::Silent)
+        } else if lasted(view.fenced_off_since(), ATTEMPT_LASTS) || self.row_abandoned(now, view) {
+            Some(Reason::Abandoned)
+        } else if lasted(view.stalled_since(), PRIMARY_STALL) {
+            Some(Reason::Stalled)
+        } else if self.row.read.is_some() && self.row.record.is_none() {
+            Some(Reason::NoRecord)
+        } else {
+            None
+        }
+    }
+
+    /// Whether a host may act on its reason: a majority of the endpoints answers it.
+    fn suspect(&self, now: Timestamp, view: &GroupView) -> bool {
+        let answering = view.answering(now - PRIMARY_SILENCE) >= view.majority();
+        answering && self.reason(now, view).is_some()
+    }
+
+    fn row_abandoned(&self, now: Timestamp, view: &GroupView) -> bool {
+        let fencing =
+            |record: &GroupRecord| record.phase == Phase::Fencing && record.term > view.term();
+        self.row.record.as_ref().is_some_and(fencing) && now >= self.row.seen + ATTEMPT_LASTS
+    }
+
+    fn read_due(&self, now: Timestamp, view: &GroupView) -> bool {
+        let overdue = |sent: Option<Timestamp>| sent.is_none_or(|at| now >= at + ANSWER_OVERDUE);
+        let free = overdue(self.calls.read_sent) && overdue(self.calls.swap_sent);
+        free && now >= self.calls.next_read && self.read_wanted(now, view)
+    }
+
+    fn read_wanted(&self, now: Timestamp, view: &GroupView) -> bool {
+        let row = self.row.record.as_ref();
+        let promoted = row.filter(|record| record.phase == Phase::Promoted);
+        self.row.read.is_none()
+            || self.reason(now, view).is_some()
+            || promoted.is_none_or(|record| record.term < view.term() && !view.knows_start())
+    }
+
+    /// The row was read since the suspicion began, this host's turn has come, and no other host's
+    /// attempt is under way.
+    fn may_claim(&self, now: Timestamp, view: &GroupView) -> bool {
+        let read = self.row.read.is_some_and(|sent| sent >= self.begun);
+        let delay = stagger(view.group(), self.next_term(view), &self.host, &self.hosts);
+        let turn = now >= self.begun + delay;
+        let fencing = self.row.record.as_ref().is_some_and(|r| r.phase == Phase::Fencing);
+        let free = !fencing || now >= self.row.seen + ATTEMPT_LASTS;
+        read && turn && free && self.suspect(now, view)
+    }
+
+    /// The absent row may adopt the primary that a majority already has.
+    fn may_bootstrap(&self, view: &GroupView) -> bool {
+        let joins = |status: &EndpointStatus| status.term == view.term() && !status.is_fenced_off();
+        let led = view.primary().is_some() && view.count(joins) >= view.majority();
+        led && self.row.record.is_none()
+    }
+
+    /// The term that an attempt would claim now.
+    pub(super) fn next_term(&self, view: &GroupView) -> Term {
+        let row = self.row.record.as_ref().map_or(Term(0), |record| record.term);
+        row.max(view.term()).max(view.highest_fence()).next()
+    }
+
+    fn own_attempt(&self) -> bool {
+        let Some(attempt) = &self.attempt else { return false };
+        self.row.record.as_ref().is_some_and(|row| {
+            row.attempt == attempt.record.attempt && row.phase == attempt.record.phase
+        })
+    }
+
+    fn row_unchanged(&self) -> bool {
+        let attempt = self.attempt.as_ref();
+        attempt.is_some_and(|attempt| attempt.expected_version == self.row.version)
+    }
+
+    fn superseded(&self, view: &GroupView) -> bool {
+        let Some(attempt) = &self.attempt else { return true };
+        let term = attempt.record.term;
+        let row = self.row.record.as_ref().is_some_and(|row| row.term > term);
+        row || view.highest_fence() > term || view.term() >= term || attempt.outbid()
+    }
+
+    fn majority_fenced(&self, view: &GroupView) -> bool {
+        self.attempt
+            .as_ref()
+            .is_some_and(|attempt| attempt.candidates(view).len() >= view.majority())
+    }
+
+    pub(super) fn on_time(&mut self, now: Timestamp) {
+        if self.last_tick.is_none_or(|last| now >= last + PAUSE_NOTICED) {
+            self.resumed = now;
+        }
+        self.last_tick = Some(now);
+    }
+}
+
+impl Attempt {
+    /// Takes a status that shows the attempt's fence. The endpoint's log can no longer change until
+    /// the term has a primary.
+    pub(super) fn take_fence(&mut self, endpoint: &EndpointId, status: EndpointStatus) {
+        if status.fenced_term >= self.record.term {
+            self.fenced.insert(endpoint.clone(), status);
+        }
+    }
+
+    /// Fenced members that count: with the fence's answers, and with statuses that show the fence
+    /// when its answer was lost.
+    pub(super) fn candidates(&self, view: &GroupView) -> BTreeMap<EndpointId, EndpointStatus> {
+        let term = self.record.term;
+        let mut fenced = self.fenced.clone();
+        for endpoint in view.endpoints() {
+            if let Some(status) = view.status(endpoint).filter(|s| s.fenced_term == term) {
+                fenced.entry(endpoint.clone()).or_insert(*status);
+            }
+        }
+        fenced.retain(|_, status| status.fenced_term == term && status.term < term);
+        if let Some(excluded) = &self.excluded {
+            fenced.remove(excluded);
+        }
+        fenced
+    }
+
+    fn outbid(&self) -> bool {
+        let term = self.record.term;
+        self.fenced.values().any(|status| {
+            status.fenced_term > term || (status.term >= term && status.role == Role::Primary)
+        })
+    }
+}
