--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,3 +1,5 @@
-//! Decisions, without sockets, encoding or clock: events with a time in, effects out.
+//! Decision logic without sockets, encoding or clock reads: timestamped events in, effects out.
 
 pub mod classify;
+pub mod group;
+pub mod promotion;
