Add the platform emulator and the client of the platform

Cause: hosts keep all agreed state in the platform's table service and object store, and nothing to run them against exists. Conclusion: a host can be built against the client; deciding about retries and lost answers comes next.

--- /dev/null
+++ b/src/emulator/platform/http.rs
@@ -0,0 +1,111 @@
+//! Threads that read requests from sockets and write answers to them.
+
+use std::io::Read;
+use std::sync::mpsc::{channel, Sender};
+use std::sync::Arc;
+use std::thread;
+
+use medlarstile::types::DurationMs;
+use medlarstile::wire::platform::CLIENT_HEADER;
+use tiny_http::{Header, Response, Server};
+
+use super::request::{decode, encode, Encoded, Parts, Request};
+use super::service::{wait, Incoming, Message};
+use super::state::{Delivery, Reply};
+
+/// Threads that read requests; reading a small body from loopback rarely blocks.
+const READERS: usize = 4;
+
+/// Largest request body in bytes.
+const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Largest answer in bytes that the writer thread writes itself; it fits into a socket buffer.
+const MAX_INLINE_BYTES: usize = 64 * 1024;
+
+/// An answer on its way to its client.
+pub struct Outgoing {
+    /// HTTP exchange that waits for the answer.
+    pub exchange: tiny_http::Request,
+    /// What to send.
+    pub delivery: Delivery,
+}
+
+/// Starts the threads that read requests.
+pub fn start_readers(server: Server, state: &Sender<Message>, answers: &Sender<Outgoing>) {
+    let server = Arc::new(server);
+    for _ in 0..READERS {
+        let (server, state, answers) = (Arc::clone(&server), state.clone(), answers.clone());
+        thread::spawn(move || {
+            for exchange in server.incoming_requests() {
+                accept(exchange, &state, &answers);
+            }
+        });
+    }
+}
+
+/// Starts the thread that writes answers.
+pub fn start_writer() -> Sender<Outgoing> {
+    let (sender, receiver) = channel::<Outgoing>();
+    thread::spawn(move || {
+        for outgoing in receiver {
+            match outgoing.delivery {
+                // Without a writer the exchange is dropped silently and its connection stays open.
+                Delivery::Silence => drop(outgoing.exchange.into_writer()),
+                Delivery::Send(reply, delay) => send(outgoing.exchange, encode(reply), delay),
+            }
+        }
+    });
+    sender
+}
+
+fn accept(mut exchange: tiny_http::Request, state: &Sender<Message>, answers: &Sender<Outgoing>) {
+    let mut body = Vec::new();
+    let read = exchange.as_reader().take(MAX_BODY_BYTES + 1).read_to_end(&mut body);
+    let body_bytes = body.len() as u64;
+    let decoded = match read {
+        Ok(_) if body_bytes <= MAX_BODY_BYTES => decode_exchange(&exchange, body),
+        Ok(_) => Err(Reply::Fault(413, "body is larger than 16 MiB".into())),
+        Err(error) => Err(Reply::Fault(400, error.to_string().into())),
+    };
+    // Both receivers are gone only when the process ends.
+    let _ = match decoded {
+        Ok(request) => {
+            let incoming = Incoming { request, body_bytes, exchange };
+            state.send(Message::Request(Box::new(incoming))).is_ok()
+        }
+        Err(reply) => {
+            let delivery = Delivery::Send(reply, DurationMs(0));
+            answers.send(Outgoing { exchange, delivery }).is_ok()
+        }
+    };
+}
+
+fn decode_exchange(exchange: &tiny_http::Request, body: Vec<u8>) -> Result<Request, Reply> {
+    let mut headers = exchange.headers().iter();
+    let named = headers.find(|header| header.field.equiv(CLIENT_HEADER));
+    let method = exchange.method().to_string();
+    let client = named.map(|header| header.value.as_str());
+    decode(Parts { method: &method, url: exchange.url(), client, body })
+}
+
+fn send(exchange: tiny_http::Request, answer: Encoded, delay: DurationMs) {
+    if delay == DurationMs(0) && answer.body.len() <= MAX_INLINE_BYTES {
+        respond(exchange, answer);
+        return;
+    }
+    thread::spawn(move || {
+        if delay > DurationMs(0) {
+            wait(delay);
+        }
+        respond(exchange, answer);
+    });
+}
+
+fn respond(exchange: tiny_http::Request, answer: Encoded) {
+    let kind = if answer.json { "application/json" } else { "application/octet-stream" };
+    let header = Header::from_bytes("Content-Type", kind).expect("a valid header");
+    let response =
+        Response::from_data(answer.body).with_status_code(answer.status).with_header(header);
+    // The client may be gone.
+    let _ = exchange.respond(response);
+}
--- /dev/null
+++ b/src/emulator/platform/request.rs
@@ -0,0 +1,142 @@
+//! Decodes HTTP requests into calls and encodes replies into HTTP bodies.
+
+use compact_str::{format_compact, CompactString};
+use form_urlencoded::parse as parse_query;
+use medlarstile::core::store::{Answer, Call, Commit, Transaction};
+use medlarstile::wire::platform::{
+    parse_prefix, path, CheckBody, CommittedBody, ConflictsBody, FaultBody, HostsBody,
+    ListedHostBody, NamesBody, RowsBody, TransactionBody,
+};
+use serde::Serialize;
+use serde_json::Value;
+
+use super::control::ControlBody;
+use super::state::Reply;
+
+/// Client of a call that names none.
+const ANONYMOUS: &str = "anonymous";
+
+/// A decoded request.
+#[derive(Debug)]
+pub enum Request {
+    /// Call to the platform by a client.
+    Call(CompactString, Call<Value>),
+    /// Change of faults.
+    Control(Box<ControlBody>),
+    /// Question for faults and counters.
+    Report,
+}
+
+impl Request {
+    /// Whether this is a call to the platform and not to the emulator itself.
+    pub fn is_call(&self) -> bool {
+        matches!(self, Request::Call(..))
+    }
+}
+
+/// Parts of an HTTP request.
+#[derive(Debug)]
+pub struct Parts<'a> {
+    /// Method in upper case.
+    pub method: &'a str,
+    /// Path and query.
+    pub url: &'a str,
+    /// Value of the header that names the client.
+    pub client: Option<&'a str>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Body of an HTTP answer.
+#[derive(Debug)]
+pub struct Encoded {
+    /// HTTP status.
+    pub status: u16,
+    /// Whether the body is JSON.
+    pub json: bool,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Decodes a request.
+///
+/// # Errors
+///
+/// The reply with status 400 or 404 that says what is wrong.
+pub fn decode(parts: Parts<'_>) -> Result<Request, Reply> {
+    let (path, query) = parts.url.split_once('?').unwrap_or((parts.url, ""));
+    if path == "/control" {
+        return decode_control(&parts);
+    }
+    let parameter = |name: &str| {
+        let mut pairs = parse_query(query.as_bytes());
+        pairs.find(|(key, _)| key == name).map(|(_, value)| CompactString::from(value))
+    };
+    let named = parts.client.map(CompactString::from).or_else(|| parameter("client"));
+    let client = named.unwrap_or_else(|| ANONYMOUS.into());
+    let prefix = parameter("prefix").unwrap_or_default();
+    let object = path.strip_prefix(path::OBJECTS).and_then(|rest| rest.strip_prefix('/'));
+    let call = match (parts.method, path, object) {
+        ("GET", path::ROWS, _) => Call::Read {
+            table: parameter("table").unwrap_or_default().parse().map_err(bad_request)?,
+            prefix: parse_prefix(&prefix).map_err(bad_request)?,
+        },
+        ("POST", path::TRANSACTION, _) => {
+            let body: TransactionBody = serde_json::from_slice(&parts.body).map_err(bad_request)?;
+            Call::Transact(Transaction::from(body))
+        }
+        ("GET", path::OBJECTS, _) => {
+            Call::ListObjects { prefix: parse_prefix(&prefix).map_err(bad_request)? }
+        }
+        ("GET", _, Some(name)) => Call::GetObject { name: name.parse().map_err(bad_request)? },
+        ("PUT", _, Some(name)) => {
+            Call::PutObject { name: name.parse().map_err(bad_request)?, content: parts.body }
+        }
+        ("GET", path::HOSTS, _) => Call::ListHosts,
+        (method, path, _) => return Err(Reply::Fault(404, format_compact!("no {method} {path}"))),
+    };
+    Ok(Request::Call(client, call))
+}
+
+fn decode_control(parts: &Parts<'_>) -> Result<Request, Reply> {
+    match parts.method {
+        "GET" => Ok(Request::Report),
+        "POST" => Ok(Request::Control(serde_json::from_slice(&parts.body).map_err(bad_request)?)),
+        method => Err(Reply::Fault(404, format_compact!("no {method} /control"))),
+    }
+}
+
+fn bad_request(error: impl std::fmt::Display) -> Reply {
+    Reply::Fault(400, format_compact!("{error}"))
+}
+
+/// Encodes a reply.
+pub fn encode(reply: Reply) -> Encoded {
+    match reply {
+        Reply::Fault(status, error) => json(status, &FaultBody { error }),
+        Reply::Report(report) => json(200, &report),
+        Reply::Answer(Answer::Rows(rows)) => json(200, &RowsBody::from(rows)),
+        Reply::Answer(Answer::Commit(Commit::Committed(commit_seq))) => {
+            json(200, &CommittedBody { commit_seq })
+        }
+        Reply::Answer(Answer::Commit(Commit::Conflicts(conflicts))) => {
+            let conflicts = conflicts.into_iter().map(CheckBody::from).collect();
+            json(409, &ConflictsBody { conflicts })
+        }
+        Reply::Answer(Answer::Stored) => Encoded { status: 204, json: false, body: Vec::new() },
+        Reply::Answer(Answer::Object(Some(body))) => Encoded { status: 200, json: false, body },
+        Reply::Answer(Answer::Object(None)) => {
+            json(404, &FaultBody { error: "no such object".into() })
+        }
+        Reply::Answer(Answer::Names(names)) => json(200, &NamesBody { names }),
+        Reply::Answer(Answer::Hosts(hosts)) => {
+            let hosts = hosts.into_iter().map(ListedHostBody::from).collect();
+            json(200, &HostsBody { hosts })
+        }
+    }
+}
+
+fn json<T: Serialize>(status: u16, body: &T) -> Encoded {
+    let body = serde_json::to_vec(body).expect("the bodies have only text keys");
+    Encoded { status, json: true, body }
+}
--- /dev/null
+++ b/src/emulator/platform/state.rs
@@ -0,0 +1,191 @@
+//! State of the emulator: store, objects, host list, faults and counters, without sockets.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use medlarstile::core::store::{Answer, Call, Commit, ListedHost};
+use medlarstile::types::{DurationMs, ObjectName, TableName};
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+
+use super::control::{loss_rng, ControlBody, Counters, FailureMode, Faults, ReportBody};
+use super::hostlist::{HostList, ListNumber};
+use super::store::{writes_twice, Store};
+
+/// Seed of the choice of lost answers until `/control` sets another one.
+const DEFAULT_LOSS_SEED: u64 = 1;
+
+/// What is sent back to a client.
+#[derive(Debug)]
+pub enum Reply {
+    /// Answer of the platform.
+    Answer(Answer<Value>),
+    /// Error with an HTTP status.
+    Fault(u16, CompactString),
+    /// Answer of `/control`.
+    Report(Box<ReportBody>),
+}
+
+/// What happens to the reply of a call.
+#[derive(Debug)]
+pub enum Delivery {
+    /// It is sent after a delay.
+    Send(Reply, DurationMs),
+    /// Nothing is sent.
+    Silence,
+}
+
+/// A newer host list that clients see after the lag.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListUpdate {
+    /// Number of the list.
+    pub number: ListNumber,
+    /// Time until it is published.
+    pub lag: DurationMs,
+}
+
+/// The emulated platform.
+#[derive(Debug)]
+pub struct State {
+    store: Store,
+    objects: BTreeMap<ObjectName, Vec<u8>>,
+    list: HostList,
+    list_outdated: bool,
+    faults: Faults,
+    rng: ChaCha8Rng,
+    clients: BTreeMap<CompactString, Counters>,
+    hosts_table: TableName,
+}
+
+impl State {
+    /// An empty platform without faults.
+    pub fn new() -> Self {
+        Self {
+            store: Store::default(),
+            objects: BTreeMap::new(),
+            list: HostList::new(),
+            list_outdated: false,
+            faults: Faults::default(),
+            rng: loss_rng(DEFAULT_LOSS_SEED),
+            clients: BTreeMap::new(),
+            hosts_table: "hosts".parse().expect("a valid table name"),
+        }
+    }
+
+    /// Whether calls are held without effect.
+    pub fn frozen(&self) -> bool {
+        self.faults.frozen
+    }
+
+    /// Serves a call, subject to the faults.
+    pub fn on_call(&mut self, client: &str, call: Call<Value>, body_bytes: u64) -> Delivery {
+        let mode = self.faults.failure_mode;
+        let counters = self.clients.entry(client.into()).or_default();
+        if self.faults.refuses(client) {
+            counters.refused += 1;
+            return failure(mode, 503, "platform is unavailable");
+        }
+        counters.body_bytes_in += body_bytes;
+        let is_write = matches!(call, Call::Transact(_) | Call::PutObject { .. });
+        let reply = self.serve(call);
+        let lost = self.faults.loses(is_write, &mut self.rng);
+        let counters = self.clients.entry(client.into()).or_default();
+        match &reply {
+            Reply::Answer(Answer::Commit(Commit::Conflicts(_))) => counters.conflicts += 1,
+            Reply::Answer(_) if is_write => counters.writes += 1,
+            _ => counters.reads += 1,
+        }
+        if lost {
+            counters.lost += 1;
+            return failure(mode, 504, "answer was lost");
+        }
+        Delivery::Send(reply, self.faults.slow_ms)
+    }
+
+    /// Changes faults and counters; the report shows them after the change.
+    pub fn on_control(&mut self, body: ControlBody) -> Reply {
+        self.faults.change(&body);
+        if let Some(seed) = body.lose_seed {
+            self.rng = loss_rng(seed);
+        }
+        if body.list_lag_ms == Some(DurationMs(0)) {
+            self.list.publish_newest();
+        }
+        if let Some(hosts) = body.hosts {
+            self.list.fix(Some(hosts.into_iter().map(ListedHost::from).collect()));
+        }
+        if body.derive_hosts {
+            self.list.fix(None);
+        }
+        if body.reset_counters {
+            self.clients.clear();
+        }
+        self.report()
+    }
+
+    /// Faults, counters and the latest commit.
+    pub fn report(&self) -> Reply {
+        let mut total = Counters::default();
+        self.clients.values().for_each(|counters| total.add(counters));
+        Reply::Report(Box::new(ReportBody {
+            commit_seq: self.store.latest(),
+            faults: self.faults.clone(),
+            clients: self.clients.clone(),
+            total,
+        }))
+    }
+
+    /// Derives the host list if its rows were written; without a lag it is published at once.
+    pub fn derive_list(&mut self) -> Option<ListUpdate> {
+        if !std::mem::take(&mut self.list_outdated) {
+            return None;
+        }
+        let number = self.list.derive(&self.store.read(&self.hosts_table, None, 0))?;
+        let lag = self.faults.list_lag_ms;
+        if lag == DurationMs(0) {
+            self.list.publish(number);
+            return None;
+        }
+        Some(ListUpdate { number, lag })
+    }
+
+    /// The lag of a host list has passed.
+    pub fn on_list_due(&mut self, number: ListNumber) {
+        self.list.publish(number);
+    }
+
+    fn serve(&mut self, call: Call<Value>) -> Reply {
+        let answer = match call {
+            Call::Read { table, prefix } => {
+                Answer::Rows(self.store.read(&table, prefix.as_ref(), self.faults.stale_commits))
+            }
+            Call::Transact(transaction) if writes_twice(&transaction) => {
+                return Reply::Fault(400, "a transaction may write a row only once".into());
+            }
+            Call::Transact(transaction) => {
+                let mut writes = transaction.writes.iter();
+                self.list_outdated |= writes.any(|write| write.table == self.hosts_table);
+                Answer::Commit(self.store.transact(transaction))
+            }
+            Call::PutObject { name, content } => {
+                self.objects.insert(name, content);
+                Answer::Stored
+            }
+            Call::GetObject { name } => Answer::Object(self.objects.get(&name).cloned()),
+            Call::ListObjects { prefix } => {
+                let wanted = prefix.as_ref().map_or("", ObjectName::as_str);
+                let names = self.objects.keys().filter(|name| name.as_str().starts_with(wanted));
+                Answer::Names(names.cloned().collect())
+            }
+            Call::ListHosts => Answer::Hosts(self.list.published()),
+        };
+        Reply::Answer(answer)
+    }
+}
+
+fn failure(mode: FailureMode, status: u16, text: &str) -> Delivery {
+    match mode {
+        FailureMode::Status => Delivery::Send(Reply::Fault(status, text.into()), DurationMs(0)),
+        FailureMode::Silent => Delivery::Silence,
+    }
+}
--- /dev/null
+++ b/src/emulator/platform/store.rs
@@ -0,0 +1,90 @@
+//! The table service's rows, versions, transactions and recent history, without sockets.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use medlarstile::core::store::{Check, Commit, Row, Rows, Transaction};
+use medlarstile::types::{CommitSeq, RowKey, RowVersion, TableName};
+use serde_json::Value;
+
+/// Commits that a stale read can go back.
+const HISTORY_COMMITS: u64 = 1_000;
+
+/// One version of a row; no value means that the row was deleted.
+#[derive(Debug)]
+struct Version {
+    commit_seq: CommitSeq,
+    value: Option<Value>,
+}
+
+/// All rows with the versions that a stale read may still see, oldest first.
+#[derive(Debug, Default)]
+pub struct Store {
+    latest: CommitSeq,
+    tables: BTreeMap<TableName, BTreeMap<RowKey, Vec<Version>>>,
+}
+
+impl Store {
+    /// The latest commit.
+    pub fn latest(&self) -> CommitSeq {
+        self.latest
+    }
+
+    /// Reads the rows of a table as they were `back` commits ago.
+    pub fn read(&self, table: &TableName, prefix: Option<&RowKey>, back: u64) -> Rows<Value> {
+        let at = CommitSeq(self.latest.0.saturating_sub(back.min(HISTORY_COMMITS)));
+        let wanted = prefix.map_or("", RowKey::as_str);
+        let rows = self.tables.get(table).into_iter().flat_map(|rows| match prefix {
+            Some(prefix) => rows.range(prefix..),
+            None => rows.range::<RowKey, _>(..),
+        });
+        let selected = rows.take_while(|(key, _)| key.as_str().starts_with(wanted));
+        let rows = selected.filter_map(|(key, versions)| {
+            let version = versions.iter().rev().find(|version| version.commit_seq <= at)?;
+            let value = version.value.clone()?;
+            Some(Row { key: key.clone(), value, version: RowVersion(version.commit_seq.0) })
+        });
+        Rows { commit_seq: at, rows: rows.collect() }
+    }
+
+    /// Checks every version, then writes every row, in one commit.
+    pub fn transact(&mut self, transaction: Transaction<Value>) -> Commit {
+        let failed: Vec<Check> =
+            transaction.checks.into_iter().filter_map(|check| self.conflict(check)).collect();
+        if !failed.is_empty() {
+            return Commit::Conflicts(failed);
+        }
+        if transaction.writes.is_empty() {
+            return Commit::Committed(self.latest);
+        }
+        self.latest = self.latest.next();
+        for write in transaction.writes {
+            let versions =
+                self.tables.entry(write.table).or_default().entry(write.key).or_default();
+            versions.push(Version { commit_seq: self.latest, value: write.value });
+            forget(versions, CommitSeq(self.latest.0.saturating_sub(HISTORY_COMMITS)));
+        }
+        Commit::Committed(self.latest)
+    }
+
+    /// The check with the present version, if that is another one.
+    fn conflict(&self, check: Check) -> Option<Check> {
+        let versions = self.tables.get(&check.table).and_then(|rows| rows.get(&check.key));
+        let newest = versions.and_then(|versions| versions.last());
+        let present = newest.filter(|version| version.value.is_some());
+        let present = present.map_or(RowVersion(0), |version| RowVersion(version.commit_seq.0));
+        (present != check.version).then_some(Check { version: present, ..check })
+    }
+}
+
+/// Drops the versions that no read at `oldest` or later sees.
+fn forget(versions: &mut Vec<Version>, oldest: CommitSeq) {
+    let visible = versions.iter().rposition(|version| version.commit_seq <= oldest);
+    versions.drain(..visible.unwrap_or(0));
+}
+
+/// Whether a transaction writes a row twice, which the table service refuses.
+pub fn writes_twice(transaction: &Transaction<Value>) -> bool {
+    let rows: BTreeSet<_> =
+        transaction.writes.iter().map(|write| (&write.table, &write.key)).collect();
+    rows.len() != transaction.writes.len()
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,3 @@
+//! Actors and threads that own sockets.
+
+pub mod platform;
--- /dev/null
+++ b/src/net/platform/actor.rs
@@ -0,0 +1,83 @@
+//! Actor that makes calls to the platform on a worker thread.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+use stakker::{fwd_to, PipedThread, Ret, CX};
+
+use super::client::{PlatformClient, PlatformSettings};
+use crate::core::store::{Answer, Call, CallError};
+use crate::types::CallId;
+
+/// Calls that may wait for the worker thread; more are refused as not sent. With a call limit of
+/// 1 s a longer queue would only hold calls whose answer nobody waits for any more.
+const MAX_WAITING: usize = 64;
+
+/// Answer of the platform, or why there is none.
+pub type CallResult = Result<Answer<Value>, CallError>;
+
+/// A call on its way to the worker thread.
+#[derive(Debug)]
+struct Job {
+    id: CallId,
+    call: Call<Value>,
+}
+
+/// A result on its way back.
+#[derive(Debug)]
+struct Done {
+    id: CallId,
+    result: CallResult,
+}
+
+/// Owns the worker thread, which owns the HTTP client and makes one call at a time, in order.
+pub struct PlatformActor {
+    thread: PipedThread<Job, Done>,
+    waiting: BTreeMap<CallId, Ret<CallResult>>,
+    next: CallId,
+}
+
+impl PlatformActor {
+    /// Starts the worker thread. The actor fails if the thread ends.
+    pub fn init(cx: CX![], settings: PlatformSettings) -> Option<Self> {
+        let done = fwd_to!([cx], on_done() as (Done));
+        let ended = fwd_to!([cx], on_end() as (Option<String>));
+        let thread = PipedThread::spawn(done, ended, cx, move |link| {
+            let client = PlatformClient::new(settings);
+            while let Some(Job { id, call }) = link.recv() {
+                let result = client.call(call);
+                if !link.send(Done { id, result }) {
+                    break;
+                }
+            }
+        });
+        Some(Self { thread, waiting: BTreeMap::new(), next: CallId(0) })
+    }
+
+    /// Makes a call; `ret` gets its result. The time of this message is before the call is sent,
+    /// so it may stand for the send time where an answer proves something about that time.
+    pub fn call(&mut self, _: CX![], call: Call<Value>, ret: Ret<CallResult>) {
+        if self.waiting.len() >= MAX_WAITING {
+            ret.ret(Err(CallError::NotSent("too many calls wait for the platform".into())));
+            return;
+        }
+        let id = self.next;
+        self.next = CallId(id.0 + 1);
+        self.waiting.insert(id, ret);
+        self.thread.send(Job { id, call });
+    }
+
+    fn on_done(&mut self, _: CX![], done: Done) {
+        if let Some(ret) = self.waiting.remove(&done.id) {
+            ret.ret(done.result);
+        }
+    }
+
+    fn on_end(&mut self, cx: CX![], panic: Option<String>) {
+        let reason = panic.unwrap_or_else(|| "ended".into());
+        for ret in std::mem::take(&mut self.waiting).into_values() {
+            ret.ret(Err(CallError::NoAnswer("worker thread ended".into())));
+        }
+        cx.fail_string(format!("platform: worker thread ended: {reason}"));
+    }
+}
--- /dev/null
+++ b/src/net/platform/mod.rs
@@ -0,0 +1,10 @@
+//! Calls to the platform over HTTP.
+//!
+//! [`PlatformClient`] makes one blocking call at a time, for command line tools and for the worker
+//! thread. [`PlatformActor`] owns a worker thread and answers with stakker messages.
+
+mod actor;
+mod client;
+
+pub use actor::{CallResult, PlatformActor};
+pub use client::{PlatformClient, PlatformSettings};
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -13,23 +13,27 @@
 pub enum IdError {
     /// identifier is empty
     Empty,
-    /// identifier has {0} bytes, at most 63 are allowed
+    /// identifier has {0} bytes, at most 63 are allowed (255 in object names)
     TooLong(usize),
-    /// identifier has the character {0:?}, allowed are letters, digits, '_', '-' and '.'
+    /// identifier has the character {0:?}, allowed are letters, digits, '_', '-' and '.' ('/' in object names)
     Character(char),
 }
 
 impl std::error::Error for IdError {}
 
 fn check_id(text: &str) -> Result<CompactString, IdError> {
+    check_text(text, MAX_ID_BYTES, "_-.")
+}
+
+fn check_text(text: &str, max_bytes: usize, marks: &str) -> Result<CompactString, IdError> {
     if text.is_empty() {
         return Err(IdError::Empty);
     }
-    if text.len() > MAX_ID_BYTES {
+    if text.len() > max_bytes {
         return Err(IdError::TooLong(text.len()));
     }
-    let allowed = |c: &char| !(c.is_ascii_alphanumeric() || "_-.".contains(*c));
-    match text.chars().find(allowed) {
+    let refused = |c: &char| !(c.is_ascii_alphanumeric() || marks.contains(*c));
+    match text.chars().find(refused) {
         Some(c) => Err(IdError::Character(c)),
         None => Ok(CompactString::from(text)),
     }
@@ -90,6 +94,44 @@
     DatabaseName;
     /// A key of a client account; the name, never the key itself.
     KeyId;
+    /// A table of the platform's table service.
+    TableName;
+    /// The key of a row, or the beginning of keys, within one table of the table service.
+    RowKey;
+}
+
+/// Longest name of an object in bytes.
+const MAX_OBJECT_NAME_BYTES: usize = 255;
+
+/// The name of an object in the object store, or the beginning of names; parts are split by `/`.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, AsRef, Into, Serialize, Deserialize,
+)]
+#[serde(try_from = "CompactString")]
+#[as_ref(str)]
+pub struct ObjectName(CompactString);
+
+impl ObjectName {
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        self.0.as_str()
+    }
+}
+
+impl std::str::FromStr for ObjectName {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        check_text(text, MAX_OBJECT_NAME_BYTES, "_-./").map(Self)
+    }
+}
+
+impl TryFrom<CompactString> for ObjectName {
+    type Error = IdError;
+
+    fn try_from(text: CompactString) -> Result<Self, IdError> {
+        text.parse()
+    }
 }
 
 macro_rules! number_id {
@@ -114,4 +156,8 @@
     AttemptId(u64);
     /// One run of a host process; a restart gets another number.
     Incarnation(u64);
+    /// One of the equal parts into which every account's rate and burst are divided.
+    ShareSlot(u32);
+    /// A call to the platform, unique within one worker.
+    CallId(u64);
 }
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -7,8 +7,9 @@
 
 pub use amount::{Burst, Cost, MilliTokens, RatePerS, Weight};
 pub use id::{
-    AccountId, AttemptId, ConnectionId, DatabaseName, EndpointId, FailureDomain, GroupId, HostId,
-    IdError, Incarnation, KeyId, PoolName, RequestId, RouteName, SessionId,
+    AccountId, AttemptId, CallId, ConnectionId, DatabaseName, EndpointId, FailureDomain, GroupId,
+    HostId, IdError, Incarnation, KeyId, ObjectName, PoolName, RequestId, RouteName, RowKey,
+    SessionId, ShareSlot, TableName,
 };
-pub use position::{Position, PositionError, RowVersion, TableVersion, Term};
+pub use position::{CommitSeq, Position, PositionError, Renewals, RowVersion, TableVersion, Term};
 pub use time::{DurationMs, Timestamp};
--- a/src/types/position.rs
+++ b/src/types/position.rs
@@ -32,6 +32,10 @@
     TableVersion;
     /// The version of one row of the platform's table service; 0 means that the row is absent.
     RowVersion;
+    /// The number of a commit of the platform's table service, counted over the whole store.
+    CommitSeq;
+    /// How often the holder of a row has renewed it.
+    Renewals;
 }
 
 /// A place in a group's log, ordered by term, then index; written `3:1042`.
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,4 @@
+//! Wire types, separate from domain types, with `From` and `TryFrom`.
+
+pub mod platform;
+pub mod rows;
--- /dev/null
+++ b/src/wire/rows.rs
@@ -0,0 +1,188 @@
+//! JSON values of the rows `hosts/<id>`, `shares/<n>` and `groups/<group>`.
+//!
+//! Attempt ids and incarnations are random 64-bit numbers and are written as text, because JSON
+//! numbers above 2^53 lose digits in other programs. A missing or malformed member is a
+//! [`RowFault`].
+
+use std::str::FromStr;
+
+use compact_str::{format_compact, CompactString};
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::core::rows::{GroupRow, HostRow, ShareRow};
+use crate::core::store::Row;
+use crate::types::{
+    AttemptId, CommitSeq, EndpointId, FailureDomain, HostId, Renewals, RowKey, RowVersion,
+    TableVersion, Term,
+};
+
+/// row {key} is malformed: {detail}
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub struct RowFault {
+    /// Key of the row.
+    pub key: RowKey,
+    /// What is wrong.
+    pub detail: CompactString,
+}
+
+impl std::error::Error for RowFault {}
+
+/// Value of a row `hosts/<id>`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostValue {
+    incarnation: CompactString,
+    address: CompactString,
+    failure_domain: FailureDomain,
+    state: CompactString,
+    confirmed_version: Option<TableVersion>,
+    renewals: Renewals,
+    registered_seq: Option<CommitSeq>,
+    attempt: CompactString,
+}
+
+/// Value of a row `shares/<n>`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareValue {
+    holder: HostId,
+    incarnation: CompactString,
+    address: CompactString,
+    renewals: Renewals,
+    attempt: CompactString,
+}
+
+/// Value of a row `groups/<group>`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupValue {
+    term: Term,
+    primary: Option<EndpointId>,
+    start: CompactString,
+    attempt: CompactString,
+    phase: CompactString,
+}
+
+/// A row with its key and value in JSON: what a domain row is written as.
+pub type JsonRow = (RowKey, Value);
+
+impl From<&HostRow> for JsonRow {
+    fn from(row: &HostRow) -> Self {
+        let value = HostValue {
+            incarnation: format_compact!("{}", row.incarnation),
+            address: format_compact!("{}", row.address),
+            failure_domain: row.failure_domain.clone(),
+            state: format_compact!("{}", row.state),
+            confirmed_version: row.confirmed,
+            renewals: row.renewals,
+            registered_seq: row.registered,
+            attempt: format_compact!("{}", row.attempt),
+        };
+        (key_of(row.host.as_str()), to_json(&value))
+    }
+}
+
+impl From<&ShareRow> for JsonRow {
+    fn from(row: &ShareRow) -> Self {
+        let value = ShareValue {
+            holder: row.holder.clone(),
+            incarnation: format_compact!("{}", row.incarnation),
+            address: format_compact!("{}", row.address),
+            renewals: row.renewals,
+            attempt: format_compact!("{}", row.attempt),
+        };
+        (key_of(&row.slot.to_string()), to_json(&value))
+    }
+}
+
+impl From<&GroupRow> for JsonRow {
+    fn from(row: &GroupRow) -> Self {
+        let value = GroupValue {
+            term: row.term,
+            primary: row.primary.clone(),
+            start: format_compact!("{}", row.start),
+            attempt: format_compact!("{}", row.attempt),
+            phase: format_compact!("{}", row.phase),
+        };
+        (key_of(row.group.as_str()), to_json(&value))
+    }
+}
+
+impl TryFrom<&Row<Value>> for HostRow {
+    type Error = RowFault;
+
+    fn try_from(row: &Row<Value>) -> Result<Self, RowFault> {
+        let value: HostValue = from_json(row)?;
+        Ok(Self {
+            host: member(row, "key", row.key.as_str())?,
+            incarnation: member(row, "incarnation", &value.incarnation)?,
+            address: member(row, "address", &value.address)?,
+            failure_domain: value.failure_domain,
+            state: member(row, "state", &value.state)?,
+            confirmed: value.confirmed_version,
+            renewals: value.renewals,
+            registered: value.registered_seq,
+            attempt: member(row, "attempt", &value.attempt)?,
+        })
+    }
+}
+
+impl TryFrom<&Row<Value>> for ShareRow {
+    type Error = RowFault;
+
+    fn try_from(row: &Row<Value>) -> Result<Self, RowFault> {
+        let value: ShareValue = from_json(row)?;
+        Ok(Self {
+            slot: member(row, "key", row.key.as_str())?,
+            holder: value.holder,
+            incarnation: member(row, "incarnation", &value.incarnation)?,
+            address: member(row, "address", &value.address)?,
+            renewals: value.renewals,
+            attempt: member(row, "attempt", &value.attempt)?,
+        })
+    }
+}
+
+impl TryFrom<&Row<Value>> for GroupRow {
+    type Error = RowFault;
+
+    fn try_from(row: &Row<Value>) -> Result<Self, RowFault> {
+        let value: GroupValue = from_json(row)?;
+        Ok(Self {
+            group: member(row, "key", row.key.as_str())?,
+            term: value.term,
+            primary: value.primary,
+            start: member(row, "start", &value.start)?,
+            attempt: member(row, "attempt", &value.attempt)?,
+            phase: member(row, "phase", &value.phase)?,
+        })
+    }
+}
+
+/// The attempt that wrote a row: its version and the member `attempt` of its value, if it has one.
+pub fn attempt_of(row: &Row<Value>) -> (RowVersion, Option<AttemptId>) {
+    let text = row.value.get("attempt").and_then(Value::as_str);
+    (row.version, text.and_then(|text| text.parse().ok()))
+}
+
+fn from_json<T: serde::de::DeserializeOwned>(row: &Row<Value>) -> Result<T, RowFault> {
+    T::deserialize(&row.value).map_err(|error| fault(row, format_compact!("{error}")))
+}
+
+fn member<T: FromStr>(row: &Row<Value>, name: &str, text: &str) -> Result<T, RowFault>
+where
+    T::Err: std::fmt::Display,
+{
+    text.parse().map_err(|error| fault(row, format_compact!("{name} {text:?}: {error}")))
+}
+
+fn fault(row: &Row<Value>, detail: CompactString) -> RowFault {
+    RowFault { key: row.key.clone(), detail }
+}
+
+fn key_of(text: &str) -> RowKey {
+    text.parse().expect("host ids, groups and slot numbers are valid keys")
+}
+
+fn to_json<T: Serialize>(value: &T) -> Value {
+    serde_json::to_value(value).expect("the members are texts and numbers")
+}
