--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,3 +3,5 @@
 pub mod classify;
 pub mod group;
 pub mod promotion;
+pub mod rows;
+pub mod store;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,3 +1,4 @@
-//! Actors that own sockets. They feed events to the core and carry out its effects.
+//! Actors and threads that own sockets. They feed events to the core and carry out its effects.
 
+pub mod platform;
 pub mod stream;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,4 +1,6 @@
-//! Wire types and codecs, apart from the domain types.
+//! Wire types and codecs, separate from domain types, with `From` and `TryFrom`.
 
 pub mod batch;
 pub mod pg;
+pub mod platform;
+pub mod rows;
