--- /dev/null
+++ b/src/auth/client.rs
@@ -0,0 +1,106 @@
+//! The host's side of its own login at an endpoint.
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use super::scram::{attribute, decode_digest, hmac, salted_password, xor};
+use super::verifier::ITERATIONS;
+use super::{Nonce, ScramError, Secret};
+
+/// Most iterations that an endpoint may ask for: about 50 ms of work on the host's one thread.
+const MAX_ITERATIONS: u32 = 100_000;
+
+#[derive(Debug)]
+enum State {
+    AwaitFirst,
+    AwaitFinal { signature: Secret },
+    Done,
+}
+
+/// Client side of one exchange.
+#[derive(Debug)]
+pub struct ScramClient {
+    password: Secret,
+    nonce: Nonce,
+    bare: String,
+    state: State,
+}
+
+impl ScramClient {
+    /// An exchange for `user`, which may be empty: PostgreSQL takes the name of the start-up message.
+    ///
+    /// # Errors
+    ///
+    /// The password has characters outside printable ASCII.
+    pub fn new(user: &str, password: Secret, nonce: Nonce) -> Result<Self, ScramError> {
+        let printable = |c: char| c.is_ascii_graphic() || c == ' ';
+        if !password.expose().chars().all(printable) {
+            return Err(ScramError::Password);
+        }
+        let user = user.replace('=', "=3D").replace(',', "=2C");
+        let bare = format!("n={user},r={nonce}");
+        Ok(Self { password, nonce, bare, state: State::AwaitFirst })
+    }
+
+    /// Text of the `SASLInitialResponse`.
+    pub fn first(&self) -> String {
+        format!("n,,{}", self.bare)
+    }
+
+    /// Takes the text of `AuthenticationSASLContinue` and returns the `SASLResponse`.
+    ///
+    /// # Errors
+    ///
+    /// A message that is malformed, out of order or of another exchange.
+    pub fn on_continue(&mut self, text: &str) -> Result<String, ScramError> {
+        if !matches!(self.state, State::AwaitFirst) {
+            return Err(ScramError::OutOfOrder);
+        }
+        self.state = State::Done;
+        let mut parts = text.split(',');
+        let nonce = attribute('r', parts.next())?;
+        if !nonce.starts_with(self.nonce.as_str()) || nonce.len() == self.nonce.as_str().len() {
+            return Err(ScramError::OtherExchange);
+        }
+        let salt = STANDARD.decode(attribute('s', parts.next())?);
+        let salt = salt.map_err(|_| ScramError::Malformed)?;
+        let iterations = attribute('i', parts.next())?.parse();
+        let iterations = iterations.map_err(|_| ScramError::Malformed)?;
+        if !(ITERATIONS..=MAX_ITERATIONS).contains(&iterations) {
+            return Err(ScramError::Iterations(iterations));
+        }
+        let without_proof = format!("c=biws,r={nonce}");
+        let message = format!("{},{text},{without_proof}", self.bare);
+        let salted = salted_password(&self.password, &salt, iterations);
+        let client_key = hmac(&salted, b"Client Key");
+        let stored_key: [u8; 32] = Sha256::digest(client_key).into();
+        let proof = xor(&client_key, &hmac(&stored_key, message.as_bytes()));
+        let signature = hmac(&hmac(&salted, b"Server Key"), message.as_bytes());
+        self.state = State::AwaitFinal { signature: Secret::new(STANDARD.encode(signature)) };
+        Ok(format!("{without_proof},p={}", STANDARD.encode(proof)))
+    }
+
+    /// Takes the text of `AuthenticationSASLFinal`; `Ok` means that the server knows the password.
+    ///
+    /// # Errors
+    ///
+    /// The server refused the login, or its signature does not match.
+    pub fn on_final(&mut self, text: &str) -> Result<(), ScramError> {
+        let State::AwaitFinal { signature } = std::mem::replace(&mut self.state, State::Done)
+        else {
+            return Err(ScramError::OutOfOrder);
+        };
+        if text.starts_with("e=") {
+            return Err(ScramError::RefusedByServer);
+        }
+        let presented = decode_digest(attribute('v', text.split(',').next())?)?;
+        let expected = decode_digest(signature.expose())?;
+        if bool::from(presented.ct_eq(&expected)) {
+            Ok(())
+        } else {
+            Err(ScramError::WrongServer)
+        }
+    }
+}
--- /dev/null
+++ b/src/auth/server.rs
@@ -0,0 +1,141 @@
+//! The host's side of a caller's login.
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use sha2::{Digest, Sha256};
+use subtle::{ConditionallySelectable, ConstantTimeEq};
+
+use super::scram::{attribute, decode_digest, hmac, xor};
+use super::verifier::{Salt, Verifier, ITERATIONS};
+use super::{Nonce, ScramError};
+use crate::types::KeyId;
+
+/// What to do after a message of the caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ServerStep {
+    /// Send `AuthenticationSASLContinue` with this text.
+    Continue(String),
+    /// Send `AuthenticationSASLFinal` with `message`; the caller holds `key`.
+    Accepted {
+        /// The key that the caller used.
+        key: KeyId,
+        /// Text of the final message.
+        message: String,
+    },
+}
+
+#[derive(Debug)]
+enum State {
+    AwaitFirst,
+    AwaitFinal { header: String, nonce: String, first: String },
+    Done,
+}
+
+/// Server side of one exchange.
+#[derive(Debug)]
+pub struct ScramServer {
+    candidates: Vec<(KeyId, Verifier)>,
+    salt: Salt,
+    nonce: Nonce,
+    state: State,
+}
+
+impl ScramServer {
+    /// An exchange in which any of `candidates` may be proven.
+    ///
+    /// All keys of an account share one salt, because the first message names it before the caller
+    /// has shown which key it holds; the table check refuses other rows. Without candidates the
+    /// exchange runs with `fallback` (see [`Salt::for_unknown`]) and fails in the last step.
+    pub fn new(candidates: Vec<(KeyId, Verifier)>, fallback: Salt, nonce: Nonce) -> Self {
+        let salt = candidates.first().map_or(fallback, |(_, verifier)| verifier.salt());
+        Self { candidates, salt, nonce, state: State::AwaitFirst }
+    }
+
+    /// Takes the caller's next message. After an error the exchange is over.
+    ///
+    /// # Errors
+    ///
+    /// A message that is malformed or does not belong to the exchange, or no matching key.
+    pub fn on_message(&mut self, text: &str) -> Result<ServerStep, ScramError> {
+        match std::mem::replace(&mut self.state, State::Done) {
+            State::AwaitFirst => self.on_first(text),
+            State::AwaitFinal { header, nonce, first } => {
+                self.on_final(text, &header, &nonce, &first)
+            }
+            State::Done => Err(ScramError::OutOfOrder),
+        }
+    }
+
+    fn on_first(&mut self, text: &str) -> Result<ServerStep, ScramError> {
+        let (header, bare) = split_header(text)?;
+        let mut parts = bare.split(',');
+        let user = parts.next();
+        if user.is_some_and(|part| part.starts_with("m=")) {
+            return Err(ScramError::Unsupported);
+        }
+        attribute('n', user)?;
+        let client_nonce: Nonce = attribute('r', parts.next())?.parse()?;
+        let nonce = format!("{client_nonce}{}", self.nonce);
+        let reply = format!("r={nonce},s={},i={ITERATIONS}", self.salt);
+        let first = format!("{bare},{reply}");
+        self.state = State::AwaitFinal { header: header.to_owned(), nonce, first };
+        Ok(ServerStep::Continue(reply))
+    }
+
+    fn on_final(
+        &self,
+        text: &str,
+        header: &str,
+        nonce: &str,
+        first: &str,
+    ) -> Result<ServerStep, ScramError> {
+        let (without_proof, proof) = text.rsplit_once(",p=").ok_or(ScramError::Malformed)?;
+        let mut parts = without_proof.split(',');
+        let binding = attribute('c', parts.next())?;
+        if binding != STANDARD.encode(header) || attribute('r', parts.next())? != nonce {
+            return Err(ScramError::OtherExchange);
+        }
+        let proof = decode_digest(proof)?;
+        let message = format!("{first},{without_proof}");
+        let (key, verifier) = self.prove(message.as_bytes(), &proof)?;
+        let signature = hmac(&verifier.server_key, message.as_bytes());
+        let message = format!("v={}", STANDARD.encode(signature));
+        Ok(ServerStep::Accepted { key: key.clone(), message })
+    }
+
+    /// The candidate that `proof` belongs to. Every candidate is tried, so that the time does not
+    /// depend on which one matches; an account without keys costs as much as one with one key.
+    fn prove(&self, message: &[u8], proof: &[u8; 32]) -> Result<&(KeyId, Verifier), ScramError> {
+        let mut found = u64::MAX;
+        for (index, (_, verifier)) in self.candidates.iter().enumerate() {
+            let matches = matches(verifier, message, proof);
+            found.conditional_assign(&(index as u64), matches);
+        }
+        if self.candidates.is_empty() {
+            matches(&Verifier::unmatched(self.salt, message), message, proof);
+        }
+        let found = usize::try_from(found).ok().and_then(|index| self.candidates.get(index));
+        found.ok_or(ScramError::WrongKey)
+    }
+}
+
+fn matches(verifier: &Verifier, message: &[u8], proof: &[u8; 32]) -> subtle::Choice {
+    let signature = hmac(&verifier.stored_key, message);
+    let client_key = xor(proof, &signature);
+    Sha256::digest(client_key).as_slice().ct_eq(&verifier.stored_key)
+}
+
+/// Splits a first message into its GS2 header (`n,,` or `y,,`) and the rest.
+fn split_header(text: &str) -> Result<(&str, &str), ScramError> {
+    if text.starts_with("p=") {
+        return Err(ScramError::Unsupported);
+    }
+    let mut parts = text.splitn(3, ',');
+    let (flag, identity, bare) = (parts.next(), parts.next(), parts.next());
+    let bare = bare.ok_or(ScramError::Malformed)?;
+    match (flag, identity) {
+        (Some("n" | "y"), Some("")) => Ok((&text[..text.len() - bare.len()], bare)),
+        (Some("n" | "y"), Some(_)) => Err(ScramError::Unsupported),
+        _ => Err(ScramError::Malformed),
+    }
+}
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! Commands of the binary as functions without I/O.
+
+pub mod tables;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,10 @@
 //!
 //! `docs/design.md` describes the modules, who owns which state, and the reasons behind the design.
 
+pub mod auth;
 pub mod chart;
+pub mod commands;
 pub mod error;
+pub mod tables;
 pub mod types;
+pub mod wire;
--- /dev/null
+++ b/src/tables/check.rs
@@ -0,0 +1,127 @@
+//! The check of both tables as a whole.
+
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+
+use compact_str::{format_compact, CompactString};
+
+use super::check_pools::check_pools;
+use super::check_routes::check_routes;
+use super::{CheckedTables, Severity, TableFault, TableName, Tables};
+
+/// What an identifier column may hold.
+pub(super) const ID_ALLOWED: &str = "1 to 63 letters, digits, '_', '-' and '.'";
+
+impl Tables {
+    /// Checks both tables as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of both tables, warnings among them, if at least one is an error. Warnings of
+    /// accepted tables are in [`CheckedTables::warnings`].
+    pub fn check(&self) -> Result<CheckedTables, Vec<TableFault>> {
+        let mut faults = Faults::default();
+        let pools = check_pools(&self.pools, &mut faults);
+        let routes = check_routes(&self.routes, &self.pools, &mut faults);
+        let refused = faults.list.iter().any(|fault| fault.severity == Severity::Error);
+        match (routes, pools) {
+            (Some(routes), Some(pools)) if !refused => {
+                Ok(CheckedTables::build(self.version, routes, pools, faults.list))
+            }
+            _ => Err(faults.list),
+        }
+    }
+}
+
+/// Faults found so far, in the order of rows.
+#[derive(Debug, Default)]
+pub(super) struct Faults {
+    list: Vec<TableFault>,
+}
+
+/// One row under check: names the row in its faults.
+pub(super) struct RowCheck<'a> {
+    table: TableName,
+    row: CompactString,
+    faults: &'a mut Faults,
+}
+
+impl Faults {
+    /// Starts the check of the row with `index` from 0, called `name`.
+    pub(super) fn row(&mut self, table: TableName, index: usize, name: &str) -> RowCheck<'_> {
+        let number = index + 1;
+        RowCheck { table, row: format_compact!("{number} ({name})"), faults: self }
+    }
+}
+
+impl RowCheck<'_> {
+    /// Records an error.
+    pub(super) fn error(
+        &mut self,
+        column: &'static str,
+        seen: impl Display,
+        allowed: impl Display,
+    ) {
+        self.push(Severity::Error, column, &seen, &allowed);
+    }
+
+    /// Records a warning.
+    pub(super) fn warning(
+        &mut self,
+        column: &'static str,
+        seen: impl Display,
+        allowed: impl Display,
+    ) {
+        self.push(Severity::Warning, column, &seen, &allowed);
+    }
+
+    /// Records an error unless the value is in `range`.
+    pub(super) fn range(
+        &mut self,
+        column: &'static str,
+        value: impl Into<u64>,
+        range: RangeInclusive<u64>,
+    ) {
+        let value = value.into();
+        if !range.contains(&value) {
+            self.error(column, value, format_args!("{} to {}", range.start(), range.end()));
+        }
+    }
+
+    /// Reads a text column; a text that cannot be read is an error.
+    pub(super) fn read<T: FromStr>(
+        &mut self,
+        column: &'static str,
+        text: &str,
+        allowed: &str,
+    ) -> Option<T> {
+        let value = text.parse().ok();
+        if value.is_none() {
+            self.error(column, format_args!("{text:?}"), allowed);
+        }
+        value
+    }
+
+    /// Reads an identifier column.
+    pub(super) fn id<T: FromStr>(&mut self, column: &'static str, text: &str) -> Option<T> {
+        self.read(column, text, ID_ALLOWED)
+    }
+
+    fn push(
+        &mut self,
+        severity: Severity,
+        column: &'static str,
+        seen: &dyn Display,
+        allowed: &dyn Display,
+    ) {
+        self.faults.list.push(TableFault {
+            table: self.table,
+            row: self.row.clone(),
+            column,
+            seen: format_compact!("{seen}"),
+            allowed: format_compact!("{allowed}"),
+            severity,
+        });
+    }
+}
--- /dev/null
+++ b/src/tables/check_routes.rs
@@ -0,0 +1,200 @@
+//! The check of the routes table.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use compact_str::{format_compact, CompactString};
+
+use super::check::{Faults, RowCheck, ID_ALLOWED};
+use super::{Account, Freshness, Key, KeyRow, PoolRow, Route, RouteRow, TableName};
+use crate::auth::{key_id, Verifier};
+use crate::types::AccountId;
+
+/// Largest rate and burst, so that thousandths of tokens fit their type with room to spare.
+const MAX_RATE: u64 = 10_000_000;
+
+/// Largest weight.
+const MAX_WEIGHT: u64 = 10_000;
+
+/// Longest queue wait, in milliseconds: callers give up long before ten minutes.
+const MAX_WAIT_MS: u64 = 600_000;
+
+/// Most keys of one account, which bounds the work of a login.
+const MAX_KEYS: usize = 16;
+
+/// Checks every row and the relations between rows. `None` if a row cannot be read.
+pub(super) fn check_routes(
+    rows: &[RouteRow],
+    pools: &[PoolRow],
+    faults: &mut Faults,
+) -> Option<Vec<(Route, Account)>> {
+    if rows.is_empty() {
+        faults.row(TableName::Routes, 0, "none").error("name", "absent", "at least one route");
+    }
+    let pools: BTreeSet<&str> = pools.iter().map(|row| row.pool.as_str()).collect();
+    let mut earlier = Earlier::default();
+    let mut read = Vec::new();
+    for (index, row) in rows.iter().enumerate() {
+        let mut check = faults.row(TableName::Routes, index, &row.name);
+        read.push(check_row(row, &mut check));
+        if !pools.contains(row.pool.as_str()) {
+            check.error("pool", format_args!("{:?}", row.pool), allowed_pools(&pools));
+        }
+        earlier.compare(row, &mut check);
+    }
+    read.into_iter().collect()
+}
+
+fn allowed_pools(pools: &BTreeSet<&str>) -> CompactString {
+    const SHOWN: usize = 8;
+    let names: Vec<&str> = pools.iter().copied().take(SHOWN).collect();
+    match pools.len() {
+        0 => "a pool of the pools table, which is empty".into(),
+        n if n > SHOWN => format_compact!("one of {n} pools: {}, ...", names.join(", ")),
+        _ => format_compact!("one of {}", names.join(", ")),
+    }
+}
+
+fn check_row(row: &RouteRow, check: &mut RowCheck<'_>) -> Option<(Route, Account)> {
+    let name = check.id("name", &row.name);
+    let database = check.id("database", &row.database);
+    let account = check_account(row, check);
+    let keys = check_keys(row, check);
+    check.range("rate_per_s", row.rate_per_s, 1..=MAX_RATE);
+    check.range("burst", row.burst, 1..=MAX_RATE);
+    check.range("weight", row.weight.0, 1..=MAX_WEIGHT);
+    let pool = check.id("pool", &row.pool);
+    let allowed = "session, primary or age:MS with 1 to 86400000 ms";
+    let freshness: Option<Freshness> = check.read("freshness", &row.freshness, allowed);
+    check.range("max_wait_ms", row.max_wait_ms, 1..=MAX_WAIT_MS);
+    let route = Route {
+        name: name?,
+        database: database?,
+        account: account?,
+        pool: pool?,
+        freshness: freshness?,
+        max_wait_ms: row.max_wait_ms,
+    };
+    let account =
+        Account { keys: keys?, rate: row.rate_per_s, burst: row.burst, weight: row.weight };
+    Some((route, account))
+}
+
+fn check_account(row: &RouteRow, check: &mut RowCheck<'_>) -> Option<AccountId> {
+    if row.account != AccountId::OPEN.as_str() {
+        if row.keys.is_empty() {
+            check.error("keys", "empty", "at least one key, or the account * for an open route");
+        }
+        let allowed = format_compact!("* or {ID_ALLOWED}");
+        return check.read("account", &row.account, &allowed);
+    }
+    if !row.keys.is_empty() {
+        let seen = format_compact!("{} keys", row.keys.len());
+        check.error("keys", seen, "no keys, because the account * is open");
+    }
+    Some(AccountId::OPEN)
+}
+
+fn check_keys(row: &RouteRow, check: &mut RowCheck<'_>) -> Option<Vec<Key>> {
+    if row.keys.len() > MAX_KEYS {
+        let seen = format_compact!("{} keys", row.keys.len());
+        check.error("keys", seen, format_args!("at most {MAX_KEYS} keys"));
+    }
+    let read: Vec<Option<Key>> = row.keys.iter().map(|key| check_key(key, check)).collect();
+    let mut earlier: Vec<&Key> = Vec::new();
+    for key in read.iter().flatten() {
+        check_key_relations(&earlier, key, check);
+        earlier.push(key);
+    }
+    read.into_iter().collect()
+}
+
+fn check_key(row: &KeyRow, check: &mut RowCheck<'_>) -> Option<Key> {
+    let verifier: Result<Verifier, _> = row.verifier.expose().parse();
+    let verifier = match verifier {
+        Ok(verifier) => verifier,
+        Err(error) => {
+            check.error("keys", format_args!("verifier of {:?} not readable", row.key), error);
+            return None;
+        }
+    };
+    let label = row.key.rsplit_once('.').map_or(row.key.as_str(), |(label, _)| label);
+    let expected = key_id(label, &verifier);
+    match expected {
+        Ok(expected) if expected.as_str() == row.key => Some(Key { id: expected, verifier }),
+        Ok(expected) => {
+            check.error("keys", format_args!("{:?}", row.key), expected);
+            None
+        }
+        Err(_) => {
+            let allowed = "a label of 1 to 54 letters, digits, '_', '-' and '.', then a dot and \
+                           the verifier's fingerprint";
+            check.error("keys", format_args!("{:?}", row.key), allowed);
+            None
+        }
+    }
+}
+
+fn check_key_relations(earlier: &[&Key], key: &Key, check: &mut RowCheck<'_>) {
+    if earlier.iter().any(|other| other.verifier == key.verifier) {
+        check.error("keys", &key.id, "each key once");
+    } else if earlier.first().is_some_and(|other| other.verifier.salt() != key.verifier.salt()) {
+        let seen = format_compact!("salt {} of {}", key.verifier.salt(), key.id);
+        let allowed =
+            format_compact!("{}, the salt of the account's first key", earlier[0].verifier.salt());
+        check.error("keys", seen, allowed);
+    }
+}
+
+/// The first row of each name, account and pair, so that the check takes n log n steps: every host
+/// repeats it for every accepted edit.
+#[derive(Debug, Default)]
+struct Earlier<'a> {
+    names: BTreeSet<&'a str>,
+    accounts: BTreeMap<&'a str, &'a RouteRow>,
+    pairs: BTreeMap<(&'a str, &'a str), &'a RouteRow>,
+}
+
+impl<'a> Earlier<'a> {
+    /// Compares a row with the rows before it and remembers it.
+    fn compare(&mut self, row: &'a RouteRow, check: &mut RowCheck<'_>) {
+        if !self.names.insert(&row.name) {
+            check.error("name", format_args!("{:?}", row.name), "a name that no other route has");
+        }
+        let pair = *self.pairs.entry((&row.database, &row.account)).or_insert(row);
+        if !std::ptr::eq(pair, row) {
+            let seen = format_compact!("{} for account {}", row.database, row.account);
+            let allowed = format_compact!("a pair that route {} does not have", pair.name);
+            check.error("database", seen, allowed);
+        }
+        let account = *self.accounts.entry(&row.account).or_insert(row);
+        check_same_account(account, row, check);
+    }
+}
+
+/// Rates and keys belong to the account, not to the route.
+fn check_same_account(other: &RouteRow, row: &RouteRow, check: &mut RowCheck<'_>) {
+    let columns = [
+        ("rate_per_s", row.rate_per_s.0, other.rate_per_s.0),
+        ("burst", row.burst.0, other.burst.0),
+        ("weight", u64::from(row.weight.0), u64::from(other.weight.0)),
+    ];
+    for (column, value, expected) in columns {
+        if value != expected {
+            check.error(column, value, same_account(expected, other));
+        }
+    }
+    if row.keys != other.keys {
+        let seen = format_compact!("[{}]", key_ids(&row.keys));
+        let expected = format_compact!("[{}] with the same verifiers", key_ids(&other.keys));
+        check.error("keys", seen, same_account(expected, other));
+    }
+}
+
+fn same_account(expected: impl std::fmt::Display, other: &RouteRow) -> CompactString {
+    format_compact!("{expected}, as in the account's route {}", other.name)
+}
+
+pub(super) fn key_ids(keys: &[KeyRow]) -> String {
+    let ids: Vec<&str> = keys.iter().map(|key| key.key.as_str()).collect();
+    ids.join(", ")
+}
--- a/src/types/amount.rs
+++ b/src/types/amount.rs
@@ -26,6 +26,10 @@
     Cost(u64);
     /// Relative share of a client account in a queue.
     Weight(u32);
+    /// Statements that an endpoint runs at once.
+    Slots(u32);
+    /// Connections that an endpoint accepts from the whole fleet.
+    ConnectionCount(u32);
 }
 
 impl MilliTokens {
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -92,6 +92,16 @@
     KeyId;
 }
 
+impl AccountId {
+    /// The account of open routes, written `*`. `FromStr` refuses it, so no caller can log in as it.
+    pub const OPEN: AccountId = AccountId(CompactString::const_new("*"));
+
+    /// Whether this is the account of open routes.
+    pub fn is_open(&self) -> bool {
+        *self == Self::OPEN
+    }
+}
+
 macro_rules! number_id {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -5,10 +5,10 @@
 mod position;
 mod time;
 
-pub use amount::{Burst, Cost, MilliTokens, RatePerS, Weight};
+pub use amount::{Burst, ConnectionCount, Cost, MilliTokens, RatePerS, Slots, Weight};
 pub use id::{
     AccountId, AttemptId, ConnectionId, DatabaseName, EndpointId, FailureDomain, GroupId, HostId,
     IdError, Incarnation, KeyId, PoolName, RequestId, RouteName, SessionId,
 };
-pub use position::{Position, PositionError, RowVersion, TableVersion, Term};
+pub use position::{CommitSeq, Position, PositionError, RowVersion, TableVersion, Term};
 pub use time::{DurationMs, Timestamp};
--- a/src/types/position.rs
+++ b/src/types/position.rs
@@ -32,6 +32,8 @@
     TableVersion;
     /// The version of one row of the platform's table service; 0 means that the row is absent.
     RowVersion;
+    /// The commit sequence of the platform's table service, counted over all its rows.
+    CommitSeq;
 }
 
 /// A place in a group's log, ordered by term, then index; written `3:1042`.
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,3 @@
+//! Wire types, apart from the domain types, with `From` and `TryFrom`.
+
+pub mod tables;
