--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,9 +2,12 @@
 //!
 //! `docs/design.md` describes the modules, who owns which state, and the reasons behind the design.
 
+pub mod auth;
 pub mod chart;
+pub mod commands;
 pub mod core;
 pub mod error;
 pub mod net;
+pub mod tables;
 pub mod types;
 pub mod wire;
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -5,7 +5,7 @@
 mod position;
 mod time;
 
-pub use amount::{Burst, Cost, MilliTokens, RatePerS, Weight};
+pub use amount::{Burst, ConnectionCount, Cost, MilliTokens, RatePerS, Slots, Weight};
 pub use id::{
     AccountId, AttemptId, CallId, ConnectionId, DatabaseName, EndpointId, FailureDomain, GroupId,
     HostId, IdError, Incarnation, KeyId, ObjectName, PoolName, RequestId, RouteName, RowKey,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -4,3 +4,4 @@
 pub mod pg;
 pub mod platform;
 pub mod rows;
+pub mod tables;
