Add an emulated PostgreSQL endpoint with replication, orders and faults

Cause: tests, the demonstration and load runs need a database group that follows assumptions 1 to 8 of the design. Change: `medlarstile emulate endpoint` (src/emulator/endpoint), an SQL subset over tables in memory, slots, a log with asynchronous replication, group_fence, group_promote and group_follow, a control port for faults, and the event loop in src/net/reactor.rs, which arms a timer file descriptor for waits below 1 ms. New dependency: rustix (timerfd), already in the lock file.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod chart;
 pub mod error;
+pub mod net;
 pub mod types;
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,3 @@
+//! Actors that own sockets, and the event loop that runs them.
+
+pub mod reactor;
--- /dev/null
+++ b/src/net/reactor.rs
@@ -0,0 +1,141 @@
+//! The event loop of a process: stakker actors over mio.
+//!
+//! The loop blocks in `epoll_wait` until a socket, a timer or a signal is due. The timeout of
+//! `epoll_wait` has a resolution of 1 ms, so waits with a fraction of a millisecond also arm a
+//! timer file descriptor. The one clock read of the process is in this module.
+
+use std::io;
+use std::os::fd::{AsRawFd, OwnedFd};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use displaydoc::Display;
+use rustix::time::{
+    timerfd_create, timerfd_settime, Itimerspec, TimerfdClockId, TimerfdFlags, TimerfdTimerFlags,
+    Timespec,
+};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::low_level::pipe;
+use stakker::{fwd, Core, Fwd, Stakker, StopCause};
+use stakker_mio::mio::net::UnixStream;
+use stakker_mio::mio::{Events, Interest, Poll};
+use stakker_mio::{FdSource, MioPoll, MioSource};
+
+/// Events fetched in one call.
+const EVENTS: usize = 1_024;
+/// Longest wait without an event or a timer.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// Priority of signals, timers and wake-ups among the sources, the highest.
+const URGENT: u32 = 10;
+
+/// Why the event loop ended other than by a shutdown that was asked for.
+#[derive(Debug, Display)]
+pub enum ReactorError {
+    /// polling failed: {0}
+    Poll(io::Error),
+    /// an actor failed: {0}
+    Failed(String),
+}
+
+impl std::error::Error for ReactorError {}
+
+impl From<io::Error> for ReactorError {
+    fn from(error: io::Error) -> Self {
+        Self::Poll(error)
+    }
+}
+
+/// A request to stop the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signal {
+    /// SIGINT.
+    Interrupt,
+    /// SIGTERM.
+    Terminate,
+}
+
+/// Keeps the read ends of the signal pipes registered for as long as the loop runs.
+#[derive(Clone)]
+struct SignalPipes(#[allow(dead_code)] Rc<Vec<MioSource<UnixStream>>>);
+
+/// Runs the event loop until [`Core::shutdown`] is called. What `setup` returns is kept until the
+/// loop has ended, so it can own the first actors.
+///
+/// # Errors
+///
+/// A failure to poll, and the failure that an actor passed to [`Core::shutdown`].
+pub fn run<T>(setup: impl FnOnce(&mut Stakker) -> T) -> Result<(), ReactorError> {
+    let mut stakker = Stakker::new(clock());
+    let poll = MioPoll::new(&mut stakker, Poll::new()?, Events::with_capacity(EVENTS), URGENT)?;
+    let alarm = Alarm::new(&poll)?;
+    let kept = setup(&mut stakker);
+    let mut idle_pending = stakker.run(clock(), false);
+    let mut io_pending = false;
+    while stakker.not_shutdown() {
+        let wait = stakker.next_wait_max(clock(), MAX_WAIT, idle_pending || io_pending);
+        alarm.arm(wait)?;
+        let activity;
+        (activity, io_pending) = poll.poll(wait)?;
+        idle_pending = stakker.run(clock(), !activity);
+    }
+    drop(kept);
+    match stakker.shutdown_reason() {
+        Some(StopCause::Failed(error)) => Err(ReactorError::Failed(error.to_string())),
+        _ => Ok(()),
+    }
+}
+
+/// Forwards SIGINT and SIGTERM to `notify` from now on.
+///
+/// # Errors
+///
+/// The system refused a pipe or a handler.
+pub fn forward_signals(core: &mut Core, notify: Fwd<Signal>) -> io::Result<()> {
+    let poll = core.anymap_get::<MioPoll>();
+    let mut sources = Vec::new();
+    for (number, signal) in [(SIGINT, Signal::Interrupt), (SIGTERM, Signal::Terminate)] {
+        let (read, write) = std::os::unix::net::UnixStream::pair()?;
+        read.set_nonblocking(true)?;
+        pipe::register(number, write)?;
+        let notify = notify.clone();
+        let ready = Fwd::new(move |ready: stakker_mio::Ready| {
+            if ready.is_readable() {
+                fwd!([notify], signal);
+            }
+        });
+        sources.push(poll.add(UnixStream::from_std(read), Interest::READABLE, URGENT, ready)?);
+    }
+    core.anymap_set(SignalPipes(Rc::new(sources)));
+    Ok(())
+}
+
+fn clock() -> Instant {
+    Instant::now()
+}
+
+/// A timer file descriptor that ends a wait between two milliseconds.
+struct Alarm {
+    fd: OwnedFd,
+    _source: MioSource<FdSource>,
+}
+
+impl Alarm {
+    fn new(poll: &MioPoll) -> io::Result<Self> {
+        let fd = timerfd_create(TimerfdClockId::Monotonic, TimerfdFlags::NONBLOCK)?;
+        let source = FdSource::new(fd.as_raw_fd());
+        let _source = poll.add(source, Interest::READABLE, URGENT, Fwd::new(|_| ()))?;
+        Ok(Self { fd, _source })
+    }
+
+    fn arm(&self, wait: Duration) -> io::Result<()> {
+        if wait.subsec_nanos() % 1_000_000 == 0 {
+            return Ok(());
+        }
+        let zero = Timespec { tv_sec: 0, tv_nsec: 0 };
+        let seconds = i64::try_from(wait.as_secs()).unwrap_or(i64::MAX);
+        let due = Timespec { tv_sec: seconds, tv_nsec: i64::from(wait.subsec_nanos()) };
+        let spec = Itimerspec { it_interval: zero, it_value: due };
+        timerfd_settime(&self.fd, TimerfdTimerFlags::empty(), &spec)?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tests/support/endpoint.rs
@@ -0,0 +1,154 @@
+//! Starts emulated endpoints as processes and drives their control ports.
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use postgres::{Client, NoTls};
+use serde_json::{json, Value};
+
+/// Longest wait for an answer of a process.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between two looks at a condition.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+/// Looks before a condition counts as missed, 10 s in all.
+const LOOKS: usize = 2_000;
+
+/// A running endpoint process.
+pub struct Endpoint {
+    child: Child,
+    control: BufReader<TcpStream>,
+    pub id: String,
+    pub postgres: String,
+    pub replication: String,
+}
+
+impl Endpoint {
+    /// Starts an endpoint with further arguments.
+    pub fn start(id: &str, arguments: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_medlarstile"))
+            .args(["emulate", "endpoint", "--id", id])
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("stdout is a pipe");
+        BufReader::new(stdout).read_line(&mut line).expect("the endpoint prints its addresses");
+        let address = |name: &str| {
+            let part = line.split_whitespace().find_map(|part| part.strip_prefix(name));
+            part.unwrap_or_else(|| panic!("no {name} in {line:?}")).to_owned()
+        };
+        let control = TcpStream::connect(address("control=")).expect("the control port accepts");
+        control.set_read_timeout(Some(ANSWER_TIMEOUT)).expect("a timeout can be set");
+        Self {
+            child,
+            control: BufReader::new(control),
+            id: id.to_owned(),
+            postgres: address("postgres="),
+            replication: address("replication="),
+        }
+    }
+
+    /// A single endpoint that is the primary of a group of one.
+    pub fn single(arguments: &[&str]) -> Self {
+        Self::start("a", &[&["--primary", "a"], arguments].concat())
+    }
+
+    /// Sends a request to the control port.
+    pub fn control(&mut self, request: Value) -> Value {
+        let line = format!("{request}\n");
+        self.control.get_mut().write_all(line.as_bytes()).expect("the control port reads");
+        let mut answer = String::new();
+        self.control.read_line(&mut answer).expect("the control port answers");
+        let answer: Value = serde_json::from_str(&answer).expect("the answer is JSON");
+        assert_eq!(answer.get("error"), None, "{request}");
+        answer
+    }
+
+    /// Result of trying to log in.
+    pub fn try_connect(&self) -> Result<Client, postgres::Error> {
+        let address = &self.postgres;
+        let login = "proxy:proxy-password";
+        Client::connect(&format!("postgres://{login}@{address}/test?connect_timeout=10"), NoTls)
+    }
+
+    /// A client that is logged in.
+    pub fn connect(&self) -> Client {
+        self.try_connect().expect("the endpoint accepts the login")
+    }
+
+    /// The status text.
+    pub fn status(&mut self) -> String {
+        let answer = self.control(json!({"op": "status"}));
+        answer["status"].as_str().expect("a text").to_owned()
+    }
+
+    /// One field of the status.
+    pub fn field(&mut self, name: &str) -> String {
+        let status = self.status();
+        let prefix = format!("{name}=");
+        let found = status.split(' ').find_map(|part| part.strip_prefix(&prefix));
+        found.expect("the status has the field").to_owned()
+    }
+
+    /// Waits until a field of the status has a value.
+    pub fn wait_field(&mut self, name: &str, value: &str) {
+        self.wait_until(&format!("{name}={value}"), |endpoint| endpoint.field(name) == value);
+    }
+
+    /// One counter.
+    pub fn count(&mut self, name: &str) -> u64 {
+        self.control(json!({"op": "counts"}))[name].as_u64().expect("a counter")
+    }
+
+    /// Positions of the log entries whose rows hold `text`.
+    pub fn entries_with(&mut self, text: &str) -> Vec<String> {
+        let log = self.control(json!({"op": "log"}));
+        let entries = log["entries"].as_array().expect("a list").iter();
+        let with = entries.filter(|entry| entry["changes"].to_string().contains(text));
+        with.map(|entry| entry["position"].as_str().expect("a text").to_owned()).collect()
+    }
+
+    /// Waits for a condition; the pause between two looks is a read that times out.
+    pub fn wait_until(&mut self, what: &str, mut holds: impl FnMut(&mut Self) -> bool) {
+        for _ in 0..LOOKS {
+            if holds(self) {
+                return;
+            }
+            let idle = self.control.get_ref();
+            idle.set_read_timeout(Some(LOOK_INTERVAL)).expect("a timeout can be set");
+            let read = self.control.get_mut().read(&mut [0; 1]);
+            let timed_out = read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
+            assert!(timed_out, "the control port sent something unasked");
+            let idle = self.control.get_ref();
+            idle.set_read_timeout(Some(ANSWER_TIMEOUT)).expect("a timeout can be set");
+        }
+        let status = self.status();
+        panic!("{}: {what} did not become true, status {status}", self.id);
+    }
+}
+
+impl Drop for Endpoint {
+    fn drop(&mut self) {
+        let _ = self.control.get_ref().shutdown(Shutdown::Both);
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts a group of endpoints a, b and c; a is the primary.
+pub fn group(arguments: &[&str]) -> [Endpoint; 3] {
+    let mut group = ["a", "b", "c"].map(|id| Endpoint::start(id, arguments));
+    let members: Vec<String> = group
+        .iter()
+        .map(|member| format!("{}={}={}", member.id, member.postgres, member.replication))
+        .collect();
+    for member in &mut group {
+        member.control(json!({"op": "members", "members": members, "primary": "a"}));
+    }
+    group
+}
