Check the group core against generated histories

Cause: the promises of design 3.1 to 3.4 had no test under faults. Change: a model of endpoints, hosts and the platform's row, driven by seeded schedules.

--- /dev/null
+++ b/tests/group_history.rs
@@ -0,0 +1,117 @@
+//! Generated histories: three endpoints, several hosts and the platform's row under faults.
+
+mod group_model;
+
+use group_model::{Loss, Options, Policy, Report, World, MS};
+use yare::parameterized;
+
+/// Histories per case; `MEDLARSTILE_HISTORY_SEEDS` sets another number for a longer run.
+const SEEDS: u64 = 100;
+
+/// Target of the design for the failover gap.
+const GAP_TARGET: u64 = 3_000 * MS;
+
+const SOUND: Policy = Policy { majority: true, fencing: true };
+
+fn seeds() -> u64 {
+    let text = std::env::var("MEDLARSTILE_HISTORY_SEEDS").ok();
+    text.map_or(SEEDS, |text| text.parse().expect("a number of seeds"))
+}
+
+fn faulty(policy: Policy, hosts: usize) -> Options {
+    let faults_until = 12_000 * MS;
+    Options { policy, hosts, faults_until, lose_primary_at: None, ends: 17_000 * MS }
+}
+
+fn gaps(name: &str, reports: &[Report]) -> u64 {
+    let mut gaps: Vec<u64> = reports.iter().map(|r| r.gap_us.unwrap_or(u64::MAX)).collect();
+    gaps.sort_unstable();
+    let at = |percent: usize| gaps[(gaps.len() - 1) * percent / 100] / MS;
+    let writes: usize = reports.iter().map(|report| report.writes).sum();
+    let reads: u64 = reports.iter().map(|report| report.reads).sum();
+    let promotions: usize = reports.iter().map(|report| report.promotions).sum();
+    println!(
+        "{name}: {} histories, {writes} writes, {reads} reads, {promotions} promotions; gap ms: \
+         least {} median {} 90% {} 99% {} most {}",
+        reports.len(),
+        at(0),
+        at(50),
+        at(90),
+        at(99),
+        at(100)
+    );
+    gaps[gaps.len() - 1]
+}
+
+/// Guards against lost or unsafely acknowledged writes, two primaries of a term, reads below the
+/// session's floor or older than their bound, and a group that stays without a primary.
+#[parameterized(
+    first = { 0, 3 },
+    second = { 1, 3 },
+    third = { 2, 4 },
+    fourth = { 3, 4 },
+    fifth = { 4, 8 },
+)]
+fn faults_break_no_promise(part: u64, hosts: usize) {
+    let run = |seed: u64| {
+        let report = World::run(part * 1_000_000 + seed, faulty(SOUND, hosts));
+        assert!(report.violations.is_empty(), "part {part} seed {seed}: {:#?}", report.violations);
+        report
+    };
+    let reports: Vec<Report> = (0..seeds()).map(run).collect();
+    let most = gaps(&format!("faults, part {part}"), &reports);
+    assert!(most < GAP_TARGET, "no write was acknowledged for {most} us after the faults");
+}
+
+/// Guards against a failover that takes longer than the target.
+#[parameterized(
+    crash = { Loss::Crash, 4 },
+    isolation = { Loss::Isolation, 4 },
+    stall = { Loss::Stall, 4 },
+    crash_with_8_hosts = { Loss::Crash, 8 },
+)]
+fn a_lost_primary_is_replaced_in_time(loss: Loss, hosts: usize) {
+    let run = |seed: u64| {
+        let lost_at = (2_000 + seed * 37 % 1_000) * MS;
+        let lose_primary_at = Some((lost_at, loss));
+        let ends = lost_at + 5_000 * MS;
+        let report = World::run(
+            seed,
+            Options { policy: SOUND, hosts, faults_until: 0, lose_primary_at, ends },
+        );
+        assert!(report.violations.is_empty(), "seed {seed}: {:#?}", report.violations);
+        report
+    };
+    let reports: Vec<Report> = (0..seeds()).map(run).collect();
+    let most = gaps(&format!("{loss:?}, {hosts} hosts"), &reports);
+    assert!(most < GAP_TARGET, "the gap was {most} us");
+}
+
+fn partial(policy: Policy) -> Options {
+    let lose_primary_at = Some((1_000 * MS, Loss::Partial));
+    Options { policy, hosts: 4, faults_until: 0, lose_primary_at, ends: 8_000 * MS }
+}
+
+/// Guards against an old primary that goes on confirming writes, through the hosts that still reach
+/// it, while the other hosts replace it.
+#[test]
+fn a_primary_that_some_hosts_reach_loses_nothing() {
+    for seed in 0..seeds() {
+        let report = World::run(seed, partial(SOUND));
+        assert!(report.violations.is_empty(), "seed {seed}: {:#?}", report.violations);
+    }
+}
+
+/// Guards against checks that find nothing: without the mechanism some history must fail.
+#[parameterized(
+    majority_confirmation = { faulty(Policy { majority: false, fencing: true }, 4) },
+    fencing = { partial(Policy { majority: true, fencing: false }) },
+)]
+fn the_checks_see_a_missing_mechanism(options: Options) {
+    let found = (0..100).find_map(|seed| {
+        let report = World::run(seed, options);
+        report.violations.first().map(|violation| (seed, violation.clone()))
+    });
+    println!("{:?}: {found:?}", options.policy);
+    assert!(found.is_some());
+}
--- /dev/null
+++ b/tests/group_model/check.rs
@@ -0,0 +1,123 @@
+//! What every history must satisfy.
+
+use std::collections::BTreeMap;
+
+use medlarstile::types::Position;
+
+use super::endpoint::Endpoint;
+use super::host::{Held, Must};
+
+pub const SESSIONS: usize = 6;
+
+/// Something that a caller was told and that has to stay true.
+#[derive(Debug, Clone, Copy)]
+pub struct Ack {
+    time: u64,
+    position: Position,
+    id: u64,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Session {
+    pub token: Position,
+    pub own: Vec<Ack>,
+}
+
+#[derive(Debug, Default)]
+pub struct Checks {
+    pub acks: Vec<Ack>,
+    pub sessions: Vec<Session>,
+    pub served: u64,
+    promoted: BTreeMap<u64, usize>,
+    violations: Vec<String>,
+    faults_ended: Option<u64>,
+    gap_us: Option<u64>,
+}
+
+/// Result of one history.
+#[derive(Debug, Clone)]
+pub struct Report {
+    pub violations: Vec<String>,
+    pub writes: usize,
+    pub reads: u64,
+    pub promotions: usize,
+    /// From the end of the faults, or from the loss of the primary, to the first acknowledgement of
+    /// a write submitted after it.
+    pub gap_us: Option<u64>,
+}
+
+impl Checks {
+    pub fn new() -> Self {
+        Self { sessions: vec![Session::default(); SESSIONS], ..Self::default() }
+    }
+
+    pub fn faults_ended(&mut self, now: u64) {
+        self.faults_ended = Some(now);
+    }
+
+    /// Number of acknowledgements before `time`.
+    pub fn acks_before(&self, time: u64) -> usize {
+        self.acks.partition_point(|ack| ack.time < time)
+    }
+
+    pub fn on_durable(&mut self, endpoints: &[Endpoint], held: Held, now: u64) {
+        let ack = Ack { time: now, position: held.position, id: held.id };
+        if let Some((term, place)) = self.promoted.last_key_value() {
+            if !endpoints[*place].contains(ack.position, ack.id) {
+                let text = format!("{now}us: {ack:?} acknowledged, not in the log of term {term}");
+                self.violations.push(text);
+            }
+        }
+        self.acks.push(ack);
+        let Some(session) = held.session else { return };
+        let session = &mut self.sessions[session];
+        session.token = session.token.max(held.position);
+        session.own.push(ack);
+        if self.faults_ended.is_some_and(|ended| held.submitted >= ended) {
+            self.gap_us = self.gap_us.or(self.faults_ended.map(|ended| now - ended));
+        }
+    }
+
+    pub fn on_promoted(&mut self, endpoints: &[Endpoint], place: usize, now: u64) {
+        let endpoint = &endpoints[place];
+        if let Some(other) = self.promoted.insert(endpoint.term, place) {
+            let term = endpoint.term;
+            self.violations.push(format!("{now}us: term {term} promoted e{other} and e{place}"));
+        }
+        let missing = self.acks.iter().find(|ack| !endpoint.contains(ack.position, ack.id));
+        if let Some(ack) = missing {
+            let term = endpoint.term;
+            self.violations.push(format!("{now}us: {ack:?} lost by promotion e{place} to {term}"));
+        }
+    }
+
+    pub fn on_read(&mut self, endpoint: &Endpoint, must: Must, now: u64, place: (usize, usize)) {
+        let (what, acks) = match must {
+            Must::Session(session, count) => ("session", &self.sessions[session].own[..count]),
+            Must::Acks(count) => ("time", &self.acks[..count]),
+        };
+        let missing = acks.iter().find(|ack| !endpoint.contains(ack.position, ack.id));
+        if let Some(ack) = missing {
+            let text =
+                format!("{now}us: read bounded by {what} at {place:?} does not show {ack:?}");
+            self.violations.push(text);
+        }
+    }
+
+    pub fn finish(&self, endpoints: &[Endpoint]) -> Report {
+        let mut violations = self.violations.clone();
+        let latest = self.promoted.last_key_value().map_or(0, |(_, place)| *place);
+        for ack in &self.acks {
+            if !endpoints[latest].contains(ack.position, ack.id) {
+                violations.push(format!("end: {ack:?} is not in the log of e{latest}"));
+            }
+        }
+        Report {
+            violations,
+            writes: self.sessions.iter().map(|session| session.own.len()).sum(),
+            reads: self.served,
+            promotions: self.promoted.len(),
+            gap_us: self.gap_us,
+        }
+    }
+}
--- /dev/null
+++ b/tests/group_model/fault.rs
@@ -0,0 +1,118 @@
+//! Faults of the model and the platform's calls.
+
+use medlarstile::core::group::Role;
+use medlarstile::core::promotion::{ReadFault, SwapFault};
+use rand::Rng;
+
+use super::host::Host;
+use super::{Answer, Call, Event, Loss, World, ENDPOINTS, MS};
+
+impl World {
+    pub(super) fn on_fault(&mut self) {
+        if self.now >= self.options.faults_until {
+            return;
+        }
+        let delay = self.rng.random_range(100..800) * MS;
+        self.later(delay, Event::Fault);
+        let host = self.rng.random_range(0..self.hosts.len());
+        let endpoint = self.target();
+        match self.rng.random_range(0..15) {
+            0 | 1 => self.cut_link(endpoint, ENDPOINTS + host),
+            2 | 3 => self.cut_link(endpoint, (endpoint + 1) % ENDPOINTS),
+            4 | 5 => self.isolate(endpoint, ENDPOINTS + self.hosts.len()),
+            6 => self.endpoints[endpoint].crash(),
+            7 => self.mend(),
+            8 => self.isolate_from_some(endpoint, 0),
+            9 => {
+                let pause = self.rng.random_range(100..3_000) * MS;
+                self.hosts[host].paused_until = (self.now + pause).min(self.options.faults_until);
+            }
+            10 => self.replace_host(host),
+            11 => self.isolate_from_some(endpoint, ENDPOINTS),
+            13 => self.store.slow = !self.store.slow,
+            12 => self.store.down = !self.store.down,
+            _ => self.store.lost_percent = if self.store.lost_percent == 0 { 60 } else { 0 },
+        }
+    }
+
+    /// The endpoint that a fault affects, half the time the primary of the highest term.
+    fn target(&mut self) -> usize {
+        let place = self.rng.random_range(0..ENDPOINTS);
+        let leads = |place: &usize| self.endpoints[*place].role == Role::Primary;
+        let primary = (0..ENDPOINTS).filter(leads).max_by_key(|place| self.endpoints[*place].term);
+        primary.filter(|_| self.rng.random()).unwrap_or(place)
+    }
+
+    /// Cuts an endpoint off from the endpoints below `endpoints` and from half of the hosts, so that
+    /// clients still write to it through the rest.
+    fn isolate_from_some(&mut self, endpoint: usize, endpoints: usize) {
+        self.isolate(endpoint, endpoints);
+        for host in 0..self.hosts.len() / 2 {
+            self.cut_link(endpoint, ENDPOINTS + host);
+        }
+    }
+
+    pub(super) fn on_heal(&mut self) {
+        self.mend();
+        self.store.down = false;
+        self.store.slow = false;
+        self.store.lost_percent = 0;
+        self.checks.faults_ended(self.now);
+    }
+
+    pub(super) fn on_lose(&mut self, loss: Loss) {
+        match loss {
+            Loss::Crash => self.endpoints[0].crash(),
+            Loss::Isolation => self.isolate(0, ENDPOINTS + self.hosts.len()),
+            Loss::Stall => self.isolate(0, ENDPOINTS),
+            Loss::Partial => {
+                self.isolate_from_some(0, 0);
+                self.store.slow = true;
+                let delay = self.rng.random_range(1_000..3_000) * MS;
+                self.later(delay, Event::Lose(Loss::Link));
+            }
+            Loss::Link => self.cut_link(0, 1),
+        }
+        self.checks.faults_ended(self.now);
+    }
+
+    fn mend(&mut self) {
+        self.cut.clear();
+        for endpoint in self.endpoints.iter_mut().filter(|endpoint| !endpoint.up) {
+            endpoint.restart();
+        }
+    }
+
+    fn cut_link(&mut self, a: usize, b: usize) {
+        self.cut.insert((a.min(b), a.max(b)));
+    }
+
+    /// Cuts an endpoint off from the nodes below `nodes`.
+    fn isolate(&mut self, endpoint: usize, nodes: usize) {
+        for other in (0..nodes).filter(|other| *other != endpoint) {
+            self.cut_link(endpoint, other);
+        }
+    }
+
+    fn replace_host(&mut self, place: usize) {
+        let incarnation = self.hosts[place].incarnation + 1;
+        self.hosts[place] = Host::new(place, self.hosts.len(), incarnation, &mut self.rng);
+    }
+
+    pub(super) fn on_call(&mut self, host: usize, incarnation: u64, call: Call) {
+        let lost = self.store.down || self.store.loses_answer(&mut self.rng);
+        let answer = match call {
+            Call::Read if lost => Answer::Read(Err(ReadFault)),
+            Call::Read => Answer::Read(Ok(self.store.read(&mut self.rng))),
+            Call::Swap(_, record) if self.store.down => {
+                Answer::Swapped(record, Err(SwapFault::Unknown))
+            }
+            Call::Swap(expected, record) => {
+                let result = self.store.swap(expected, record.clone());
+                Answer::Swapped(record, if lost { Err(SwapFault::Unknown) } else { result })
+            }
+        };
+        let delay = self.rng.random_range(1..10) * MS;
+        self.later(delay, Event::StoreAnswer { host, incarnation, answer });
+    }
+}
--- /dev/null
+++ b/tests/group_model/host.rs
@@ -0,0 +1,95 @@
+//! Model of a host: its own clock, connections, view and promotion, and the requests it carries.
+
+use medlarstile::core::group::{Floor, Freshness, GroupView, MemberSpec};
+use medlarstile::core::promotion::Promotion;
+use medlarstile::types::{EndpointId, Position, Timestamp};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::ENDPOINTS;
+
+/// What the state that serves a read must include.
+#[derive(Debug, Clone, Copy)]
+pub enum Must {
+    /// The first acknowledged writes of a session: session and number.
+    Session(usize, usize),
+    /// The first acknowledgements of the history.
+    Acks(usize),
+}
+
+#[derive(Debug, Clone)]
+pub struct PendingRead {
+    pub floor: Floor,
+    pub freshness: Freshness,
+    /// `None` for an age-bounded read, for which it follows from the time of the decision.
+    pub must: Option<Must>,
+    pub expires: u64,
+}
+
+/// A write, or the answer of a read by the primary, that waits until `position` is durable.
+#[derive(Debug, Clone, Copy)]
+pub struct Held {
+    pub position: Position,
+    pub id: u64,
+    pub submitted: u64,
+    /// `None` for a read.
+    pub session: Option<usize>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Connection {
+    /// Number of the connection and the endpoint's epoch, while it is open as far as the host knows.
+    pub open: Option<(u64, u64)>,
+    pub broken_at: Option<u64>,
+}
+
+#[derive(Debug)]
+pub struct Host {
+    pub incarnation: u64,
+    pub paused_until: u64,
+    clock_start: u64,
+    clock_drift_ppm: i64,
+    pub view: GroupView,
+    pub promotion: Promotion,
+    pub connections: [Connection; ENDPOINTS],
+    pub held: Vec<Held>,
+    pub reads: Vec<PendingRead>,
+}
+
+pub fn endpoint_id(place: usize) -> EndpointId {
+    format!("e{place}").parse().expect("an identifier")
+}
+
+pub fn endpoint_place(id: &EndpointId) -> usize {
+    id.as_str()[1..].parse().expect("an endpoint of the model")
+}
+
+impl Host {
+    pub fn new(place: usize, hosts: usize, incarnation: u64, rng: &mut ChaCha8Rng) -> Self {
+        let domain = |place: usize| format!("d{place}").parse().expect("an identifier");
+        let member =
+            |place| MemberSpec { endpoint: endpoint_id(place), failure_domain: domain(place) };
+        let members = (0..ENDPOINTS).map(member).collect();
+        let view = GroupView::new("g".parse().expect("an identifier"), members);
+        let id = |place: usize| format!("h{place}").parse().expect("an identifier");
+        let mut promotion = Promotion::new(id(place), ChaCha8Rng::seed_from_u64(rng.random()));
+        promotion.set_hosts((0..hosts).map(id).collect());
+        Self {
+            incarnation,
+            paused_until: 0,
+            clock_start: rng.random_range(0..1_000_000_000),
+            clock_drift_ppm: rng.random_range(-499..=499),
+            view: view.with_home(domain(place % ENDPOINTS)),
+            promotion,
+            connections: Default::default(),
+            held: Vec::new(),
+            reads: Vec::new(),
+        }
+    }
+
+    /// Reading of the host's clock at the true time `time`.
+    pub fn clock(&self, time: u64) -> Timestamp {
+        let drift = time as i64 * self.clock_drift_ppm / 1_000_000;
+        Timestamp(self.clock_start + time.saturating_add_signed(drift))
+    }
+}
--- /dev/null
+++ b/tests/group_model/mod.rs
@@ -0,0 +1,354 @@
+//! Model of a group, its hosts and the platform's row, driven by a seeded schedule of events.
+
+mod check;
+mod endpoint;
+mod fault;
+mod host;
+mod serve;
+mod store;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use medlarstile::core::group::EndpointStatus;
+use medlarstile::core::promotion::{GroupRecord, ReadFault, SwapFault};
+use medlarstile::types::{Position, RowVersion, Term, Timestamp};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use check::Checks;
+pub use check::Report;
+use endpoint::{Endpoint, Replication};
+use host::{Host, Must};
+use store::Store;
+
+pub const ENDPOINTS: usize = 3;
+
+/// Milliseconds in the microseconds of the model.
+pub const MS: u64 = 1_000;
+
+/// Mechanisms of the endpoints that a test can remove.
+#[derive(Debug, Clone, Copy)]
+pub struct Policy {
+    /// The primary counts a position as confirmed only once a majority holds it.
+    pub majority: bool,
+    /// A fenced endpoint accepts nothing below its fenced term.
+    pub fencing: bool,
+}
+
+/// What happens in one history.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    pub policy: Policy,
+    pub hosts: usize,
+    /// Faults occur between 1 s and this time.
+    pub faults_until: u64,
+    /// The first primary is lost for good at this time.
+    pub lose_primary_at: Option<(u64, Loss)>,
+    pub ends: u64,
+}
+
+/// How a primary is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Loss {
+    Crash,
+    /// Cut off from hosts and endpoints.
+    Isolation,
+    /// Cut off from the other endpoints only.
+    Stall,
+    /// Cut off from half of the hosts, while the platform is slow; the link to one replica follows.
+    Partial,
+    /// The link to one replica is cut.
+    Link,
+}
+
+/// What a host sends to an endpoint.
+#[derive(Debug, Clone)]
+enum Order {
+    Write { id: u64, session: usize, submitted: u64 },
+    Read { must: Must },
+    Probe { sent: Timestamp },
+    Fence(u64),
+    Promote(u64),
+    Follow(u64, usize),
+}
+
+/// What an endpoint sends to a host.
+#[derive(Debug, Clone)]
+enum Reply {
+    Status(Option<Timestamp>),
+    Written { id: u64, session: usize, submitted: u64, position: Position },
+    Shown { position: Position, id: u64 },
+    Fenced(u64),
+    Ordered,
+    Refused,
+    Lost,
+}
+
+#[derive(Debug, Clone)]
+enum Call {
+    Read,
+    Swap(RowVersion, GroupRecord),
+}
+
+#[derive(Debug, Clone)]
+enum Answer {
+    Read(Result<Option<(RowVersion, GroupRecord)>, ReadFault>),
+    Swapped(GroupRecord, Result<RowVersion, SwapFault>),
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Pulse(usize),
+    Tick(usize),
+    Client,
+    Fault,
+    Heal,
+    Lose(Loss),
+    ToEndpoint { host: usize, endpoint: usize, connection: u64, epoch: u64, order: Order },
+    ToHost { host: usize, endpoint: usize, connection: u64, reply: Reply, status: EndpointStatus },
+    Between { from: usize, to: usize, message: Replication },
+    Store { host: usize, incarnation: u64, call: Call },
+    StoreAnswer { host: usize, incarnation: u64, answer: Answer },
+}
+
+pub struct World {
+    options: Options,
+    now: u64,
+    sequence: u64,
+    numbers: u64,
+    rng: ChaCha8Rng,
+    queue: BTreeMap<(u64, u64), Event>,
+    endpoints: Vec<Endpoint>,
+    pushed: Vec<Option<(u64, EndpointStatus)>>,
+    hosts: Vec<Host>,
+    store: Store,
+    /// Pairs of nodes that do not reach each other; hosts are numbered after the endpoints.
+    cut: BTreeSet<(usize, usize)>,
+    /// Time of the last delivery by sender and receiver; a connection keeps its order.
+    delivered: BTreeMap<(usize, usize), u64>,
+    checks: Checks,
+}
+
+impl World {
+    /// Runs one history and reports what the checks found.
+    pub fn run(seed: u64, options: Options) -> Report {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let host = |place| Host::new(place, options.hosts, 0, &mut rng);
+        let hosts = (0..options.hosts).map(host).collect();
+        let mut world = Self {
+            options,
+            now: 0,
+            sequence: 0,
+            numbers: 0,
+            rng,
+            queue: BTreeMap::new(),
+            endpoints: (0..ENDPOINTS).map(|place| Endpoint::new(options.policy, place)).collect(),
+            pushed: vec![None; ENDPOINTS],
+            hosts,
+            store: Store::new(),
+            cut: BTreeSet::new(),
+            delivered: BTreeMap::new(),
+            checks: Checks::new(),
+        };
+        world.schedule();
+        while let Some(((time, _), event)) = world.queue.pop_first() {
+            if time > options.ends {
+                break;
+            }
+            world.now = time;
+            world.on_event(event);
+        }
+        world.checks.finish(&world.endpoints)
+    }
+
+    fn schedule(&mut self) {
+        for place in 0..ENDPOINTS {
+            self.later(place as u64 * MS, Event::Pulse(place));
+        }
+        for place in 0..self.hosts.len() {
+            self.later(place as u64 * 3 * MS, Event::Tick(place));
+        }
+        self.later(100 * MS, Event::Client);
+        if self.options.faults_until > 0 {
+            self.later(1_000 * MS, Event::Fault);
+            self.later(self.options.faults_until, Event::Heal);
+        }
+        if let Some((time, loss)) = self.options.lose_primary_at {
+            self.later(time, Event::Lose(loss));
+        }
+    }
+
+    fn later(&mut self, delay: u64, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay, self.sequence), event);
+    }
+
+    fn number(&mut self) -> u64 {
+        self.numbers += 1;
+        self.numbers
+    }
+
+    fn is_cut(&self, a: usize, b: usize) -> bool {
+        self.cut.contains(&(a.min(b), a.max(b)))
+    }
+
+    /// Delay of a message on a connection: usually about a millisecond, sometimes far more.
+    fn delay(&mut self, from: usize, to: usize) -> u64 {
+        let slow = self.options.faults_until > self.now && self.rng.random_ratio(1, 50);
+        let delay = self.rng.random_range(300..if slow { 80 * MS } else { 2 * MS });
+        let last = self.delivered.entry((from, to)).or_insert(0);
+        *last = (*last).max(self.now + delay);
+        *last - self.now
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Pulse(place) => self.on_pulse(place),
+            Event::Tick(host) => self.unless_paused(host, Event::Tick(host), |world| {
+                world.on_tick(host);
+                world.later(20 * MS, Event::Tick(host));
+            }),
+            Event::Client => self.on_client(),
+            Event::Fault => self.on_fault(),
+            Event::Heal => self.on_heal(),
+            Event::Lose(loss) => self.on_lose(loss),
+            Event::ToEndpoint { host, endpoint, connection, epoch, order } => {
+                self.on_order(host, endpoint, (connection, epoch), order);
+            }
+            Event::ToHost { host, endpoint, connection, reply, status } => {
+                let again =
+                    Event::ToHost { host, endpoint, connection, reply: reply.clone(), status };
+                self.unless_paused(host, again, |world| {
+                    world.on_reply(host, endpoint, connection, reply, status);
+                });
+            }
+            Event::Between { from, to, message } => self.on_between(from, to, message),
+            Event::Store { host, incarnation, call } => self.on_call(host, incarnation, call),
+            Event::StoreAnswer { host, incarnation, answer } => {
+                let again = Event::StoreAnswer { host, incarnation, answer: answer.clone() };
+                self.unless_paused(host, again, |world| {
+                    world.on_answer(host, incarnation, answer);
+                });
+            }
+        }
+    }
+
+    /// Puts an event of a paused host off until it resumes.
+    fn unless_paused(&mut self, host: usize, event: Event, act: impl FnOnce(&mut Self)) {
+        match self.hosts[host].paused_until.checked_sub(self.now) {
+            Some(left) if left > 0 => self.later(left, event),
+            _ => act(self),
+        }
+    }
+
+    fn on_pulse(&mut self, place: usize) {
+        self.later(5 * MS, Event::Pulse(place));
+        if !self.endpoints[place].up {
+            return;
+        }
+        if self.rng.random_ratio(7, 10) {
+            self.endpoints[place].durable = self.endpoints[place].log.len();
+        }
+        if let Some((upstream, message)) = self.endpoints[place].pull() {
+            self.send_between(place, upstream, message);
+        }
+        self.push_status(place);
+    }
+
+    fn push_status(&mut self, place: usize) {
+        let (epoch, status) = (self.endpoints[place].epoch, self.endpoints[place].status());
+        if self.pushed[place] == Some((epoch, status)) {
+            return;
+        }
+        self.pushed[place] = Some((epoch, status));
+        for host in 0..self.hosts.len() {
+            match self.hosts[host].connections[place].open {
+                Some((connection, at)) if at == epoch => {
+                    self.send_reply(host, place, connection, Reply::Status(None));
+                }
+                Some((connection, _)) => self.send_reply(host, place, connection, Reply::Lost),
+                None => {}
+            }
+        }
+    }
+
+    /// Messages between endpoints may be delayed, lost and reordered.
+    fn send_between(&mut self, from: usize, to: usize, message: Replication) {
+        let faulty = self.options.faults_until > self.now;
+        if faulty && self.rng.random_ratio(1, 30) {
+            return;
+        }
+        let longest = if faulty && self.rng.random_ratio(1, 20) { 200 * MS } else { 2 * MS };
+        let delay = self.rng.random_range(300..longest);
+        self.later(delay, Event::Between { from, to, message });
+    }
+
+    fn on_between(&mut self, from: usize, to: usize, message: Replication) {
+        if self.is_cut(from, to) || !self.endpoints[to].up {
+            return;
+        }
+        if let Some(answer) = self.endpoints[to].on_replication(from, message) {
+            self.send_between(to, from, answer);
+        }
+    }
+
+    fn send_reply(&mut self, host: usize, endpoint: usize, connection: u64, reply: Reply) {
+        let mut status = self.endpoints[endpoint].status();
+        if let Reply::Fenced(term) = reply {
+            status.fenced_term = Term(term);
+        }
+        let delay = self.delay(endpoint, ENDPOINTS + host);
+        self.later(delay, Event::ToHost { host, endpoint, connection, reply, status });
+    }
+
+    fn send_order(&mut self, host: usize, endpoint: usize, order: Order) {
+        let Some((connection, epoch)) = self.hosts[host].connections[endpoint].open else { return };
+        let delay = self.delay(ENDPOINTS + host, endpoint);
+        self.later(delay, Event::ToEndpoint { host, endpoint, connection, epoch, order });
+    }
+
+    fn on_order(&mut self, host: usize, place: usize, on: (u64, u64), order: Order) {
+        let cut = self.is_cut(place, ENDPOINTS + host);
+        let endpoint = &mut self.endpoints[place];
+        if cut || !endpoint.up || endpoint.epoch != on.1 {
+            let connection = &mut self.hosts[host].connections[place];
+            if connection.open == Some(on) {
+                connection.broken_at.get_or_insert(self.now);
+            }
+            return;
+        }
+        let reply = match order {
+            Order::Write { id, session, submitted } => {
+                endpoint.write(id).map_or(Reply::Status(None), |position| Reply::Written {
+                    id,
+                    session,
+                    submitted,
+                    position,
+                })
+            }
+            Order::Read { must } => {
+                let position = endpoint.last();
+                let id = endpoint.log.last().map_or(0, |entry| entry.id);
+                self.checks.on_read(&self.endpoints[place], must, self.now, (host, place));
+                Reply::Shown { position, id }
+            }
+            Order::Probe { sent } => Reply::Status(Some(sent)),
+            Order::Fence(term) if endpoint.fence(term) => Reply::Fenced(term),
+            Order::Fence(_) => Reply::Refused,
+            Order::Promote(term) => match endpoint.promote(term) {
+                Some(is_new) => {
+                    if is_new {
+                        self.checks.on_promoted(&self.endpoints, place, self.now);
+                    }
+                    Reply::Ordered
+                }
+                None => Reply::Refused,
+            },
+            Order::Follow(term, primary) => {
+                endpoint.follow(term, primary);
+                Reply::Ordered
+            }
+        };
+        self.send_reply(host, place, on.0, reply);
+    }
+}
