Decide whether a host may act on its table version

Cause: hosts act on an accepted configuration without asking the platform for each request, and an edit must be in force everywhere within 4 s, also when hosts are paused, cut off or gone.

--- /dev/null
+++ b/src/core/view_schedule.rs
@@ -0,0 +1,66 @@
+//! When a host renews its row, reads the tables and asks its peers.
+
+use crate::types::{DurationMs, TableVersion, Timestamp};
+
+/// Time between two renewals of the host's row.
+pub const RENEW_EVERY: DurationMs = DurationMs(1_000);
+
+/// Time between two reads. Short, because the time until the first host confirms an edit adds to the
+/// 3.5 s that the edit tool waits for silent hosts, and the target is 4 s.
+pub const READ_EVERY: DurationMs = DurationMs(250);
+
+/// Time between two rounds of questions to the peers.
+pub const ASK_EVERY: DurationMs = DurationMs(500);
+
+/// When the next steps are due.
+#[derive(Debug, Default)]
+pub(super) struct Schedule {
+    renew_at: Timestamp,
+    pub(super) renewing: bool,
+    confirmed: Option<TableVersion>,
+    pub(super) read_at: Timestamp,
+    pub(super) reading: bool,
+    ask_at: Timestamp,
+}
+
+impl Schedule {
+    /// A new version is confirmed at once, because the edit tool waits for it.
+    pub(super) fn renew(&mut self, now: Timestamp, version: Option<TableVersion>) -> bool {
+        let due = !self.renewing && (now >= self.renew_at || version != self.confirmed);
+        if due {
+            self.renewing = true;
+            self.confirmed = version;
+            self.renew_at = now + RENEW_EVERY;
+        }
+        due
+    }
+
+    pub(super) fn on_renewed(&mut self, now: Timestamp) {
+        self.renewing = false;
+        self.read_at = now;
+    }
+
+    pub(super) fn read(&mut self, now: Timestamp) -> bool {
+        let due = !self.reading && now >= self.read_at;
+        if due {
+            self.reading = true;
+            self.read_at = now + READ_EVERY;
+        }
+        due
+    }
+
+    pub(super) fn ask(&mut self, now: Timestamp) -> bool {
+        let due = now >= self.ask_at;
+        if due {
+            self.ask_at = now + ASK_EVERY;
+        }
+        due
+    }
+
+    /// The earliest time of a step that is not waiting for an answer.
+    pub(super) fn next(&self) -> Timestamp {
+        let renew = (!self.renewing).then_some(self.renew_at);
+        let read = (!self.reading).then_some(self.read_at);
+        renew.into_iter().chain(read).fold(self.ask_at, Timestamp::min)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod auth;
 pub mod chart;
 pub mod commands;
+pub mod core;
 pub mod error;
 pub mod tables;
 pub mod types;
--- /dev/null
+++ b/tests/history/mod.rs
@@ -0,0 +1,496 @@
+//! A simulated fleet: hosts with `TableView`, a platform, an edit tool, and faults in between.
+//!
+//! Time is simulated. Each host and the tool have a clock of their own, off by up to 0.05%.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, LazyLock};
+
+use medlarstile::core::acceptance::{Acceptance, AcceptanceWatch, HostRow};
+use medlarstile::core::view::{
+    Authority, Member, Renewal, Snapshot, Statement, TableView, ViewEffect, ViewStep,
+};
+use medlarstile::tables::{CheckedTables, Tables};
+use medlarstile::types::{CommitSeq, DurationMs, Incarnation, TableVersion, Timestamp};
+use medlarstile::wire::tables::read_toml;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const STEP_US: u64 = 50_000;
+const POLL_US: u64 = 100_000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    Down,
+    Cut(usize),
+    Split(usize),
+    Slow,
+    StaleReads,
+    Pause(usize),
+    Crash(usize),
+}
+
+#[derive(Debug, Clone)]
+pub struct Window {
+    pub fault: Fault,
+    pub from_ms: u64,
+    pub to_ms: u64,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Plan {
+    /// Failure domain and start time of each host.
+    pub hosts: Vec<(usize, u64)>,
+    pub windows: Vec<Window>,
+    pub edits_ms: Vec<u64>,
+    pub end_ms: u64,
+    /// Share of platform answers that are lost after the effect.
+    pub lost_percent: u32,
+}
+
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub violations: Vec<String>,
+    /// Checks of hosts that had served keyed routes before, and those that refused.
+    pub checks: usize,
+    pub refused: usize,
+    /// For each edit, time from its commit until it was reported in force.
+    pub in_force_ms: Vec<Option<u64>>,
+}
+
+static TABLES: LazyLock<Vec<Arc<CheckedTables>>> = LazyLock::new(|| {
+    let text = include_str!("../../data/example_tables.toml");
+    let tables = read_toml("example", text).expect("readable");
+    let version = |v| Tables { version: TableVersion(v), ..tables.clone() };
+    (0..16).map(|v| Arc::new(version(v).check().expect("valid"))).collect()
+});
+
+#[derive(Debug, Clone, Default)]
+struct Commit {
+    version: usize,
+    rows: BTreeMap<usize, HostRow>,
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Start(usize),
+    Stop(usize),
+    Step(usize),
+    Edit,
+    Poll,
+    Write(Renewal, usize, Timestamp, bool),
+    Read(usize),
+    Rows(usize),
+    ToHost(usize, Message),
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    Renewed(Timestamp, CommitSeq),
+    RenewalFailed,
+    Snapshot(usize),
+    ReadFailed,
+    Ask { from: usize, run: u64, asked_at: Timestamp, tables: bool },
+    Statement(Timestamp, Statement),
+    PeerSnapshot(Timestamp, Option<DurationMs>, Snapshot),
+}
+
+struct Host {
+    domain: usize,
+    run: u64,
+    started: u64,
+    rate_ppm: u64,
+    view: Option<TableView>,
+    version: Option<TableVersion>,
+    has_served: bool,
+}
+
+struct Watch {
+    watch: AcceptanceWatch,
+    version: usize,
+    committed: u64,
+}
+
+pub struct World<'a> {
+    plan: &'a Plan,
+    rng: ChaCha8Rng,
+    now: u64,
+    number: u64,
+    queue: BTreeMap<(u64, u64), (u64, Event)>,
+    commits: Vec<Commit>,
+    hosts: Vec<Host>,
+    watches: Vec<Watch>,
+    in_force: usize,
+    outcome: Outcome,
+}
+
+/// Runs the history of `seed` under `plan`.
+pub fn run(seed: u64, plan: &Plan) -> Outcome {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let host = |(domain, _): &(usize, u64)| Host {
+        domain: *domain,
+        run: 0,
+        started: 0,
+        rate_ppm: rng.random_range(999_500..=1_000_500),
+        view: None,
+        version: None,
+        has_served: false,
+    };
+    let hosts = plan.hosts.iter().map(host).collect();
+    let commits = vec![Commit { version: 1, rows: BTreeMap::new() }];
+    let (watches, queue, outcome) = (Vec::new(), BTreeMap::new(), Outcome::default());
+    let mut world = World {
+        plan,
+        rng,
+        now: 0,
+        number: 0,
+        queue,
+        commits,
+        hosts,
+        watches,
+        in_force: 0,
+        outcome,
+    };
+    world.schedule_plan();
+    world.run()
+}
+
+impl World<'_> {
+    fn schedule_plan(&mut self) {
+        for (host, (_, start_ms)) in self.plan.hosts.iter().enumerate() {
+            self.at(start_ms * 1_000, Event::Start(host));
+        }
+        for window in &self.plan.windows {
+            if let Fault::Crash(host) = window.fault {
+                self.at(window.from_ms * 1_000, Event::Stop(host));
+                self.at(window.to_ms * 1_000, Event::Start(host));
+            }
+        }
+        for edit_ms in &self.plan.edits_ms {
+            self.at(edit_ms * 1_000, Event::Edit);
+        }
+        self.at(0, Event::Poll);
+    }
+
+    fn run(mut self) -> Outcome {
+        while let Some(((now, _), (run, event))) = self.queue.pop_first() {
+            self.now = now;
+            if now > self.plan.end_ms * 1_000 || !self.outcome.violations.is_empty() {
+                break;
+            }
+            self.on_event(run, event);
+        }
+        for watch in self.watches.drain(..) {
+            if watch.version > self.in_force {
+                self.outcome.in_force_ms.push(None);
+            }
+        }
+        self.outcome
+    }
+
+    /// Queues an event; one for a host is meant for its present run.
+    fn at(&mut self, at: u64, event: Event) {
+        let run = match event {
+            Event::Step(host) | Event::ToHost(host, _) => self.hosts[host].run,
+            _ => 0,
+        };
+        self.at_run(at, run, event);
+    }
+
+    fn at_run(&mut self, at: u64, run: u64, event: Event) {
+        self.number += 1;
+        self.queue.insert((at.max(self.now), self.number), (run, event));
+    }
+
+    fn active(&self, wanted: impl Fn(Fault) -> bool) -> Option<u64> {
+        let now_ms = self.now / 1_000;
+        let windows = self.plan.windows.iter();
+        let windows =
+            windows.filter(|w| wanted(w.fault) && w.from_ms <= now_ms && now_ms < w.to_ms);
+        windows.map(|window| window.to_ms * 1_000).max()
+    }
+
+    fn clock(&self, host: usize) -> Timestamp {
+        Timestamp((self.now - self.hosts[host].started) * self.hosts[host].rate_ppm / 1_000_000)
+    }
+
+    fn on_event(&mut self, run: u64, event: Event) {
+        match event {
+            Event::Start(host) => self.start(host),
+            Event::Stop(host) => self.hosts[host].view = None,
+            Event::Step(host) | Event::ToHost(host, _) => self.run_on_host(host, run, event),
+            Event::Edit => self.edit(),
+            Event::Poll => self.poll(),
+            Event::Write(renewal, host, sent_at, answered) => {
+                self.write(run, renewal, host, sent_at, answered);
+            }
+            Event::Read(host) => self.read(run, host),
+            Event::Rows(commit) => self.on_rows(commit),
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        host.run += 1;
+        host.started = self.now;
+        host.version = None;
+        host.has_served = false;
+        let member = member(index, host.run);
+        host.view = Some(TableView::new(member));
+        self.at(self.now, Event::Step(index));
+    }
+
+    fn run_on_host(&mut self, host: usize, run: u64, event: Event) {
+        if run != self.hosts[host].run || self.hosts[host].view.is_none() {
+            return;
+        }
+        if let Some(end) = self.active(|fault| fault == Fault::Pause(host)) {
+            return self.at_run(end, run, event);
+        }
+        match event {
+            Event::ToHost(_, message) => self.on_message(host, message),
+            _ => {
+                self.step(host);
+                self.at(self.now + STEP_US, Event::Step(host));
+            }
+        }
+        self.check(host);
+    }
+
+    fn view(&mut self, host: usize) -> &mut TableView {
+        self.hosts[host].view.as_mut().expect("the host runs")
+    }
+
+    fn step(&mut self, host: usize) {
+        let now = self.clock(host);
+        for step in self.view(host).due(now) {
+            match step {
+                ViewStep::Renew(renewal) => self.send_renewal(host, now, renewal),
+                ViewStep::Read => self.send_read(host),
+                ViewStep::AskPeers => {
+                    for peer in 0..self.hosts.len() {
+                        self.ask(host, peer, now, false);
+                    }
+                }
+            }
+        }
+    }
+
+    fn platform_latency(&mut self) -> u64 {
+        let longest = if self.active(|fault| fault == Fault::Slow).is_some() { 2_500 } else { 10 };
+        self.rng.random_range(1..=longest) * 1_000
+    }
+
+    fn reaches_platform(&self, host: usize) -> bool {
+        self.active(|fault| fault == Fault::Down || fault == Fault::Cut(host)).is_none()
+    }
+
+    fn send_renewal(&mut self, host: usize, sent_at: Timestamp, renewal: Renewal) {
+        let timeout = self.now + 1_000_000;
+        let lost = self.rng.random_range(0..100) < self.plan.lost_percent;
+        let latency = self.platform_latency();
+        if !self.reaches_platform(host) || lost || latency > 1_000_000 {
+            self.at(timeout, Event::ToHost(host, Message::RenewalFailed));
+        }
+        if self.reaches_platform(host) {
+            let answered = !lost && latency <= 1_000_000;
+            let run = self.hosts[host].run;
+            self.at_run(self.now + latency, run, Event::Write(renewal, host, sent_at, answered));
+        }
+    }
+
+    fn write(
+        &mut self,
+        run: u64,
+        renewal: Renewal,
+        host: usize,
+        sent_at: Timestamp,
+        answered: bool,
+    ) {
+        if !self.reaches_platform(host) {
+            if answered {
+                self.at_run(self.now, run, Event::ToHost(host, Message::RenewalFailed));
+            }
+            return;
+        }
+        let commit_seq = CommitSeq(self.commits.len() as u64);
+        let mut commit = self.commits.last().cloned().unwrap_or_default();
+        let Renewal { member, registered, members_seen, confirmed } = renewal;
+        let row = HostRow { member, registered, renewed: commit_seq, members_seen, confirmed };
+        commit.rows.insert(host, row);
+        self.commits.push(commit);
+        if answered {
+            let at = self.now + self.platform_latency();
+            self.at_run(at, run, Event::ToHost(host, Message::Renewed(sent_at, commit_seq)));
+        }
+    }
+
+    fn send_read(&mut self, host: usize) {
+        let run = self.hosts[host].run;
+        if self.reaches_platform(host) {
+            let at = self.now + self.platform_latency();
+            self.at_run(at, run, Event::Read(host));
+        } else {
+            self.at(self.now + 1_000_000, Event::ToHost(host, Message::ReadFailed));
+        }
+    }
+
+    /// The commit that a read is served from.
+    fn served_commit(&mut self) -> usize {
+        let last = self.commits.len() - 1;
+        let lag = match self.active(|fault| fault == Fault::StaleReads) {
+            Some(_) => self.rng.random_range(0..40),
+            None => 0,
+        };
+        last.saturating_sub(lag)
+    }
+
+    fn read(&mut self, run: u64, host: usize) {
+        let commit = self.served_commit();
+        let lost = self.rng.random_range(0..100) < self.plan.lost_percent;
+        let message = match self.reaches_platform(host) && !lost {
+            true => Message::Snapshot(commit),
+            false => Message::ReadFailed,
+        };
+        let at = self.now + self.platform_latency();
+        self.at_run(at, run, Event::ToHost(host, message));
+    }
+
+    fn peers_reach(&self, one: usize, other: usize) -> bool {
+        let (one, other) = (self.hosts[one].domain, self.hosts[other].domain);
+        let cut =
+            |fault| matches!(fault, Fault::Split(domain) if (one == domain) != (other == domain));
+        self.active(cut).is_none()
+    }
+
+    fn ask(&mut self, from: usize, to: usize, asked_at: Timestamp, tables: bool) {
+        let run = self.hosts[from].run;
+        if from != to {
+            self.send_to_peer(from, to, None, Message::Ask { from, run, asked_at, tables });
+        }
+    }
+
+    /// Sends between hosts: usually 1 to 4 ms, sometimes seconds.
+    fn send_to_peer(&mut self, from: usize, to: usize, run: Option<u64>, message: Message) {
+        if self.peers_reach(from, to) {
+            let delayed = self.rng.random_range(0..100) < self.plan.lost_percent;
+            let latency = self.rng.random_range(1..=if delayed { 4_000 } else { 4 }) * 1_000;
+            let run = run.unwrap_or(self.hosts[to].run);
+            self.at_run(self.now + latency, run, Event::ToHost(to, message));
+        }
+    }
+
+    fn on_message(&mut self, host: usize, message: Message) {
+        let now = self.clock(host);
+        let snapshot = |commits: &[Commit], at: usize| Snapshot {
+            commit_seq: CommitSeq(at as u64),
+            tables: TABLES[commits[at].version].clone(),
+            members: commits[at]
+                .rows
+                .values()
+                .map(|row| row.member.clone())
+                .collect::<BTreeSet<_>>(),
+        };
+        let read = match &message {
+            Message::Snapshot(commit) => Some(snapshot(&self.commits, *commit)),
+            _ => None,
+        };
+        let view = self.view(host);
+        let mut effects = Vec::new();
+        match message {
+            Message::Renewed(sent_at, commit_seq) => view.on_renewed(now, sent_at, commit_seq),
+            Message::RenewalFailed => view.on_renewal_failed(),
+            Message::ReadFailed => view.on_read_failed(),
+            Message::Snapshot(_) => effects = view.on_read(now, read.expect("made above")),
+            Message::Statement(asked_at, statement) => {
+                effects = view.on_statement(now, asked_at, statement);
+            }
+            Message::PeerSnapshot(asked_at, age, snapshot) => {
+                effects = view.on_peer_snapshot(now, asked_at, age, snapshot);
+            }
+            Message::Ask { from, run, asked_at, tables: false } => {
+                let statement = view.statement(now);
+                self.send_to_peer(host, from, Some(run), Message::Statement(asked_at, statement));
+            }
+            Message::Ask { from, run, asked_at, tables: true } => {
+                if let Some(snapshot) = view.snapshot().cloned() {
+                    let answer = Message::PeerSnapshot(asked_at, view.age(now), snapshot);
+                    self.send_to_peer(host, from, Some(run), answer);
+                }
+            }
+        }
+        for effect in effects {
+            if let ViewEffect::WantTables(peer) = effect {
+                let peer: usize = peer.host.as_str()[1..].parse().expect("a host of the test");
+                self.ask(host, peer, now, true);
+            }
+        }
+    }
+
+    /// The checks that every history must pass.
+    fn check(&mut self, index: usize) {
+        let now = self.clock(index);
+        let authority = self.view(index).authority(now);
+        let version = self.view(index).version();
+        let host = &mut self.hosts[index];
+        let in_force = TableVersion(self.in_force as u64);
+        if authority == Authority::Full && version < Some(in_force) {
+            let text = format!(
+                "host {index} admits keyed requests under version {version:?} at {} ms, \
+                 after version {in_force} was reported in force",
+                self.now / 1_000
+            );
+            self.outcome.violations.push(text);
+        }
+        if version < host.version {
+            let text = format!("host {index} went from version {:?} to {version:?}", host.version);
+            self.outcome.violations.push(text);
+        }
+        host.version = version;
+        host.has_served |= authority == Authority::Full;
+        self.outcome.checks += usize::from(host.has_served);
+        self.outcome.refused += usize::from(host.has_served && authority != Authority::Full);
+    }
+
+    fn edit(&mut self) {
+        if self.active(|fault| fault == Fault::Down).is_some() {
+            return self.at(self.now + 200_000, Event::Edit);
+        }
+        let mut commit = self.commits.last().cloned().unwrap_or_default();
+        commit.version += 1;
+        let version = commit.version;
+        let commit_seq = CommitSeq(self.commits.len() as u64);
+        self.commits.push(commit);
+        let watch = AcceptanceWatch::new(TableVersion(version as u64), commit_seq);
+        self.watches.push(Watch { watch, version, committed: self.now });
+    }
+
+    fn poll(&mut self) {
+        self.at(self.now + POLL_US, Event::Poll);
+        if self.active(|fault| fault == Fault::Down).is_none() {
+            let commit = self.served_commit();
+            let at = self.now + self.platform_latency();
+            self.at(at, Event::Rows(commit));
+        }
+    }
+
+    fn on_rows(&mut self, commit: usize) {
+        // The tool's clock runs fast, the unfavourable direction.
+        let now = Timestamp(self.now * 1_000_500 / 1_000_000);
+        let rows: Vec<HostRow> = self.commits[commit].rows.values().cloned().collect();
+        let (at, in_force) = (self.now, &mut self.in_force);
+        let outcome = &mut self.outcome;
+        self.watches.retain_mut(|watch| {
+            let state = watch.watch.on_rows(now, CommitSeq(commit as u64), rows.clone());
+            if state == Acceptance::InForce {
+                *in_force = watch.version.max(*in_force);
+                outcome.in_force_ms.push(Some((at - watch.committed) / 1_000));
+            }
+            state != Acceptance::InForce
+        });
+    }
+}
+
+fn member(index: usize, run: u64) -> Member {
+    let host = format!("h{index}").parse().expect("a host id");
+    Member { host, incarnation: Incarnation(run) }
+}
--- /dev/null
+++ b/tests/view_history.rs
@@ -0,0 +1,114 @@
+//! Generated histories of hosts, platform and edit tool: no host admits a keyed request under an
+//! old version once the tool has reported the new one in force, and hosts serve where they can.
+
+mod history;
+
+use history::{run, Fault, Outcome, Plan, Window};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use yare::parameterized;
+
+/// Histories in CI; the environment variable `VIEW_HISTORIES` asks for more.
+const HISTORIES: u64 = 300;
+
+/// A plan with random faults and edits, derived from `seed`.
+fn generated(seed: u64) -> Plan {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x9e37_79b9);
+    let domains = rng.random_range(1..=3);
+    let count = rng.random_range(2..=5);
+    let mut hosts: Vec<(usize, u64)> = (0..count).map(|host| (host % domains, 0)).collect();
+    if rng.random_bool(0.5) {
+        hosts.push((0, rng.random_range(2_000..20_000)));
+    }
+    let mut windows = Vec::new();
+    for _ in 0..rng.random_range(2..=8) {
+        let host = rng.random_range(0..hosts.len());
+        let fault = match rng.random_range(0..8) {
+            0 => Fault::Down,
+            1 | 2 => Fault::Cut(host),
+            3 => Fault::Split(rng.random_range(0..domains)),
+            4 => Fault::Slow,
+            5 => Fault::StaleReads,
+            6 => Fault::Pause(host),
+            _ => Fault::Crash(host),
+        };
+        let from_ms = rng.random_range(1_000..25_000);
+        windows.push(Window { fault, from_ms, to_ms: from_ms + rng.random_range(300..15_000) });
+    }
+    let edits_ms = (0..rng.random_range(1..=4)).map(|_| rng.random_range(3_000..28_000)).collect();
+    Plan { hosts, windows, edits_ms, end_ms: 40_000, lost_percent: rng.random_range(0..15) }
+}
+
+/// Guards against a withdrawn key or old route that still works after the edit tool said it does not.
+#[test]
+fn no_host_acts_on_an_old_version_after_the_report() {
+    let wanted = std::env::var("VIEW_HISTORIES").ok().and_then(|text| text.parse().ok());
+    let (mut reported, mut checks) = (0, 0);
+    for seed in 0..wanted.unwrap_or(HISTORIES) {
+        let outcome = run(seed, &generated(seed));
+        assert!(outcome.violations.is_empty(), "seed {seed}: {:?}", outcome.violations);
+        reported += outcome.in_force_ms.iter().flatten().count();
+        checks += outcome.checks;
+    }
+    println!("{reported} edits reported in force, {checks} checks");
+    assert!(reported > 100 && checks > 10_000, "the histories test too little");
+}
+
+fn plan(windows: &[(Fault, u64, u64)], edits_ms: &[u64]) -> Plan {
+    let window = |(fault, from_ms, to_ms): &(Fault, u64, u64)| Window {
+        fault: *fault,
+        from_ms: *from_ms,
+        to_ms: *to_ms,
+    };
+    let windows = windows.iter().map(window).collect();
+    let hosts = (0..8).map(|host| (host % 4, 0)).collect();
+    Plan { hosts, windows, edits_ms: edits_ms.to_vec(), end_ms: 60_000, lost_percent: 0 }
+}
+
+fn histories(plan: &Plan) -> Vec<Outcome> {
+    (0..20).map(|seed| run(seed, plan)).collect()
+}
+
+/// Guards against unjustified refusals: a host that can show its right must use it.
+#[parameterized(
+    connected = { &[] },
+    platform_down_for_all = { &[(Fault::Down, 5_000, 55_000)] },
+    platform_reached_through_peers = { &[(Fault::Cut(0), 5_000, 55_000), (Fault::Cut(5), 5_000, 55_000)] },
+    through_one_peer = { &[(Fault::Cut(0), 5_000, 55_000), (Fault::Cut(1), 5_000, 55_000), (Fault::Cut(2), 5_000, 55_000), (Fault::Cut(3), 5_000, 55_000), (Fault::Cut(4), 5_000, 55_000), (Fault::Cut(5), 5_000, 55_000), (Fault::Cut(6), 5_000, 55_000)] },
+    peers_apart = { &[(Fault::Split(1), 5_000, 55_000)] },
+)]
+fn keyed_routes_are_served(windows: &[(Fault, u64, u64)]) {
+    for outcome in histories(&plan(windows, &[])) {
+        assert!(outcome.checks > 8_000);
+        assert_eq!(outcome.refused, 0, "of {} checks", outcome.checks);
+    }
+}
+
+/// Guards against a withdrawal that takes longer than the 4 s of the target.
+#[parameterized(
+    all_connected = { &[], 1_500 },
+    one_host_dead = { &[(Fault::Crash(3), 8_000, 70_000)], 4_000 },
+    one_host_paused = { &[(Fault::Pause(3), 9_500, 30_000)], 4_000 },
+    one_host_cut_off = { &[(Fault::Cut(6), 9_000, 30_000), (Fault::Split(2), 9_000, 30_000)], 4_000 },
+)]
+fn an_edit_is_in_force_in_time(windows: &[(Fault, u64, u64)], limit_ms: u64) {
+    let outcomes = histories(&plan(windows, &[10_000]));
+    let times: Vec<Option<u64>> = outcomes.iter().flat_map(|o| o.in_force_ms.clone()).collect();
+    println!("in force after {times:?} ms");
+    assert_eq!(times.len(), 20);
+    assert!(times.iter().all(|time| time.is_some_and(|time| time <= limit_ms)), "{times:?}");
+}
+
+/// Guards against a host that is cut off from everything serving keyed routes for ever.
+#[test]
+fn a_host_on_its_own_stops_serving_keyed_routes() {
+    let windows = [
+        (Fault::Cut(2), 5_000, 60_000),
+        (Fault::Split(2), 5_000, 60_000),
+        (Fault::Cut(6), 5_000, 60_000),
+    ];
+    for outcome in histories(&plan(&windows, &[10_000])) {
+        assert!(outcome.refused > 1_500, "{}", outcome.refused);
+        assert!(outcome.violations.is_empty(), "{:?}", outcome.violations);
+    }
+}
