--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,8 +3,11 @@
 pub mod acceptance;
 pub mod classify;
 pub mod group;
+pub mod limit;
 pub mod promotion;
+pub mod queue;
 pub mod rows;
+pub mod share;
 pub mod store;
 pub mod view;
 mod view_schedule;
