--- a/src/auth/scram.rs
+++ b/src/auth/scram.rs
@@ -11,7 +11,7 @@
 use sha2::Sha256;
 
 use super::Secret;
-use crate::error::ErrorKind;
+use crate::error::{Error, ErrorKind};
 
 /// The SASL mechanism that hosts offer. Channel binding is not offered.
 pub const MECHANISM: &str = "SCRAM-SHA-256";
@@ -55,6 +55,12 @@
     }
 }
 
+impl From<ScramError> for Error {
+    fn from(error: ScramError) -> Error {
+        Error::new(error.kind(), compact_str::format_compact!("{error}"))
+    }
+}
+
 /// One side's part of the nonce of an exchange: printable ASCII without commas.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
 pub struct Nonce(CompactString);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,10 @@
 //! Every command and flag.
 
 use clap::{Parser, Subcommand};
+use medlarstile::commands;
+use medlarstile::config::HostArgs;
 use medlarstile::error::Error;
+use medlarstile::logs::{self, LogArgs};
 
 use crate::emulator;
 
@@ -9,6 +12,9 @@
 #[derive(Debug, Parser)]
 #[command(version)]
 pub struct Cli {
+    /// Logs.
+    #[command(flatten)]
+    pub log: LogArgs,
     /// What to do.
     #[command(subcommand)]
     pub command: Command,
@@ -17,6 +23,8 @@
 /// A command of the binary.
 #[derive(Debug, Subcommand)]
 pub enum Command {
+    /// Runs one host of the proxy.
+    Host(Box<HostArgs>),
     /// Runs an emulator of an outside system, for tests and demonstrations.
     Emulate(emulator::EmulateArgs),
 }
@@ -27,7 +35,9 @@
 ///
 /// The command failed; the kind of the error gives the exit code.
 pub fn run(cli: Cli) -> Result<(), Error> {
+    logs::start(&cli.log)?;
     match cli.command {
+        Command::Host(args) => commands::host::run(&args),
         Command::Emulate(args) => emulator::run(args),
     }
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,3 +1,4 @@
 //! Commands of the binary as functions without I/O.
 
+pub mod host;
 pub mod tables;
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,369 @@
+//! Settings of a host: one documented field per option, checked as a whole.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use clap::Args;
+use compact_str::{format_compact, CompactString};
+use displaydoc::Display as DocDisplay;
+
+use crate::auth::Secret;
+use crate::types::{DurationMs, FailureDomain, HostId};
+
+/// One setting that cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq, DocDisplay)]
+pub enum SettingFault {
+    /// --{flag} ({variable}) is missing; allowed: {allowed}
+    Missing {
+        /// Flag without the dashes.
+        flag: &'static str,
+        /// Environment variable.
+        variable: &'static str,
+        /// Allowed values.
+        allowed: &'static str,
+    },
+    /// --{flag} ({variable}) is {value:?}: {detail}; allowed: {allowed}
+    Invalid {
+        /// Flag without the dashes.
+        flag: &'static str,
+        /// Environment variable.
+        variable: &'static str,
+        /// Value found.
+        value: CompactString,
+        /// What is wrong with it.
+        detail: CompactString,
+        /// Allowed values.
+        allowed: &'static str,
+    },
+}
+
+impl std::error::Error for SettingFault {}
+
+/// Settings of a host as texts, from flags and environment variables.
+///
+/// Values are kept as text so that [`Settings::check`] reports all faults together.
+#[derive(Debug, Clone, Default, Args)]
+pub struct HostArgs {
+    /// Name of this host, unique in the fleet.
+    #[arg(long, env = "MEDLARSTILE_HOST_ID")]
+    pub host_id: Option<String>,
+    /// Failure domain that this host runs in.
+    #[arg(long, env = "MEDLARSTILE_FAILURE_DOMAIN")]
+    pub failure_domain: Option<String>,
+    /// IP address and port for callers; port 0 takes a free one.
+    #[arg(long, env = "MEDLARSTILE_LISTEN")]
+    pub listen: Option<String>,
+    /// IP address and UDP port for other hosts.
+    #[arg(long, env = "MEDLARSTILE_PEER_LISTEN")]
+    pub peer_listen: Option<String>,
+    /// IP address and port of the platform's service.
+    #[arg(long, env = "MEDLARSTILE_PLATFORM")]
+    pub platform: Option<String>,
+    /// User with which the host logs in at endpoints.
+    #[arg(long, env = "MEDLARSTILE_ENDPOINT_USER")]
+    pub endpoint_user: Option<String>,
+    /// Password with which the host logs in at endpoints; better given by the variable.
+    #[arg(long, env = "MEDLARSTILE_ENDPOINT_PASSWORD", hide_env_values = true)]
+    pub endpoint_password: Option<String>,
+    /// Secret shared by all hosts, at least 16 characters; better given by the variable.
+    #[arg(long, env = "MEDLARSTILE_FLEET_SECRET", hide_env_values = true)]
+    pub fleet_secret: Option<String>,
+    /// PEM file with the certificate chain for callers; without it TLS is declined.
+    #[arg(long, env = "MEDLARSTILE_TLS_CERTIFICATE")]
+    pub tls_certificate: Option<String>,
+    /// PEM file with the private key of the certificate.
+    #[arg(long, env = "MEDLARSTILE_TLS_KEY")]
+    pub tls_key: Option<String>,
+    /// Largest message of a caller in bytes.
+    #[arg(long, env = "MEDLARSTILE_MAX_MESSAGE_BYTES")]
+    pub max_message_bytes: Option<String>,
+    /// Parts into which the rates of client accounts are divided; equal on all hosts.
+    #[arg(long, env = "MEDLARSTILE_SHARE_SLOTS")]
+    pub share_slots: Option<String>,
+    /// Wait for a busy replica before the primary serves a read, in milliseconds.
+    #[arg(long, env = "MEDLARSTILE_PRIMARY_PATIENCE_MS")]
+    pub primary_patience_ms: Option<String>,
+    /// Wait for the confirmation of a write, in milliseconds.
+    #[arg(long, env = "MEDLARSTILE_CONFIRM_LIMIT_MS")]
+    pub confirm_limit_ms: Option<String>,
+    /// Time after SIGTERM in which new work is still taken, in milliseconds.
+    #[arg(long, env = "MEDLARSTILE_DRAIN_NOTICE_MS")]
+    pub drain_notice_ms: Option<String>,
+    /// Longest wait for open transactions while stopping, in milliseconds.
+    #[arg(long, env = "MEDLARSTILE_DRAIN_LIMIT_MS")]
+    pub drain_limit_ms: Option<String>,
+    /// IP address and UDP port of a statsd server for metrics.
+    #[arg(long, env = "MEDLARSTILE_STATSD")]
+    pub statsd: Option<String>,
+}
+
+/// Checked settings of a host.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of this host.
+    pub host: HostId,
+    /// Failure domain of this host.
+    pub failure_domain: FailureDomain,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for other hosts.
+    pub peer_listen: SocketAddr,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// User at endpoints.
+    pub endpoint_user: CompactString,
+    /// Password at endpoints.
+    pub endpoint_password: Secret,
+    /// Secret shared by all hosts.
+    pub fleet_secret: Secret,
+    /// Certificate chain and key files for TLS towards callers.
+    pub tls: Option<TlsFiles>,
+    /// Largest message of a caller.
+    pub max_message_bytes: usize,
+    /// Parts of the rates.
+    pub share_slots: u32,
+    /// Wait for a busy replica.
+    pub primary_patience_ms: DurationMs,
+    /// Wait for the confirmation of a write.
+    pub confirm_limit_ms: DurationMs,
+    /// Time in which a stopping host still takes work.
+    pub drain_notice_ms: DurationMs,
+    /// Longest wait for open transactions while stopping.
+    pub drain_limit_ms: DurationMs,
+    /// Address of a statsd server.
+    pub statsd: Option<SocketAddr>,
+}
+
+/// Files for TLS towards callers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TlsFiles {
+    /// Certificate chain in PEM.
+    pub certificate: PathBuf,
+    /// Private key in PEM.
+    pub key: PathBuf,
+}
+
+/// Name, variable and allowed values of one option.
+struct OptionSpec {
+    flag: &'static str,
+    variable: &'static str,
+    allowed: &'static str,
+}
+
+macro_rules! option {
+    ($flag:literal, $variable:literal, $allowed:literal) => {
+        OptionSpec { flag: $flag, variable: concat!("MEDLARSTILE_", $variable), allowed: $allowed }
+    };
+}
+
+const HOST_ID: OptionSpec = option!("host-id", "HOST_ID", "1 to 63 of A-Z a-z 0-9 _ - .");
+const FAILURE_DOMAIN: OptionSpec =
+    option!("failure-domain", "FAILURE_DOMAIN", "1 to 63 of A-Z a-z 0-9 _ - .");
+const LISTEN: OptionSpec = option!("listen", "LISTEN", "IP:PORT, default 127.0.0.1:6432");
+const PEER_LISTEN: OptionSpec =
+    option!("peer-listen", "PEER_LISTEN", "IP:PORT, default 127.0.0.1:6433");
+const PLATFORM: OptionSpec = option!("platform", "PLATFORM", "IP:PORT");
+const ENDPOINT_USER: OptionSpec = option!("endpoint-user", "ENDPOINT_USER", "a user name");
+const ENDPOINT_PASSWORD: OptionSpec =
+    option!("endpoint-password", "ENDPOINT_PASSWORD", "a password");
+const FLEET_SECRET: OptionSpec = option!("fleet-secret", "FLEET_SECRET", "at least 16 characters");
+const TLS_CERTIFICATE: OptionSpec =
+    option!("tls-certificate", "TLS_CERTIFICATE", "a PEM file, together with --tls-key");
+const TLS_KEY: OptionSpec =
+    option!("tls-key", "TLS_KEY", "a PEM file, together with --tls-certificate");
+const MAX_MESSAGE_BYTES: OptionSpec =
+    option!("max-message-bytes", "MAX_MESSAGE_BYTES", "1024 to 1073741824, default 16777216");
+const SHARE_SLOTS: OptionSpec = option!("share-slots", "SHARE_SLOTS", "1 to 65536, default 16");
+const PRIMARY_PATIENCE_MS: OptionSpec =
+    option!("primary-patience-ms", "PRIMARY_PATIENCE_MS", "0 to 60000, default 200");
+const CONFIRM_LIMIT_MS: OptionSpec =
+    option!("confirm-limit-ms", "CONFIRM_LIMIT_MS", "100 to 600000, default 10000");
+const DRAIN_NOTICE_MS: OptionSpec =
+    option!("drain-notice-ms", "DRAIN_NOTICE_MS", "0 to 600000, default 10000");
+const DRAIN_LIMIT_MS: OptionSpec =
+    option!("drain-limit-ms", "DRAIN_LIMIT_MS", "0 to 3600000, default 30000");
+const STATSD: OptionSpec = option!("statsd", "STATSD", "IP:PORT");
+
+impl Settings {
+    /// Checks all settings.
+    ///
+    /// # Errors
+    ///
+    /// Every fault, each with flag, variable, value and what is allowed.
+    pub fn check(args: &HostArgs) -> Result<Settings, Vec<SettingFault>> {
+        let mut reader = Reader::default();
+        let tls = reader.tls(args);
+        let settings = Settings {
+            host: reader.required(&HOST_ID, &args.host_id),
+            failure_domain: reader.required(&FAILURE_DOMAIN, &args.failure_domain),
+            listen: reader.or(&LISTEN, &args.listen, "127.0.0.1:6432"),
+            peer_listen: reader.or(&PEER_LISTEN, &args.peer_listen, "127.0.0.1:6433"),
+            platform: reader.required_or(&PLATFORM, &args.platform, "127.0.0.1:1"),
+            endpoint_user: reader.text(&ENDPOINT_USER, &args.endpoint_user, 1),
+            endpoint_password: Secret::new(reader.secret(
+                &ENDPOINT_PASSWORD,
+                &args.endpoint_password,
+                1,
+            )),
+            fleet_secret: Secret::new(reader.secret(&FLEET_SECRET, &args.fleet_secret, 16)),
+            tls,
+            max_message_bytes: reader.range(
+                &MAX_MESSAGE_BYTES,
+                &args.max_message_bytes,
+                (1 << 10, 1 << 30, 1 << 24),
+            ),
+            share_slots: reader.range(&SHARE_SLOTS, &args.share_slots, (1, 65_536, 16)),
+            primary_patience_ms: DurationMs(reader.range(
+                &PRIMARY_PATIENCE_MS,
+                &args.primary_patience_ms,
+                (0, 60_000, 200),
+            )),
+            confirm_limit_ms: DurationMs(reader.range(
+                &CONFIRM_LIMIT_MS,
+                &args.confirm_limit_ms,
+                (100, 600_000, 10_000),
+            )),
+            drain_notice_ms: DurationMs(reader.range(
+                &DRAIN_NOTICE_MS,
+                &args.drain_notice_ms,
+                (0, 600_000, 10_000),
+            )),
+            drain_limit_ms: DurationMs(reader.range(
+                &DRAIN_LIMIT_MS,
+                &args.drain_limit_ms,
+                (0, 3_600_000, 30_000),
+            )),
+            statsd: reader.optional(&STATSD, &args.statsd),
+        };
+        if reader.faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(reader.faults)
+        }
+    }
+}
+
+/// Parses options and collects faults. After a fault a placeholder stands for the value; the
+/// settings are then not used.
+#[derive(Default)]
+struct Reader {
+    faults: Vec<SettingFault>,
+}
+
+impl Reader {
+    fn required<T: FromStr>(&mut self, option: &OptionSpec, text: &Option<String>) -> T
+    where
+        T::Err: Display,
+    {
+        self.required_or(option, text, "placeholder")
+    }
+
+    fn required_or<T: FromStr>(
+        &mut self,
+        option: &OptionSpec,
+        text: &Option<String>,
+        placeholder: &str,
+    ) -> T
+    where
+        T::Err: Display,
+    {
+        if text.is_none() {
+            self.missing(option);
+        }
+        self.or(option, text, placeholder)
+    }
+
+    fn or<T: FromStr>(&mut self, option: &OptionSpec, text: &Option<String>, default: &str) -> T
+    where
+        T::Err: Display,
+    {
+        let parsed = self.optional(option, text);
+        let default = || default.parse().ok().expect("defaults are valid");
+        parsed.unwrap_or_else(default)
+    }
+
+    fn optional<T: FromStr>(&mut self, option: &OptionSpec, text: &Option<String>) -> Option<T>
+    where
+        T::Err: Display,
+    {
+        let text = text.as_ref()?;
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.invalid(option, text, &format_compact!("{error}"));
+                None
+            }
+        }
+    }
+
+    fn range<T>(
+        &mut self,
+        option: &OptionSpec,
+        text: &Option<String>,
+        (low, high, default): (T, T, T),
+    ) -> T
+    where
+        T: FromStr + PartialOrd + Copy,
+        T::Err: Display,
+    {
+        let Some(value) = self.optional::<T>(option, text) else { return default };
+        if value < low || value > high {
+            self.invalid(option, text.as_deref().unwrap_or_default(), "out of range");
+        }
+        value
+    }
+
+    fn text(&mut self, option: &OptionSpec, text: &Option<String>, least: usize) -> CompactString {
+        match text {
+            None => self.missing(option),
+            Some(text) if text.len() < least => self.invalid(option, text, "too short"),
+            Some(_) => {}
+        }
+        text.as_deref().unwrap_or_default().into()
+    }
+
+    /// Like `text`, but no fault shows the value.
+    fn secret(
+        &mut self,
+        option: &OptionSpec,
+        text: &Option<String>,
+        least: usize,
+    ) -> CompactString {
+        match text {
+            None => self.missing(option),
+            Some(text) if text.len() < least => self.invalid(option, "***", "too short"),
+            Some(_) => {}
+        }
+        text.as_deref().unwrap_or_default().into()
+    }
+
+    fn tls(&mut self, args: &HostArgs) -> Option<TlsFiles> {
+        match (&args.tls_certificate, &args.tls_key) {
+            (None, None) => None,
+            (Some(certificate), Some(key)) => {
+                Some(TlsFiles { certificate: certificate.into(), key: key.into() })
+            }
+            (Some(_), None) => {
+                self.missing(&TLS_KEY);
+                None
+            }
+            (None, Some(_)) => {
+                self.missing(&TLS_CERTIFICATE);
+                None
+            }
+        }
+    }
+
+    fn missing(&mut self, option: &OptionSpec) {
+        let OptionSpec { flag, variable, allowed } = *option;
+        self.faults.push(SettingFault::Missing { flag, variable, allowed });
+    }
+
+    fn invalid(&mut self, option: &OptionSpec, value: &str, detail: &str) {
+        let OptionSpec { flag, variable, allowed } = *option;
+        let (value, detail) = (value.into(), detail.into());
+        self.faults.push(SettingFault::Invalid { flag, variable, value, detail, allowed });
+    }
+}
--- a/src/core/group/eligible.rs
+++ b/src/core/group/eligible.rs
@@ -1,18 +1,8 @@
 //! Which endpoints may serve a read.
 
 use super::{EndpointStatus, GroupView, Role};
-use crate::types::{DurationMs, EndpointId, Position, Term, Timestamp};
-
-/// How fresh a route wants its reads.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Freshness {
-    /// At least the session's floor.
-    Session,
-    /// Served by the primary.
-    Primary,
-    /// At least the session's floor, and at most this old.
-    MaxAge(DurationMs),
-}
+use crate::tables::Freshness;
+use crate::types::{EndpointId, Position, Term, Timestamp};
 
 /// What a session must see.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/core/group/mod.rs
+++ b/src/core/group/mod.rs
@@ -9,8 +9,9 @@
 
 use std::collections::BTreeMap;
 
+pub use crate::tables::Freshness;
 pub use anchor::Anchor;
-pub use eligible::{Eligible, Floor, Freshness, Unserved, WaitFor};
+pub use eligible::{Eligible, Floor, Unserved, WaitFor};
 pub use lineage::Durability;
 pub use probe::{DEMAND_LASTS, PRIMARY_ALARM, PRIMARY_QUIET, PROBE_DEMAND, PROBE_IDLE};
 pub use status::{EndpointStatus, Role, StatusError};
--- /dev/null
+++ b/src/core/host/mod.rs
@@ -0,0 +1,255 @@
+//! All decisions of one host: sessions and requests, limits, shares, tables and the host's life.
+//!
+//! [`HostCore`] joins the parts of the core. The owner of the sockets calls one method per event
+//! and carries out the effects that [`HostCore::drain`] returns. A test with a paused clock, or
+//! another front end, drives the same code.
+
+mod effect;
+mod platform;
+mod roster;
+mod sessions;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub use effect::{HostEffect, RoutePlan};
+use roster::Roster;
+pub use sessions::Login;
+
+use crate::core::broker::{Broker, BrokerSettings};
+use crate::core::life::{DrainTimes, Life, LifeAction, LifeEvent, LifeState, Remaining};
+use crate::core::limit::{LimitEffect, LimitPeer, Limiter};
+use crate::core::share::{Holder, ShareEffect, ShareKeeper, ShareSettings};
+use crate::core::view::{Authority, Member, TableView, ViewEffect, ViewStep};
+use crate::types::{DurationMs, FailureDomain, HostId, Incarnation, SessionId, Timestamp};
+
+/// Longest wait of a starting host for a share of the limits. Other hosts give shares back within
+/// one interval of their reads.
+const SHARES_LIMIT: DurationMs = DurationMs(10_000);
+
+/// What a host is and how it behaves.
+#[derive(Debug, Clone)]
+pub struct HostSpec {
+    /// Name of the host.
+    pub host: HostId,
+    /// This run of the host's process.
+    pub incarnation: Incarnation,
+    /// Address for peers; a newer incarnation at the same address proves that this one ended.
+    pub address: SocketAddr,
+    /// Failure domain of the host.
+    pub home: FailureDomain,
+    /// Policy for requests.
+    pub broker: BrokerSettings,
+    /// Leases of share slots.
+    pub shares: ShareSettings,
+    /// How long a stop may take.
+    pub drain: DrainTimes,
+}
+
+/// The decision core of one host.
+pub struct HostCore {
+    spec: HostSpec,
+    broker: Broker,
+    limiter: Limiter,
+    keeper: ShareKeeper,
+    view: TableView,
+    life: Life,
+    roster: Roster,
+    logins: BTreeMap<SessionId, Login>,
+    tables_read: Option<Timestamp>,
+    out: Vec<HostEffect>,
+}
+
+impl HostCore {
+    /// A host that has read nothing. `rng` must differ between incarnations, because attempt ids
+    /// come from it.
+    pub fn new(spec: HostSpec, mut rng: ChaCha8Rng) -> Self {
+        let mut fork = || ChaCha8Rng::seed_from_u64(rng.random());
+        let member = Member { host: spec.host.clone(), incarnation: spec.incarnation };
+        let holder = Holder {
+            host: spec.host.clone(),
+            incarnation: spec.incarnation,
+            address: spec.address,
+        };
+        let (home, slots) = (spec.home.clone(), spec.shares.slots);
+        Self {
+            broker: Broker::new(spec.broker.clone(), fork()),
+            limiter: Limiter::new(spec.incarnation, home, slots, fork()),
+            keeper: ShareKeeper::new(holder, spec.shares, fork()),
+            view: TableView::new(member),
+            life: Life::new(spec.drain),
+            roster: Roster::default(),
+            logins: BTreeMap::new(),
+            tables_read: None,
+            out: Vec::new(),
+            spec,
+        }
+    }
+
+    /// Takes the effects collected since the last call.
+    pub fn drain(&mut self) -> Vec<HostEffect> {
+        let mut out = std::mem::take(&mut self.out);
+        out.extend(self.broker.drain().into_iter().map(HostEffect::Broker));
+        out
+    }
+
+    /// What the host is.
+    pub fn spec(&self) -> &HostSpec {
+        &self.spec
+    }
+
+    /// State of the host's life.
+    pub fn state(&self) -> LifeState {
+        self.life.state()
+    }
+
+    /// Requests and connections.
+    pub fn broker(&self) -> &Broker {
+        &self.broker
+    }
+
+    /// Requests and connections, for events of endpoint connections and group records.
+    pub fn broker_mut(&mut self) -> &mut Broker {
+        &mut self.broker
+    }
+
+    /// The view of the tables.
+    pub fn view(&self) -> &TableView {
+        &self.view
+    }
+
+    /// What the host may serve now.
+    pub fn authority(&mut self, now: Timestamp) -> Authority {
+        self.view.authority(now)
+    }
+
+    /// Lets time pass; to be called at least every 50 ms.
+    pub fn tick(&mut self, now: Timestamp) {
+        for step in self.view.due(now) {
+            self.out.push(match step {
+                ViewStep::Renew(renewal) => HostEffect::Renew(renewal),
+                ViewStep::Read => HostEffect::ReadView,
+                ViewStep::AskPeers => HostEffect::AskPeers,
+            });
+        }
+        let change = self.view.check(now);
+        self.view_effects(now, change.into_iter().collect());
+        let mut effects = Vec::new();
+        self.keeper.tick(now, &mut effects);
+        self.share_effects(now, effects);
+        let mut effects = Vec::new();
+        self.limiter.tick(now, &mut effects);
+        self.limit_effects(now, effects);
+        self.broker.tick(now);
+        self.live(now);
+    }
+
+    /// The operator, or the system, asks the host to stop.
+    pub fn stop(&mut self, now: Timestamp) {
+        self.life_event(now, LifeEvent::Stop);
+    }
+
+    /// Callers are accepted once tables are read and shares of the limits are held. Without shares,
+    /// because the other hosts have not given any back yet, they are accepted after a while.
+    fn start_serving(&mut self, now: Timestamp) {
+        if self.view.tables().is_none() {
+            return;
+        }
+        let read = *self.tables_read.get_or_insert(now);
+        if !self.keeper.in_use().is_empty() || now >= read + SHARES_LIMIT {
+            self.life_event(now, LifeEvent::Ready);
+        }
+    }
+
+    fn live(&mut self, now: Timestamp) {
+        self.start_serving(now);
+        let remaining = Remaining {
+            idle: self.broker.is_drained(),
+            no_request: self.broker.no_requests(),
+            released: self.keeper.is_stopped(),
+        };
+        if let Some(event) = self.life.due(now, remaining) {
+            self.life_event(now, event);
+        }
+    }
+
+    fn life_event(&mut self, now: Timestamp, event: LifeEvent) {
+        let before = self.life.state();
+        for action in self.life.fire(now, event) {
+            match action {
+                LifeAction::Listen => self.out.push(HostEffect::Listen),
+                LifeAction::AnnounceLeaving => self.out.push(HostEffect::AnnounceLeaving),
+                LifeAction::RefuseNewWork => {
+                    self.out.push(HostEffect::StopListening);
+                    self.refuse_new_work(now);
+                }
+                LifeAction::RollBack => self.roll_back(now),
+                LifeAction::ReleaseShares => {
+                    let mut effects = Vec::new();
+                    self.keeper.stop(now, &mut effects);
+                    self.share_effects(now, effects);
+                }
+                LifeAction::Close => self.out.push(HostEffect::Close),
+            }
+        }
+        if before != self.life.state() {
+            tracing::info!("host: {} is {:?}", self.spec.host, self.life.state());
+        }
+    }
+
+    fn share_effects(&mut self, now: Timestamp, effects: Vec<ShareEffect>) {
+        for effect in effects {
+            match effect {
+                ShareEffect::Read => self.out.push(HostEffect::ReadShares),
+                ShareEffect::Write { attempt, writes } => {
+                    self.out.push(HostEffect::WriteShares { attempt, writes });
+                }
+                ShareEffect::Use(slots) => self.limiter.set_shares(now, &slots),
+            }
+        }
+    }
+
+    fn limit_effects(&mut self, now: Timestamp, effects: Vec<LimitEffect>) {
+        for effect in effects {
+            match effect {
+                LimitEffect::Admit(request) => self.broker.admit(now, request),
+                LimitEffect::Refuse(request, kind) => {
+                    self.broker.refuse_admission(now, request, kind);
+                }
+                LimitEffect::Ask(host, request) => {
+                    self.out.push(HostEffect::AskTokens(host, request));
+                }
+            }
+        }
+    }
+
+    fn view_effects(&mut self, now: Timestamp, effects: Vec<ViewEffect>) {
+        for effect in effects {
+            match effect {
+                ViewEffect::Adopted { from, to } => {
+                    tracing::info!("tables: version {to} is in use, before {from:?}");
+                    self.adopt_tables(now);
+                    self.out.push(HostEffect::Announce(to));
+                }
+                ViewEffect::StaleRead { commit_seq, version } => {
+                    tracing::warn!("tables: ignored version {version} read at commit {commit_seq}");
+                }
+                ViewEffect::Unlisted => {
+                    tracing::warn!("tables: this host's row is gone, registering again");
+                }
+                ViewEffect::WantTables(member) => self.out.push(HostEffect::WantTables(member)),
+                ViewEffect::AuthorityChanged { from, to } => {
+                    tracing::info!("tables: authority is {to:?}, before {from:?}");
+                }
+            }
+        }
+    }
+
+    /// Sets the peers with an open connection.
+    pub fn set_peers(&mut self, peers: Vec<LimitPeer>) {
+        self.limiter.set_peers(peers);
+    }
+}
--- a/src/core/limit/account.rs
+++ b/src/core/limit/account.rs
@@ -221,8 +221,12 @@
         self.waiting = kept;
     }
 
-    /// Own tokens and those of the peers; none while a peer's state is unknown.
+    /// Own tokens and those of the peers; none while a peer's state is unknown, or while a slot that
+    /// was just claimed is not in use yet.
     fn supply(&self, now: Timestamp, around: &Around<'_>) -> Option<Supply> {
+        if around.slots.iter().any(|slot| now < slot.from) {
+            return None;
+        }
         let peers = self.book.supply(now, around.peers)?;
         let flying = self.book.in_flight(now);
         let present = peers.present.saturating_add(self.available().0).saturating_add(flying);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,13 +1,17 @@
 //! Decision logic without sockets, encoding or clock reads: timestamped events in, effects out.
 
 pub mod acceptance;
+pub mod broker;
 pub mod classify;
 pub mod group;
+pub mod host;
+pub mod life;
 pub mod limit;
 pub mod promotion;
 pub mod queue;
 pub mod rows;
 pub mod share;
 pub mod store;
+pub mod transaction;
 pub mod view;
 mod view_schedule;
--- a/src/core/promotion/record.rs
+++ b/src/core/promotion/record.rs
@@ -1,18 +1,17 @@
 //! The group's row in the table service, and what a promotion asks for.
 
-use derive_more::Display;
+use derive_more::{Display, FromStr};
 use displaydoc::Display as DocDisplay;
 
 use crate::types::{AttemptId, EndpointId, Position, RowVersion, Term};
 
 /// How far the promotion of a term has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr)]
+#[display(rename_all = "lowercase")]
 pub enum Phase {
     /// A host is fencing a majority; the term has no primary yet.
-    #[display("fencing")]
     Fencing,
     /// The term's primary and start position are fixed.
-    #[display("promoted")]
     Promoted,
 }
 
--- a/src/core/rows.rs
+++ b/src/core/rows.rs
@@ -7,8 +7,7 @@
 
 use super::store::Rows;
 use crate::types::{
-    AttemptId, CommitSeq, EndpointId, FailureDomain, GroupId, HostId, Incarnation, Position,
-    Renewals, ShareSlot, TableVersion, Term,
+    AttemptId, CommitSeq, FailureDomain, HostId, Incarnation, Renewals, TableVersion,
 };
 
 /// Life-cycle state of a host as other hosts and tools see it.
@@ -23,16 +22,6 @@
     Leaving,
 }
 
-/// Phase of a group record.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, FromStr)]
-#[display(rename_all = "lowercase")]
-pub enum GroupPhase {
-    /// A promotion is fencing the endpoints; there is no primary.
-    Fencing,
-    /// The primary and the start position of the term are decided.
-    Promoted,
-}
-
 /// Row `hosts/<id>`: registration of a host and the table version that it acts on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HostRow {
@@ -52,44 +41,12 @@
     pub renewals: Renewals,
     /// Commit in which this incarnation registered, `None` until the host knows it.
     pub registered: Option<CommitSeq>,
+    /// Commit of the member list that the host holds; it never uses an older one.
+    pub members_seen: Option<CommitSeq>,
     /// Attempt that wrote the row.
     pub attempt: AttemptId,
 }
 
-/// Row `shares/<n>`: the lease of one share slot; an absent row is a free slot.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ShareRow {
-    /// Slot; the key of the row.
-    pub slot: ShareSlot,
-    /// Host that holds the slot.
-    pub holder: HostId,
-    /// Run of the holder's process.
-    pub incarnation: Incarnation,
-    /// Address at which peers reach the holder.
-    pub address: SocketAddr,
-    /// Renewals of the lease since the slot was taken.
-    pub renewals: Renewals,
-    /// Attempt that wrote the row.
-    pub attempt: AttemptId,
-}
-
-/// Row `groups/<group>`: the term and primary of a database group.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct GroupRow {
-    /// Group; the key of the row.
-    pub group: GroupId,
-    /// Term of the record.
-    pub term: Term,
-    /// Primary of the term, `None` while the phase is fencing.
-    pub primary: Option<EndpointId>,
-    /// Position at which the term starts.
-    pub start: Position,
-    /// Attempt that wrote the row.
-    pub attempt: AttemptId,
-    /// Phase of the promotion.
-    pub phase: GroupPhase,
-}
-
 /// read at commit {seen} ignored, a later commit {newest} is known
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DocDisplay)]
 pub struct StaleRead {
--- a/src/core/share/row.rs
+++ b/src/core/share/row.rs
@@ -2,16 +2,9 @@
 
 use std::net::SocketAddr;
 
-use derive_more::{Display, From, FromStr, Into};
-
+pub use crate::types::ShareSlot;
 use crate::types::{AttemptId, DurationMs, HostId, Incarnation, RowVersion, Timestamp};
 
-/// Number of a share slot, counted from 0; its row is `shares/<n>`.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr, From, Into,
-)]
-pub struct ShareSlot(pub u32);
-
 /// The process that holds a slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
--- a/src/emulator/mod.rs
+++ b/src/emulator/mod.rs
@@ -20,7 +20,7 @@
     /// The platform: table service, object store and host list over HTTP.
     Platform(platform::PlatformArgs),
     /// A database endpoint of a group.
-    Endpoint(endpoint::EndpointArgs),
+    Endpoint(Box<endpoint::EndpointArgs>),
 }
 
 /// Runs the emulator until the process is told to stop.
@@ -32,7 +32,7 @@
     match args.system {
         System::Platform(args) => platform::run(&args),
         System::Endpoint(args) => {
-            endpoint::run(args).map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))
+            endpoint::run(*args).map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))
         }
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -23,6 +23,8 @@
     FeatureNotSupported,
     /// prepared statement does not exist
     UnknownStatement,
+    /// the open transaction was lost
+    TransactionLost,
     /// session position is malformed
     BadPosition,
     /// no route for this database and client account
@@ -65,12 +67,13 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the list.
-    pub const ALL: [ErrorKind; 24] = [
+    pub const ALL: [ErrorKind; 25] = [
         ErrorKind::BadStartup,
         ErrorKind::BadMessage,
         ErrorKind::MessageTooLarge,
         ErrorKind::FeatureNotSupported,
         ErrorKind::UnknownStatement,
+        ErrorKind::TransactionLost,
         ErrorKind::BadPosition,
         ErrorKind::NoRoute,
         ErrorKind::WrongKey,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,11 @@
 pub mod auth;
 pub mod chart;
 pub mod commands;
+pub mod config;
+pub mod consts;
 pub mod core;
 pub mod error;
+pub mod logs;
 pub mod net;
 pub mod tables;
 pub mod types;
--- /dev/null
+++ b/src/net/endpoint.rs
@@ -0,0 +1,584 @@
+//! Actor of one connection to an endpoint: it owns the socket and runs one job at a time.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::LazyLock;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
+use rand::SeedableRng;
+use rand_chacha::ChaCha20Rng;
+use stakker::{after, call, fwd, fwd_to, stop, Actor, Fwd, CX};
+use stakker_mio::mio::net::TcpStream;
+use stakker_mio::{MioPoll, Ready};
+
+use crate::auth::{Nonce, ScramClient, Secret};
+use crate::chart::{Chart, ChartError, Machine, NoGuard};
+use crate::chart_names;
+use crate::core::group::EndpointStatus;
+use crate::core::transaction::TransactionState;
+use crate::error::{Error, ErrorKind};
+use crate::net::caller::Caller;
+use crate::net::stream::{Stream, StreamState};
+use crate::types::{ConnectionId, RequestId};
+use crate::wire::batch::Batch;
+use crate::wire::pg::{self, AuthRequest, BackendKey, Frame};
+
+/// Name of the reported parameter that carries an endpoint's status.
+const STATUS_PARAMETER: &str = "group_status";
+/// Longest time from connect to the first `ReadyForQuery`.
+const LOGIN_LIMIT: Duration = Duration::from_secs(5);
+/// Largest message that an endpoint may send.
+const MAX_ENDPOINT_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
+/// Input read before the frames in it are passed on.
+const READ_AHEAD_BYTES: usize = 256 * 1024;
+
+chart_names! {
+    /// States of an endpoint connection.
+    pub enum EndpointState {
+        Open = "open", Connecting = "connecting", Authenticating = "authenticating",
+        Idle = "idle", Busy = "busy", Closed = "closed",
+    }
+    /// Events of an endpoint connection.
+    pub enum EndpointEvent {
+        Connected = "connected", AuthRequest = "auth_request", Ready = "ready", Run = "run",
+        Lost = "lost", Close = "close",
+    }
+    /// Actions of an endpoint connection.
+    pub enum EndpointAction {
+        SendStartup = "send_startup", AnswerAuth = "answer_auth", ReportReady = "report_ready",
+        SendJob = "send_job", ReportEnd = "report_end", ReportLost = "report_lost",
+        Terminate = "terminate",
+    }
+}
+
+type EndpointChart = Chart<EndpointState, EndpointEvent, NoGuard, EndpointAction>;
+
+/// Compiles the chart of endpoint connections.
+///
+/// # Errors
+///
+/// Every fault of the chart file.
+pub fn chart() -> Result<EndpointChart, Vec<ChartError>> {
+    Chart::load("charts/endpoint.scxml", include_str!("../../charts/endpoint.scxml"))
+}
+
+static CHART: LazyLock<EndpointChart> =
+    LazyLock::new(|| chart().expect("charts are checked at start"));
+
+/// How the host logs in at endpoints.
+#[derive(Debug, Clone)]
+pub struct Credentials {
+    /// User name.
+    pub user: CompactString,
+    /// Password of the user.
+    pub password: Secret,
+}
+
+/// Where and how to connect.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+    /// Database name sent in the start-up message.
+    pub database: CompactString,
+    /// Credentials of the host.
+    pub credentials: Rc<Credentials>,
+}
+
+/// Work for one connection.
+pub enum Job {
+    /// A caller's request.
+    Request {
+        /// Id of the request.
+        request: RequestId,
+        /// Actor that gets the answer.
+        caller: Actor<Caller>,
+        /// Frames and prepared statements.
+        batch: Batch,
+        /// Whether the caller actor keeps the answer until the core releases it.
+        hold: bool,
+    },
+    /// SQL of the host itself: a probe or an order.
+    Own {
+        /// Text of the statement.
+        sql: CompactString,
+    },
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobEnd {
+    /// Request of the job; `None` for the host's own SQL.
+    pub request: Option<RequestId>,
+    /// Transaction state after the job.
+    pub transaction: TransactionState,
+    /// SQLSTATE and message of the last error, if there was one.
+    pub error: Option<(CompactString, CompactString)>,
+}
+
+/// What a connection tells the hub.
+#[derive(Debug)]
+pub enum ConnectionEvent {
+    /// Login is complete.
+    Ready,
+    /// The endpoint reported its status.
+    Status(EndpointStatus),
+    /// The job ended.
+    Ended(JobEnd),
+    /// The connection is closed. `sent` says whether bytes of a job may have reached the endpoint,
+    /// `passed` whether bytes of its answer went to the caller.
+    Lost {
+        /// Cause, for the log.
+        cause: String,
+        /// Request under way.
+        request: Option<RequestId>,
+        /// SQLSTATE with which the endpoint refused the login.
+        refused: Option<CompactString>,
+        /// Bytes of the answer were passed on.
+        passed: bool,
+    },
+}
+
+struct Running {
+    request: Option<RequestId>,
+    caller: Option<Actor<Caller>>,
+    hold: bool,
+    skipped: Skipped,
+    names: Vec<CompactString>,
+    passed: bool,
+    error: Option<(CompactString, CompactString)>,
+}
+
+/// Answers to messages that the connection added to a batch; they are not the caller's.
+#[derive(Debug, Clone, Copy, Default)]
+struct Skipped {
+    parses: usize,
+    closes: usize,
+}
+
+/// A connection to an endpoint.
+pub struct EndpointConnection {
+    id: ConnectionId,
+    target: Target,
+    hub: Fwd<ConnectionEvent>,
+    machine: Machine<EndpointState, EndpointEvent, NoGuard, EndpointAction>,
+    stream: Stream,
+    scram: Option<ScramClient>,
+    key: Option<BackendKey>,
+    prepared: BTreeSet<CompactString>,
+    uncertain: BTreeSet<CompactString>,
+    next_job: Option<Job>,
+    running: Option<Running>,
+    auth: Option<AuthRequest>,
+    cause: String,
+    refused: Option<CompactString>,
+    paused: bool,
+}
+
+impl EndpointConnection {
+    /// Starts to connect. Events go to `hub`.
+    pub fn init(
+        cx: CX![],
+        id: ConnectionId,
+        target: Target,
+        hub: Fwd<ConnectionEvent>,
+    ) -> Option<Self> {
+        match Self::connect(cx, &target) {
+            Ok(stream) => {
+                after!(LOGIN_LIMIT, [cx], check_login());
+                Some(Self::with_stream(id, target, hub, stream))
+            }
+            Err(error) => {
+                let cause = error.to_string();
+                fwd!(
+                    [hub],
+                    ConnectionEvent::Lost { cause, request: None, refused: None, passed: false }
+                );
+                stop!(cx);
+                None
+            }
+        }
+    }
+
+    fn connect(cx: CX![], target: &Target) -> std::io::Result<Stream> {
+        let socket = TcpStream::connect(target.address)?;
+        let miopoll = cx.anymap_get::<MioPoll>();
+        Stream::new(&miopoll, socket, false, fwd_to!([cx], ready() as (Ready)))
+    }
+
+    fn with_stream(
+        id: ConnectionId,
+        target: Target,
+        hub: Fwd<ConnectionEvent>,
+        stream: Stream,
+    ) -> Self {
+        Self {
+            id,
+            target,
+            hub,
+            machine: CHART.start(),
+            stream,
+            scram: None,
+            key: None,
+            prepared: BTreeSet::new(),
+            uncertain: BTreeSet::new(),
+            next_job: None,
+            running: None,
+            auth: None,
+            cause: String::new(),
+            refused: None,
+            paused: false,
+        }
+    }
+
+    /// Runs a job; the connection must be idle.
+    pub fn run(&mut self, cx: CX![], job: Job) {
+        self.next_job = Some(job);
+        self.fire(cx, EndpointEvent::Run);
+    }
+
+    /// Closes the connection; a job under way is lost.
+    pub fn close(&mut self, cx: CX![]) {
+        self.fire(cx, EndpointEvent::Close);
+    }
+
+    /// Address and key with which a cancel request for this connection is sent.
+    pub fn cancel_target(&mut self, _: CX![], reply: stakker::Ret<(SocketAddr, BackendKey)>) {
+        if let Some(key) = self.key {
+            stakker::ret!([reply], (self.target.address, key));
+        }
+    }
+
+    /// Stops or resumes reading, when the caller takes its answer slowly.
+    pub fn pause(&mut self, cx: CX![], paused: bool) {
+        self.paused = paused;
+        if !paused {
+            self.receive(cx);
+        }
+    }
+
+    fn check_login(&mut self, cx: CX![]) {
+        let state = self.machine.state();
+        if matches!(state, EndpointState::Connecting | EndpointState::Authenticating) {
+            self.lose(cx, "login took longer than 5 s".into());
+        }
+    }
+
+    fn ready(&mut self, cx: CX![], ready: Ready) {
+        if self.machine.is_done() {
+            return;
+        }
+        if self.machine.state() == EndpointState::Connecting {
+            match self.stream.finish_connect() {
+                Ok(true) => self.fire(cx, EndpointEvent::Connected),
+                Ok(false) => return,
+                Err(error) => return self.lose(cx, error.to_string()),
+            }
+        }
+        if ready.is_readable() || ready.is_read_closed() {
+            self.receive(cx);
+        }
+        self.send(cx);
+    }
+
+    fn receive(&mut self, cx: CX![]) {
+        loop {
+            if self.paused || self.machine.is_done() {
+                return;
+            }
+            let before = self.stream.input.len();
+            let state = self.stream.fill(READ_AHEAD_BYTES);
+            let full = self.stream.input.len() >= READ_AHEAD_BYTES;
+            if let Err(error) = self.consume(cx) {
+                return self.lose(cx, error.to_string());
+            }
+            if let StreamState::Closed(cause) = state {
+                return self.lose(cx, cause);
+            }
+            // A frame larger than the read-ahead needs more input than one fill gives.
+            if !full || (before >= READ_AHEAD_BYTES && !self.grow_input()) {
+                return;
+            }
+        }
+    }
+
+    fn grow_input(&mut self) -> bool {
+        let limit = self.stream.input.len() + READ_AHEAD_BYTES;
+        let before = self.stream.input.len();
+        matches!(self.stream.fill(limit), StreamState::Open) && self.stream.input.len() > before
+    }
+
+    fn consume(&mut self, cx: CX![]) -> Result<(), Error> {
+        let mut passed = BytesMut::new();
+        while let Some(frame) = pg::next_frame(&mut self.stream.input, MAX_ENDPOINT_MESSAGE_BYTES)?
+        {
+            if self.machine.is_done() {
+                return Ok(());
+            }
+            if frame.tag == b'Z' {
+                self.pass(cx, std::mem::take(&mut passed).freeze());
+            }
+            self.frame(cx, &frame, &mut passed)?;
+        }
+        self.pass(cx, passed.freeze());
+        Ok(())
+    }
+
+    fn frame(&mut self, cx: CX![], frame: &Frame, passed: &mut BytesMut) -> Result<(), Error> {
+        match frame.tag {
+            b'S' => self.parameter(frame),
+            b'Z' => self.ready_for_query(cx, frame)?,
+            b'R' => {
+                self.auth = Some(pg::auth_request(frame)?);
+                self.fire(cx, EndpointEvent::AuthRequest);
+            }
+            b'K' => self.key = pg::backend_key(frame),
+            b'E' => {
+                let fields = pg::error_fields(frame);
+                match &mut self.running {
+                    Some(running) => {
+                        running.error = Some(fields);
+                        passed.extend_from_slice(&frame.bytes);
+                    }
+                    None => {
+                        self.refused = Some(fields.0.clone());
+                        let cause = format!("endpoint refused: {} {}", fields.0, fields.1);
+                        self.lose(cx, cause);
+                    }
+                }
+            }
+            b'1' if self.skip(|skipped| &mut skipped.parses) => {}
+            b'3' if self.skip(|skipped| &mut skipped.closes) => {}
+            b'G' | b'W' => {
+                let detail = "the endpoint started COPY, which is not carried";
+                return Err(Error::new(ErrorKind::FeatureNotSupported, detail));
+            }
+            _ if self.running.is_some() => passed.extend_from_slice(&frame.bytes),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn skip(&mut self, count: impl Fn(&mut Skipped) -> &mut usize) -> bool {
+        let Some(running) = &mut self.running else { return false };
+        let left = count(&mut running.skipped);
+        let skips = *left > 0;
+        *left = left.saturating_sub(1);
+        skips
+    }
+
+    fn parameter(&mut self, frame: &Frame) {
+        let Some((name, value)) = pg::parameter_fields(frame) else { return };
+        if name != STATUS_PARAMETER {
+            return;
+        }
+        match value.parse() {
+            Ok(status) => fwd!([self.hub], ConnectionEvent::Status(status)),
+            Err(error) => {
+                tracing::warn!(
+                    "endpoint: {} sent a malformed status: {error}",
+                    self.target.address
+                );
+            }
+        }
+    }
+
+    fn ready_for_query(&mut self, cx: CX![], frame: &Frame) -> Result<(), Error> {
+        let state = pg::transaction_state(frame);
+        let state = state.ok_or_else(|| {
+            Error::new(ErrorKind::BadMessage, "ReadyForQuery has an unknown transaction state")
+        })?;
+        let end = self.running.take().map(|running| {
+            if running.error.is_some() {
+                self.doubt(running.names);
+            }
+            JobEnd { request: running.request, transaction: state, error: running.error }
+        });
+        self.fire(cx, EndpointEvent::Ready);
+        if let Some(end) = end {
+            fwd!([self.hub], ConnectionEvent::Ended(end));
+        }
+        Ok(())
+    }
+
+    /// After an error it is not known which statements of the batch were parsed.
+    fn doubt(&mut self, names: Vec<CompactString>) {
+        for name in names {
+            self.prepared.remove(&name);
+            self.uncertain.insert(name);
+        }
+    }
+
+    fn pass(&mut self, cx: CX![], bytes: Bytes) {
+        let Some(running) = &mut self.running else { return };
+        let (Some(request), Some(caller)) = (running.request, &running.caller) else { return };
+        if bytes.is_empty() {
+            return;
+        }
+        running.passed |= !running.hold;
+        let hold = running.hold;
+        let this = cx.access_actor().clone();
+        call!([caller], answer_bytes(request, hold, bytes, this));
+    }
+
+    fn fire(&mut self, cx: CX![], event: EndpointEvent) {
+        let step = self.machine.fire(event, |guard| match guard {});
+        if !step.handled {
+            tracing::debug!("endpoint: {} ignores {event:?} in {:?}", self.id, step.from);
+        }
+        for action in step.actions {
+            self.act(cx, *action);
+        }
+    }
+
+    fn act(&mut self, cx: CX![], action: EndpointAction) {
+        match action {
+            EndpointAction::SendStartup => self.send_startup(cx),
+            EndpointAction::AnswerAuth => self.answer_auth(cx),
+            EndpointAction::ReportReady => fwd!([self.hub], ConnectionEvent::Ready),
+            EndpointAction::SendJob => self.send_job(cx),
+            // The end is reported by `ready_for_query`, which has its details.
+            EndpointAction::ReportEnd => {}
+            EndpointAction::ReportLost => self.report_lost(cx),
+            EndpointAction::Terminate => {
+                pg::put_terminate(&mut self.stream.output);
+                self.stream.close_after_output();
+                self.stream.flush();
+                stop!(cx);
+            }
+        }
+    }
+
+    fn send_startup(&mut self, cx: CX![]) {
+        let parameters = [
+            ("user", self.target.credentials.user.as_str()),
+            ("database", self.target.database.as_str()),
+            ("application_name", "medlarstile"),
+            ("client_encoding", "UTF8"),
+        ];
+        pg::put_startup(&mut self.stream.output, &parameters);
+        self.send(cx);
+    }
+
+    fn answer_auth(&mut self, cx: CX![]) {
+        let Some(request) = self.auth.take() else { return };
+        let result = self.auth_answer(request);
+        match result {
+            Ok(()) => self.send(cx),
+            Err(error) => self.lose(cx, error.to_string()),
+        }
+    }
+
+    fn auth_answer(&mut self, request: AuthRequest) -> Result<(), Error> {
+        let credentials = &self.target.credentials;
+        match request {
+            AuthRequest::Ok => Ok(()),
+            AuthRequest::CleartextPassword => {
+                pg::put_password(&mut self.stream.output, credentials.password.expose());
+                Ok(())
+            }
+            AuthRequest::Sasl(_) => {
+                let nonce = Nonce::random(&mut ChaCha20Rng::from_os_rng());
+                let client = ScramClient::new("", credentials.password.clone(), nonce)?;
+                pg::put_sasl_initial(&mut self.stream.output, client.first().as_bytes());
+                self.scram = Some(client);
+                Ok(())
+            }
+            AuthRequest::SaslContinue(data) => {
+                let client = self.scram.as_mut().ok_or_else(unexpected_auth)?;
+                let answer = client.on_continue(&text(&data)?)?;
+                pg::put_sasl_response(&mut self.stream.output, answer.as_bytes());
+                Ok(())
+            }
+            AuthRequest::SaslFinal(data) => {
+                let mut client = self.scram.take().ok_or_else(unexpected_auth)?;
+                Ok(client.on_final(&text(&data)?)?)
+            }
+            AuthRequest::Other => Err(unexpected_auth()),
+        }
+    }
+
+    fn send_job(&mut self, cx: CX![]) {
+        let Some(job) = self.next_job.take() else { return };
+        let running = match job {
+            Job::Request { request, caller, batch, hold } => {
+                let (skipped, names) = self.put_batch(&batch);
+                let (request, caller) = (Some(request), Some(caller));
+                Running { request, caller, hold, skipped, names, passed: false, error: None }
+            }
+            Job::Own { sql } => {
+                pg::put_query(&mut self.stream.output, &sql);
+                let (skipped, names) = (Skipped::default(), Vec::new());
+                let (request, caller, hold) = (None, None, false);
+                Running { request, caller, hold, skipped, names, passed: false, error: None }
+            }
+        };
+        self.running = Some(running);
+        self.send(cx);
+    }
+
+    /// Appends the statements that the connection lacks, then the batch. Returns the answers to
+    /// skip and the names that the batch may have defined.
+    fn put_batch(&mut self, batch: &Batch) -> (Skipped, Vec<CompactString>) {
+        let mut skipped = Skipped::default();
+        let mut names = batch.defines.clone();
+        names.retain(|name| !name.is_empty());
+        for statement in &batch.needs {
+            let name = &statement.wire_name;
+            if self.prepared.contains(name) {
+                continue;
+            }
+            if self.uncertain.remove(name) {
+                pg::put_close_statement(&mut self.stream.output, name);
+                skipped.closes += 1;
+            }
+            self.stream.output.extend_from_slice(&statement.parse);
+            skipped.parses += 1;
+            if !name.is_empty() {
+                names.push(name.clone());
+            }
+        }
+        self.prepared.extend(names.iter().cloned());
+        for name in &batch.closes {
+            self.prepared.remove(name);
+        }
+        self.stream.output.extend_from_slice(&batch.frames);
+        (skipped, names)
+    }
+
+    fn send(&mut self, cx: CX![]) {
+        if let StreamState::Closed(cause) = self.stream.flush() {
+            self.lose(cx, cause);
+        }
+    }
+
+    fn lose(&mut self, cx: CX![], cause: String) {
+        self.cause = cause;
+        self.fire(cx, EndpointEvent::Lost);
+    }
+
+    fn report_lost(&mut self, cx: CX![]) {
+        let running = self.running.take();
+        let event = ConnectionEvent::Lost {
+            cause: std::mem::take(&mut self.cause),
+            request: running.as_ref().and_then(|running| running.request),
+            refused: self.refused.take(),
+            passed: running.is_some_and(|running| running.passed),
+        };
+        fwd!([self.hub], event);
+        stop!(cx);
+    }
+}
+
+fn text(data: &Bytes) -> Result<CompactString, Error> {
+    let text = std::str::from_utf8(data);
+    let malformed = |_| Error::new(ErrorKind::BadMessage, "SASL message is not UTF-8");
+    text.map(CompactString::from).map_err(malformed)
+}
+
+fn unexpected_auth() -> Error {
+    Error::new(ErrorKind::BadMessage, "the endpoint asks for a login method that is not supported")
+}
--- /dev/null
+++ b/src/net/host/mod.rs
@@ -0,0 +1,270 @@
+//! The hub actor of a host: it owns the core, the listener and the actors of all connections.
+
+mod callers;
+mod endpoints;
+mod platform;
+mod start;
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha20Rng;
+use stakker::{after, call, fwd_to, Actor, ActorOwn, Fwd, StopCause, CX};
+use stakker_mio::mio::net::TcpListener;
+use stakker_mio::mio::Interest;
+use stakker_mio::{MioPoll, MioSource, Ready};
+
+use crate::auth::Secret;
+use crate::config::Settings;
+use crate::core::broker::BrokerSettings;
+use crate::core::host::{HostCore, HostEffect, HostSpec};
+use crate::core::life::DrainTimes;
+use crate::core::rows::MonotonicRows;
+use crate::core::share::ShareSettings;
+use crate::net::caller::{Caller, CallerOptions};
+use crate::net::endpoint::{Credentials, EndpointConnection};
+use crate::net::platform::PlatformActor;
+use crate::types::{ConnectionId, Incarnation, Renewals, RequestId, SessionId, Timestamp};
+use crate::wire::batch::Batch;
+use crate::wire::pg::BackendKey;
+pub use start::Starter;
+
+/// Time between two ticks of the core. The promotion procedure needs at most 50 ms.
+const TICK: Duration = Duration::from_millis(20);
+/// Poll priority of the listener.
+const LISTENER_PRIORITY: u32 = 10;
+
+/// What a host tells the process that runs it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HostNotice {
+    /// Callers are accepted at this address.
+    Listening(SocketAddr),
+    /// All work is done.
+    Stopped,
+    /// The host cannot run.
+    Failed(String),
+}
+
+/// What a host is started with.
+struct HostParts {
+    settings: Settings,
+    tls: Option<Arc<rustls::ServerConfig>>,
+    peer_socket: UdpSocket,
+    peer_address: SocketAddr,
+}
+
+/// A host.
+pub struct Host {
+    settings: Settings,
+    started: Instant,
+    core: HostCore,
+    rng: ChaCha20Rng,
+    notify: Fwd<HostNotice>,
+    tls: Option<Arc<rustls::ServerConfig>>,
+    credentials: Rc<Credentials>,
+    listener: Option<MioSource<TcpListener>>,
+    platform: ActorOwn<PlatformActor>,
+    /// Bound for as long as the process lives; its address identifies the incarnation.
+    _peer_socket: UdpSocket,
+    callers: BTreeMap<SessionId, ActorOwn<Caller>>,
+    keys: BTreeMap<SessionId, BackendKey>,
+    batches: BTreeMap<RequestId, Batch>,
+    connections: BTreeMap<ConnectionId, ActorOwn<EndpointConnection>>,
+    next_session: u64,
+    rows: MonotonicRows,
+    renewals: Renewals,
+    leaving: bool,
+}
+
+impl Host {
+    /// The host of this incarnation. What happens to it goes to `notify`.
+    fn init(
+        cx: CX![],
+        parts: HostParts,
+        incarnation: Incarnation,
+        platform: ActorOwn<PlatformActor>,
+        notify: Fwd<HostNotice>,
+    ) -> Option<Self> {
+        let HostParts { settings, tls, peer_socket, peer_address } = parts;
+        let mut rng = ChaCha20Rng::from_os_rng();
+        let spec = host_spec(&settings, incarnation, peer_address);
+        let core_rng = rand_chacha::ChaCha8Rng::from_rng(&mut rng);
+        let credentials = Credentials {
+            user: settings.endpoint_user.clone(),
+            password: settings.endpoint_password.clone(),
+        };
+        let host = Self {
+            started: cx.now(),
+            core: HostCore::new(spec, core_rng),
+            rng,
+            notify,
+            tls,
+            credentials: Rc::new(credentials),
+            listener: None,
+            platform,
+            _peer_socket: peer_socket,
+            callers: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            batches: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            next_session: 0,
+            rows: MonotonicRows::default(),
+            renewals: Renewals(0),
+            leaving: false,
+            settings,
+        };
+        after!(Duration::ZERO, [cx], tick());
+        Some(host)
+    }
+
+    /// Starts a graceful stop.
+    pub fn stop(&mut self, cx: CX![]) {
+        let now = self.now(cx);
+        self.core.stop(now);
+        self.carry_out(cx);
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now = self.now(cx);
+        self.core.tick(now);
+        self.carry_out(cx);
+        after!(TICK, [cx], tick());
+    }
+
+    fn now(&self, cx: CX![]) -> Timestamp {
+        let passed = cx.now().saturating_duration_since(self.started).as_micros();
+        Timestamp(u64::try_from(passed).unwrap_or(u64::MAX))
+    }
+
+    /// Carries out what the core has decided.
+    fn carry_out(&mut self, cx: CX![]) {
+        loop {
+            let effects = self.core.drain();
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                self.effect(cx, effect);
+            }
+        }
+    }
+
+    fn effect(&mut self, cx: CX![], effect: HostEffect) {
+        match effect {
+            HostEffect::Broker(effect) => self.broker_effect(cx, effect),
+            HostEffect::Renew(renewal) => self.renew(cx, &renewal),
+            HostEffect::ReadView => self.read_hosts(cx),
+            HostEffect::ReadShares => self.read_shares(cx),
+            HostEffect::WriteShares { attempt, writes } => self.write_shares(cx, attempt, &writes),
+            HostEffect::Listen => self.listen(cx),
+            HostEffect::AnnounceLeaving => self.leaving = true,
+            HostEffect::StopListening => self.listener = None,
+            HostEffect::Close => self.close(cx),
+            HostEffect::AskPeers
+            | HostEffect::WantTables(_)
+            | HostEffect::Announce(_)
+            | HostEffect::AskTokens(..) => {}
+        }
+    }
+
+    fn listen(&mut self, cx: CX![]) {
+        match self.bind(cx) {
+            Ok(address) => {
+                tracing::info!("host: callers are accepted at {address}");
+                stakker::fwd!([self.notify], HostNotice::Listening(address));
+            }
+            Err(error) => {
+                let detail = format!("cannot listen at {}: {error}", self.settings.listen);
+                stakker::fwd!([self.notify], HostNotice::Failed(detail));
+            }
+        }
+    }
+
+    fn bind(&mut self, cx: CX![]) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind(self.settings.listen)?;
+        let address = listener.local_addr()?;
+        let miopoll = cx.anymap_get::<MioPoll>();
+        let ready = fwd_to!([cx], accept() as (Ready));
+        self.listener =
+            Some(miopoll.add(listener, Interest::READABLE, LISTENER_PRIORITY, ready)?);
+        Ok(address)
+    }
+
+    fn accept(&mut self, cx: CX![], _: Ready) {
+        loop {
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
+                Ok((socket, _)) => self.add_caller(cx, socket),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    // Out of descriptors, for example; the next connection brings the next try.
+                    tracing::warn!("host: accept failed: {error}");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn close(&mut self, cx: CX![]) {
+        self.deregister(cx);
+        self.listener = None;
+    }
+
+    fn stopped(&mut self, _: CX![]) {
+        stakker::fwd!([self.notify], HostNotice::Stopped);
+    }
+
+    fn caller_options(&self) -> CallerOptions {
+        let max_message_bytes = self.settings.max_message_bytes;
+        CallerOptions { tls: self.tls.clone(), max_message_bytes }
+    }
+
+    fn fleet_secret(&self) -> &Secret {
+        &self.settings.fleet_secret
+    }
+
+    fn caller(&self, session: SessionId) -> Option<Actor<Caller>> {
+        self.callers.get(&session).map(|caller| Actor::clone(caller))
+    }
+
+    fn connection_stopped(&mut self, cx: CX![], id: ConnectionId, cause: StopCause) {
+        if cause.has_error() {
+            tracing::warn!("endpoint: connection {id} failed: {cause}");
+        }
+        self.connections.remove(&id);
+        self.carry_out(cx);
+    }
+
+    fn evict(&mut self, session: SessionId, error: crate::error::Error) {
+        if let Some(caller) = self.caller(session) {
+            call!([caller], evict(error));
+        }
+    }
+}
+
+fn host_spec(settings: &Settings, incarnation: Incarnation, address: SocketAddr) -> HostSpec {
+    let (host, home) = (settings.host.clone(), settings.failure_domain.clone());
+    HostSpec {
+        broker: BrokerSettings {
+            host: host.clone(),
+            home: home.clone(),
+            primary_patience_ms: settings.primary_patience_ms,
+            confirm_limit_ms: settings.confirm_limit_ms,
+            retry_percent: crate::consts::RETRY_PERCENT,
+        },
+        host,
+        incarnation,
+        address,
+        home,
+        shares: ShareSettings { slots: settings.share_slots, ..ShareSettings::default() },
+        drain: DrainTimes {
+            notice_ms: settings.drain_notice_ms,
+            limit_ms: settings.drain_limit_ms,
+        },
+    }
+}
--- /dev/null
+++ b/src/net/host/platform.rs
@@ -0,0 +1,283 @@
+//! Calls to the platform: the host's row, tables and members, share slots and group records.
+
+use std::sync::Arc;
+
+use serde_json::Value;
+use stakker::{call, ret_some_to, CX};
+
+use super::Host;
+use crate::core::promotion::{GroupRecord, ReadFault, SwapFault};
+use crate::core::rows::{HostRow, HostState};
+use crate::core::share::{SeenRow, ShareWrite, WriteResult};
+use crate::core::store::{Answer, Call, Check, Commit, Rows, Transaction, Write};
+use crate::core::view::{Member, Renewal, Snapshot};
+use crate::net::platform::CallResult;
+use crate::types::{AttemptId, CommitSeq, GroupId, Renewals, RowKey, RowVersion, TableName};
+use crate::wire::rows::{group_row, JsonRow};
+use crate::wire::tables::read_config;
+
+/// Table of the rows `hosts/<id>`.
+const HOSTS: &str = "hosts";
+/// Table of the row `config/current`.
+const CONFIG: &str = "config";
+/// Table of the rows `groups/<group>`.
+const GROUPS: &str = "groups";
+/// Table of the rows `shares/<n>`.
+const SHARES: &str = "shares";
+
+fn table(name: &str) -> TableName {
+    name.parse().expect("table names are valid")
+}
+
+fn read(name: &str, prefix: Option<RowKey>) -> Call<Value> {
+    Call::Read { table: table(name), prefix }
+}
+
+fn rows_of(result: CallResult) -> Option<Rows<Value>> {
+    match result {
+        Ok(Answer::Rows(rows)) => Some(rows),
+        Ok(_) => None,
+        Err(error) => {
+            tracing::info!("platform: read failed: {error}");
+            None
+        }
+    }
+}
+
+impl Host {
+    fn platform_call(
+        &mut self,
+        cx: CX![],
+        call: Call<Value>,
+        then: impl FnOnce(&mut Self, CX![], CallResult) + 'static,
+    ) {
+        let ret = ret_some_to!([cx], |this, cx, result: CallResult| {
+            then(this, cx, result);
+            this.carry_out(cx);
+        });
+        call!([self.platform], call(call, ret));
+    }
+
+    pub(super) fn renew(&mut self, cx: CX![], renewal: &Renewal) {
+        let sent = self.now(cx);
+        self.renewals = Renewals(self.renewals.0 + 1);
+        let row = self.host_row(renewal);
+        let (key, value) = JsonRow::from(&row);
+        // No check: only this host writes the row, and a newer incarnation must replace an older.
+        let writes = vec![Write { table: table(HOSTS), key, value: Some(value) }];
+        let call = Call::Transact(Transaction { checks: Vec::new(), writes });
+        self.platform_call(cx, call, move |this, cx, result| {
+            let now = this.now(cx);
+            match result {
+                Ok(Answer::Commit(Commit::Committed(seq))) => {
+                    this.rows.on_commit(seq);
+                    this.core.on_renewed(now, sent, seq);
+                }
+                other => {
+                    tracing::info!("platform: renewal of the host's row failed: {other:?}");
+                    this.core.on_renewal_failed();
+                }
+            }
+        });
+    }
+
+    fn host_row(&self, renewal: &Renewal) -> HostRow {
+        let spec = self.core.spec();
+        let state = if self.leaving {
+            HostState::Leaving
+        } else if renewal.confirmed.is_none() {
+            HostState::Starting
+        } else {
+            HostState::Live
+        };
+        HostRow {
+            host: spec.host.clone(),
+            incarnation: spec.incarnation,
+            address: spec.address,
+            failure_domain: spec.home.clone(),
+            state,
+            confirmed: renewal.confirmed,
+            renewals: self.renewals,
+            registered: renewal.registered,
+            members_seen: renewal.members_seen,
+            attempt: AttemptId(self.renewals.0),
+        }
+    }
+
+    /// Reads the members first and the tables after them. The snapshot counts as read at the commit
+    /// of the members, so that its tables are at least as new as it says.
+    pub(super) fn read_hosts(&mut self, cx: CX![]) {
+        self.platform_call(cx, read(HOSTS, None), |this, cx, result| {
+            let rows = rows_of(result).and_then(|rows| this.newest(rows));
+            match rows {
+                Some(rows) => this.read_config(cx, rows),
+                None => {
+                    let now = this.now(cx);
+                    this.core.on_view_read(now, None);
+                }
+            }
+        });
+    }
+
+    /// Drops a read of an older commit than this host has seen.
+    fn newest(&mut self, rows: Rows<Value>) -> Option<Rows<Value>> {
+        match self.rows.accept(rows) {
+            Ok(rows) => Some(rows),
+            Err(stale) => {
+                tracing::warn!("platform: {stale}");
+                None
+            }
+        }
+    }
+
+    fn read_config(&mut self, cx: CX![], hosts: Rows<Value>) {
+        self.platform_call(cx, read(CONFIG, None), move |this, cx, result| {
+            let now = this.now(cx);
+            let config = rows_of(result).and_then(|rows| this.newest(rows));
+            let read = config.and_then(|config| snapshot(&hosts, &config));
+            this.core.on_view_read(now, read);
+        });
+    }
+
+    pub(super) fn read_shares(&mut self, cx: CX![]) {
+        self.platform_call(cx, read(SHARES, None), |this, cx, result| {
+            let now = this.now(cx);
+            let rows = rows_of(result).and_then(|rows| this.newest(rows));
+            let seen: Option<Vec<SeenRow>> = rows.map(|rows| {
+                rows.rows.iter().filter_map(|row| SeenRow::try_from(row).ok()).collect()
+            });
+            this.core.on_shares_read(now, seen.as_deref());
+        });
+    }
+
+    pub(super) fn write_shares(&mut self, cx: CX![], attempt: AttemptId, writes: &[ShareWrite]) {
+        let rows: Vec<(RowVersion, JsonRow)> =
+            writes.iter().map(|write| (write.expected, JsonRow::from(write))).collect();
+        let check = |(version, (key, _)): &(RowVersion, JsonRow)| Check {
+            table: table(SHARES),
+            key: key.clone(),
+            version: *version,
+        };
+        let change = |(_, (key, value)): &(RowVersion, JsonRow)| Write {
+            table: table(SHARES),
+            key: key.clone(),
+            value: Some(value.clone()),
+        };
+        let transaction = Transaction {
+            checks: rows.iter().map(check).collect(),
+            writes: rows.iter().map(change).collect(),
+        };
+        self.platform_call(cx, Call::Transact(transaction), move |this, cx, result| {
+            let now = this.now(cx);
+            let result = match result {
+                Ok(Answer::Commit(Commit::Committed(seq))) => {
+                    WriteResult::Applied(RowVersion(seq.0))
+                }
+                Ok(Answer::Commit(Commit::Conflicts(_))) => WriteResult::Conflict,
+                Err(error) if error.had_no_effect() => WriteResult::Conflict,
+                _ => WriteResult::Unknown,
+            };
+            this.core.on_shares_written(now, attempt, result);
+        });
+    }
+
+    pub(super) fn read_record(&mut self, cx: CX![], group: &GroupId) {
+        let group = group.clone();
+        let key: RowKey = group.as_str().parse().expect("group ids are valid row keys");
+        self.platform_call(cx, read(GROUPS, Some(key)), move |this, cx, result| {
+            let now = this.now(cx);
+            let rows = rows_of(result).and_then(|rows| this.newest(rows));
+            let record = rows.ok_or(ReadFault).and_then(|rows| find_record(&group, &rows));
+            this.core.broker_mut().on_record_read(now, &group, record);
+        });
+    }
+
+    pub(super) fn swap_record(
+        &mut self,
+        cx: CX![],
+        group: &GroupId,
+        expected: RowVersion,
+        record: GroupRecord,
+    ) {
+        let group = group.clone();
+        let (key, value) = group_row(&group, &record);
+        let swap = Transaction::swap(table(GROUPS), key, expected, Some(value));
+        self.platform_call(cx, Call::Transact(swap), move |this, cx, result| {
+            let now = this.now(cx);
+            let result = match result {
+                Ok(Answer::Commit(Commit::Committed(seq))) => Ok(RowVersion(seq.0)),
+                Ok(Answer::Commit(Commit::Conflicts(_))) => Err(SwapFault::Conflict),
+                _ => Err(SwapFault::Unknown),
+            };
+            this.core.broker_mut().on_record_swapped(now, &group, &record, result);
+        });
+    }
+
+    /// Removes the host's row after it has stopped serving.
+    pub(super) fn deregister(&mut self, cx: CX![]) {
+        let key: RowKey = self.settings.host.as_str().parse().expect("host ids are row keys");
+        let writes = vec![Write { table: table(HOSTS), key, value: None }];
+        let call = Call::Transact(Transaction { checks: Vec::new(), writes });
+        self.platform_call(cx, call, |this, cx, result| {
+            if let Err(error) = result {
+                tracing::warn!("platform: the host's row was not removed: {error}");
+            }
+            this.stopped(cx);
+        });
+    }
+}
+
+fn snapshot(hosts: &Rows<Value>, config: &Rows<Value>) -> Option<(Snapshot, Vec<HostRow>)> {
+    let mut rows = Vec::new();
+    for row in &hosts.rows {
+        match HostRow::try_from(row) {
+            Ok(host) => rows.push(host),
+            Err(fault) => {
+                // Without every member the host could not tell who has to vouch for its view.
+                tracing::error!("platform: {fault}");
+                return None;
+            }
+        }
+    }
+    let current = config.rows.iter().find(|row| row.key.as_str() == "current");
+    let Some(current) = current else {
+        tracing::info!("platform: there are no tables yet");
+        return None;
+    };
+    let config = match read_config(&current.value.to_string()) {
+        Ok(config) => config,
+        Err(error) => {
+            tracing::error!("platform: config/current cannot be read: {error}");
+            return None;
+        }
+    };
+    let tables = match config.tables.check() {
+        Ok(tables) => Arc::new(tables),
+        Err(faults) => {
+            for fault in faults {
+                tracing::error!("platform: config/current is not valid: {fault}");
+            }
+            return None;
+        }
+    };
+    let members = rows
+        .iter()
+        .map(|row| Member { host: row.host.clone(), incarnation: row.incarnation })
+        .collect();
+    Some((Snapshot { commit_seq: CommitSeq(hosts.commit_seq.0), tables, members }, rows))
+}
+
+/// The record of `group`; the rows were read by prefix and may hold those of longer names.
+fn find_record(
+    group: &GroupId,
+    rows: &Rows<Value>,
+) -> Result<Option<(RowVersion, GroupRecord)>, ReadFault> {
+    let Some(row) = rows.rows.iter().find(|row| row.key.as_str() == group.as_str()) else {
+        return Ok(None);
+    };
+    let record = GroupRecord::try_from(row).map_err(|fault| {
+        tracing::error!("platform: {fault}");
+        ReadFault
+    })?;
+    Ok(Some((row.version, record)))
+}
--- /dev/null
+++ b/src/net/host/start.rs
@@ -0,0 +1,124 @@
+//! Start of a host: the platform gives the process its incarnation.
+//!
+//! The incarnation is the commit sequence of a row that the process writes after it has bound its
+//! addresses. A later incarnation at the same address therefore proves that the earlier process is
+//! gone, without any comparison of clocks.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use stakker::{
+    actor, after, call, fwd, ret_nop, ret_panic, ret_some_to, ActorOwn, Fwd, Stakker, CX,
+};
+
+use super::{Host, HostNotice, HostParts};
+use crate::config::Settings;
+use crate::core::store::{Answer, Call, Commit, Transaction, Write};
+use crate::net::platform::{CallResult, PlatformActor, PlatformSettings};
+use crate::types::Incarnation;
+
+/// Table of the rows `starts/<host>`.
+const STARTS: &str = "starts";
+/// Time before a failed registration is repeated.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Waits for the platform, then starts the host.
+pub struct Starter {
+    parts: Option<HostParts>,
+    platform: Option<ActorOwn<PlatformActor>>,
+    host: Option<ActorOwn<Host>>,
+    notify: Fwd<HostNotice>,
+    stopped: bool,
+}
+
+impl Starter {
+    /// Starts a host. What happens to it goes to `notify`.
+    pub fn start(
+        stakker: &mut Stakker,
+        settings: Settings,
+        tls: Option<Arc<rustls::ServerConfig>>,
+        notify: Fwd<HostNotice>,
+    ) -> ActorOwn<Starter> {
+        actor!(
+            stakker,
+            Starter::init(settings, tls, notify),
+            ret_panic!("the start of the host failed")
+        )
+    }
+
+    fn init(
+        cx: CX![],
+        settings: Settings,
+        tls: Option<Arc<rustls::ServerConfig>>,
+        notify: Fwd<HostNotice>,
+    ) -> Option<Self> {
+        let platform = PlatformSettings::new(settings.platform, settings.host.clone());
+        let platform = actor!(cx, PlatformActor::init(platform), ret_nop!());
+        let mut starter = Self { parts: None, platform: None, host: None, notify, stopped: false };
+        match bind_peer_socket(settings.peer_listen) {
+            Ok((peer_socket, peer_address)) => {
+                starter.parts = Some(HostParts { settings, tls, peer_socket, peer_address });
+                starter.platform = Some(platform);
+                after!(Duration::ZERO, [cx], register());
+            }
+            Err(error) => {
+                let detail = format!("cannot bind {}: {error}", settings.peer_listen);
+                fwd!([starter.notify], HostNotice::Failed(detail));
+            }
+        }
+        Some(starter)
+    }
+
+    /// Starts a graceful stop.
+    pub fn stop(&mut self, _: CX![]) {
+        self.stopped = true;
+        match &self.host {
+            Some(host) => call!([host], stop()),
+            None => fwd!([self.notify], HostNotice::Stopped),
+        }
+    }
+
+    fn register(&mut self, cx: CX![]) {
+        let (Some(parts), Some(platform)) = (&self.parts, &self.platform) else { return };
+        let host = &parts.settings.host;
+        let write = Write {
+            table: STARTS.parse().expect("table names are valid"),
+            key: host.as_str().parse().expect("host ids are valid row keys"),
+            value: Some(json!({ "address": parts.peer_address.to_string() })),
+        };
+        let call = Call::Transact(Transaction { checks: Vec::new(), writes: vec![write] });
+        let ret = ret_some_to!([cx], registered() as (CallResult));
+        call!([platform], call(call, ret));
+    }
+
+    fn registered(&mut self, cx: CX![], result: CallResult) {
+        if self.stopped {
+            return;
+        }
+        match result {
+            Ok(Answer::Commit(Commit::Committed(seq))) => self.run(cx, Incarnation(seq.0)),
+            other => {
+                tracing::warn!("host: the platform does not register this host: {other:?}");
+                after!(RETRY, [cx], register());
+            }
+        }
+    }
+
+    fn run(&mut self, cx: CX![], incarnation: Incarnation) {
+        let (Some(parts), Some(platform)) = (self.parts.take(), self.platform.take()) else {
+            return;
+        };
+        let notify = self.notify.clone();
+        let failed = ret_panic!("the host actor failed");
+        self.host = Some(actor!(cx, Host::init(parts, incarnation, platform, notify), failed));
+    }
+}
+
+fn bind_peer_socket(address: SocketAddr) -> std::io::Result<(UdpSocket, SocketAddr)> {
+    let socket = UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    let address = socket.local_addr()?;
+    Ok((socket, address))
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,9 @@
 //! Actors and threads that own sockets. They feed events to the core and carry out its effects.
 
+pub mod caller;
+pub mod cancel;
+pub mod endpoint;
+pub mod host;
 pub mod platform;
 pub mod reactor;
 pub mod stream;
--- a/src/wire/pg.rs
+++ b/src/wire/pg.rs
@@ -20,6 +20,7 @@
 use pgwire::messages::terminate::Terminate;
 use pgwire::messages::{DecodeContext, Message};
 
+use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind, Ran};
 
 /// Bytes of the length field of every frame.
@@ -165,27 +166,13 @@
     Error::new(ErrorKind::BadMessage, detail)
 }
 
-/// Transaction state that `ReadyForQuery` reports.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum TransactionState {
-    /// No transaction is open.
-    #[default]
-    Idle,
-    /// A transaction is open.
-    Open,
-    /// A transaction is open and has failed.
-    Failed,
-}
-
-impl TransactionState {
-    /// Reads the body of a `ReadyForQuery` frame.
-    pub fn from_ready(frame: &Frame) -> Option<TransactionState> {
-        match frame.body() {
-            b"I" => Some(TransactionState::Idle),
-            b"T" => Some(TransactionState::Open),
-            b"E" => Some(TransactionState::Failed),
-            _ => None,
-        }
+/// Reads the body of a `ReadyForQuery` frame.
+pub fn transaction_state(frame: &Frame) -> Option<TransactionState> {
+    match frame.body() {
+        b"I" => Some(TransactionState::Idle),
+        b"T" => Some(TransactionState::Open),
+        b"E" => Some(TransactionState::Failed),
+        _ => None,
     }
 }
 
@@ -321,9 +308,24 @@
     Ok(frame.decode::<Authentication>()?.into())
 }
 
-/// Appends one of the `Authentication` messages of the server side.
-pub fn put_auth(out: &mut BytesMut, message: &Authentication) {
-    put(out, message);
+/// Appends `AuthenticationOk`.
+pub fn put_auth_ok(out: &mut BytesMut) {
+    put(out, &Authentication::Ok);
+}
+
+/// Appends `AuthenticationSASL` with the mechanisms on offer.
+pub fn put_sasl_offer(out: &mut BytesMut, mechanisms: Vec<String>) {
+    put(out, &Authentication::SASL(mechanisms));
+}
+
+/// Appends `AuthenticationSASLContinue`.
+pub fn put_sasl_continue(out: &mut BytesMut, data: &[u8]) {
+    put(out, &Authentication::SASLContinue(Bytes::copy_from_slice(data)));
+}
+
+/// Appends `AuthenticationSASLFinal`.
+pub fn put_sasl_final(out: &mut BytesMut, data: &[u8]) {
+    put(out, &Authentication::SASLFinal(Bytes::copy_from_slice(data)));
 }
 
 /// Mechanism and first client message of a `SASLInitialResponse` body.
--- a/src/wire/rows.rs
+++ b/src/wire/rows.rs
@@ -11,10 +11,12 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::core::rows::{GroupRow, HostRow, ShareRow};
+use crate::core::promotion::GroupRecord;
+use crate::core::rows::HostRow;
+use crate::core::share::{Holder, SeenRow, ShareRow, ShareWrite};
 use crate::core::store::Row;
 use crate::types::{
-    AttemptId, CommitSeq, EndpointId, FailureDomain, HostId, Renewals, RowKey, RowVersion,
+    AttemptId, CommitSeq, EndpointId, FailureDomain, GroupId, HostId, Renewals, RowKey, RowVersion,
     TableVersion, Term,
 };
 
@@ -39,17 +41,24 @@
     confirmed_version: Option<TableVersion>,
     renewals: Renewals,
     registered_seq: Option<CommitSeq>,
+    members_seen_seq: Option<CommitSeq>,
     attempt: CompactString,
 }
 
 /// Value of a row `shares/<n>`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareValue {
-    holder: HostId,
+    holder: Option<HolderValue>,
+    counter: u64,
+    attempt: CompactString,
+}
+
+/// The process that holds a share slot.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderValue {
+    host: HostId,
     incarnation: CompactString,
     address: CompactString,
-    renewals: Renewals,
-    attempt: CompactString,
 }
 
 /// Value of a row `groups/<group>`.
@@ -75,36 +84,36 @@
             confirmed_version: row.confirmed,
             renewals: row.renewals,
             registered_seq: row.registered,
+            members_seen_seq: row.members_seen,
             attempt: format_compact!("{}", row.attempt),
         };
         (key_of(row.host.as_str()), to_json(&value))
     }
 }
 
-impl From<&ShareRow> for JsonRow {
-    fn from(row: &ShareRow) -> Self {
-        let value = ShareValue {
-            holder: row.holder.clone(),
-            incarnation: format_compact!("{}", row.incarnation),
-            address: format_compact!("{}", row.address),
-            renewals: row.renewals,
-            attempt: format_compact!("{}", row.attempt),
-        };
-        (key_of(&row.slot.to_string()), to_json(&value))
+impl From<&ShareWrite> for JsonRow {
+    fn from(write: &ShareWrite) -> Self {
+        let holder = write.row.holder.as_ref().map(|holder| HolderValue {
+            host: holder.host.clone(),
+            incarnation: format_compact!("{}", holder.incarnation),
+            address: format_compact!("{}", holder.address),
+        });
+        let attempt = format_compact!("{}", write.row.attempt);
+        let value = ShareValue { holder, counter: write.row.counter, attempt };
+        (key_of(&write.slot.to_string()), to_json(&value))
     }
 }
 
-impl From<&GroupRow> for JsonRow {
-    fn from(row: &GroupRow) -> Self {
-        let value = GroupValue {
-            term: row.term,
-            primary: row.primary.clone(),
-            start: format_compact!("{}", row.start),
-            attempt: format_compact!("{}", row.attempt),
-            phase: format_compact!("{}", row.phase),
-        };
-        (key_of(row.group.as_str()), to_json(&value))
-    }
+/// The row `groups/<group>`.
+pub fn group_row(group: &GroupId, record: &GroupRecord) -> JsonRow {
+    let value = GroupValue {
+        term: record.term,
+        primary: record.primary.clone(),
+        start: format_compact!("{}", record.start),
+        attempt: format_compact!("{}", record.attempt),
+        phase: format_compact!("{}", record.phase),
+    };
+    (key_of(group.as_str()), to_json(&value))
 }
 
 impl TryFrom<&Row<Value>> for HostRow {
@@ -121,34 +130,37 @@
             confirmed: value.confirmed_version,
             renewals: value.renewals,
             registered: value.registered_seq,
+            members_seen: value.members_seen_seq,
             attempt: member(row, "attempt", &value.attempt)?,
         })
     }
 }
 
-impl TryFrom<&Row<Value>> for ShareRow {
+impl TryFrom<&Row<Value>> for SeenRow {
     type Error = RowFault;
 
     fn try_from(row: &Row<Value>) -> Result<Self, RowFault> {
         let value: ShareValue = from_json(row)?;
-        Ok(Self {
-            slot: member(row, "key", row.key.as_str())?,
-            holder: value.holder,
-            incarnation: member(row, "incarnation", &value.incarnation)?,
-            address: member(row, "address", &value.address)?,
-            renewals: value.renewals,
-            attempt: member(row, "attempt", &value.attempt)?,
-        })
+        let holder = match &value.holder {
+            None => None,
+            Some(holder) => Some(Holder {
+                host: holder.host.clone(),
+                incarnation: member(row, "incarnation", &holder.incarnation)?,
+                address: member(row, "address", &holder.address)?,
+            }),
+        };
+        let attempt = member(row, "attempt", &value.attempt)?;
+        let content = ShareRow { holder, counter: value.counter, attempt };
+        Ok(Self { slot: member(row, "key", row.key.as_str())?, version: row.version, row: content })
     }
 }
 
-impl TryFrom<&Row<Value>> for GroupRow {
+impl TryFrom<&Row<Value>> for GroupRecord {
     type Error = RowFault;
 
     fn try_from(row: &Row<Value>) -> Result<Self, RowFault> {
         let value: GroupValue = from_json(row)?;
         Ok(Self {
-            group: member(row, "key", row.key.as_str())?,
             term: value.term,
             primary: value.primary,
             start: member(row, "start", &value.start)?,
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -106,6 +106,7 @@
         confirmed: None,
         renewals: Renewals(0),
         registered: None,
+        members_seen: None,
         attempt: AttemptId(u64::MAX),
     };
     JsonRow::from(&row).1
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,4 +1,6 @@
 //! The platform emulator as a process, and short forms of the types that tests write often.
+// Each test file uses a part of this module.
+#![allow(dead_code)]
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
