Judge the platform's link and resolve lost answers of writes

Cause: an answer of the platform can be lost after the write took effect; repeating or giving up blindly is wrong.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,11 +2,13 @@
 
 pub mod acceptance;
 pub mod broker;
+pub mod cas;
 pub mod classify;
 pub mod group;
 pub mod host;
 pub mod life;
 pub mod limit;
+pub mod link;
 pub mod promotion;
 pub mod queue;
 pub mod rows;
--- a/src/net/platform/actor.rs
+++ b/src/net/platform/actor.rs
@@ -2,12 +2,14 @@
 
 use std::collections::BTreeMap;
 
+use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
-use stakker::{fwd_to, PipedThread, Ret, CX};
+use stakker::{fwd_to, Core, Fwd, PipedThread, Ret, CX};
 
 use super::client::{PlatformClient, PlatformSettings};
+use crate::core::link::{Link, LinkState};
 use crate::core::store::{Answer, Call, CallError};
-use crate::types::CallId;
+use crate::types::{CallId, Timestamp};
 
 /// Calls that may wait for the worker thread; more are refused as not sent. With a call limit of
 /// 1 s a longer queue would only hold calls whose answer nobody waits for any more.
@@ -33,13 +35,28 @@
 /// Owns the worker thread, which owns the HTTP client and makes one call at a time, in order.
 pub struct PlatformActor {
     thread: PipedThread<Job, Done>,
-    waiting: BTreeMap<CallId, Ret<CallResult>>,
+    waiting: BTreeMap<CallId, Waiting>,
     next: CallId,
+    link: Link,
+    changes: Fwd<LinkState>,
+    rng: ChaCha8Rng,
+}
+
+/// A call without a result yet.
+struct Waiting {
+    sent: Timestamp,
+    ret: Ret<CallResult>,
 }
 
 impl PlatformActor {
-    /// Starts the worker thread. The actor fails if the thread ends.
-    pub fn init(cx: CX![], settings: PlatformSettings) -> Option<Self> {
+    /// Starts the worker thread. `changes` gets each change of the link's state, which is suspect
+    /// at first; `rng` draws the delays of repeated calls. The actor fails if the thread ends.
+    pub fn init(
+        cx: CX![],
+        settings: PlatformSettings,
+        changes: Fwd<LinkState>,
+        rng: ChaCha8Rng,
+    ) -> Option<Self> {
         let done = fwd_to!([cx], on_done() as (Done));
         let ended = fwd_to!([cx], on_end() as (Option<String>));
         let thread = PipedThread::spawn(done, ended, cx, move |link| {
@@ -51,33 +68,51 @@
                 }
             }
         });
-        Some(Self { thread, waiting: BTreeMap::new(), next: CallId(0) })
+        let link = Link::new(timestamp(cx));
+        Some(Self { thread, waiting: BTreeMap::new(), next: CallId(0), link, changes, rng })
     }
 
     /// Makes a call; `ret` gets its result. The time of this message is before the call is sent,
     /// so it may stand for the send time where an answer proves something about that time.
-    pub fn call(&mut self, _: CX![], call: Call<Value>, ret: Ret<CallResult>) {
+    pub fn call(&mut self, cx: CX![], call: Call<Value>, ret: Ret<CallResult>) {
         if self.waiting.len() >= MAX_WAITING {
             ret.ret(Err(CallError::NotSent("too many calls wait for the platform".into())));
             return;
         }
         let id = self.next;
         self.next = CallId(id.0 + 1);
-        self.waiting.insert(id, ret);
+        self.waiting.insert(id, Waiting { sent: timestamp(cx), ret });
         self.thread.send(Job { id, call });
     }
 
-    fn on_done(&mut self, _: CX![], done: Done) {
-        if let Some(ret) = self.waiting.remove(&done.id) {
-            ret.ret(done.result);
+    /// Random numbers for the delays of repeated calls.
+    pub(super) fn rng(&mut self) -> &mut ChaCha8Rng {
+        &mut self.rng
+    }
+
+    fn on_done(&mut self, cx: CX![], done: Done) {
+        let Some(Waiting { sent, ret }) = self.waiting.remove(&done.id) else { return };
+        let answered = done.result.as_ref().map_or_else(CallError::reached, |_| true);
+        if let Some(state) = self.link.on_result(sent, timestamp(cx), answered) {
+            tracing::info!("platform: link is {state:?}");
+            self.changes.fwd(state);
         }
+        ret.ret(done.result);
     }
 
     fn on_end(&mut self, cx: CX![], panic: Option<String>) {
         let reason = panic.unwrap_or_else(|| "ended".into());
-        for ret in std::mem::take(&mut self.waiting).into_values() {
-            ret.ret(Err(CallError::NoAnswer("worker thread ended".into())));
+        for waiting in std::mem::take(&mut self.waiting).into_values() {
+            waiting.ret.ret(Err(CallError::NoAnswer("worker thread ended".into())));
         }
         cx.fail_string(format!("platform: worker thread ended: {reason}"));
     }
 }
+
+/// The runtime's clock as time since the runtime started.
+fn timestamp(core: &Core) -> Timestamp {
+    let running = core.now().saturating_duration_since(core.start_instant());
+    Timestamp(
+        u64::try_from(running.as_micros()).expect("the clock runs for less than 500,000 years"),
+    )
+}
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -5,6 +5,8 @@
 
 mod actor;
 mod client;
+mod swap;
 
 pub use actor::{CallResult, PlatformActor};
 pub use client::{PlatformClient, PlatformSettings};
+pub use swap::{SwapRequest, SwapRun};
