Give up silent endpoints and primaries of earlier terms

Cause: a frozen or cut-off primary closes no connection, so a write that ran on it waited for ever: two cases of tests/failover.rs were still running after 60 s. A host also took callers before its share slots could be used, so a request with a deadline of 800 ms was refused with 53400. Change: core/broker/silence.rs closes the connections of an endpoint that was asked and sent nothing for 2,000 ms, and after a promotion those that run requests on a primary of an earlier term; the callers are told outcome_unknown. A host accepts callers once a share slot is usable.

--- a/src/core/broker/connection.rs
+++ b/src/core/broker/connection.rs
@@ -90,6 +90,7 @@
         let address = member.spec.address;
         self.connections.insert(id, connection);
         let endpoint = endpoint.clone();
+        self.note_asked(now, group_id, &endpoint);
         self.out.push(BrokerEffect::Connect { connection: id, endpoint, address });
     }
 
--- a/src/core/broker/dispatch.rs
+++ b/src/core/broker/dispatch.rs
@@ -43,6 +43,7 @@
                     if let Some(connection) = self.connections.get_mut(&id) {
                         connection.start(ConnectionJob::Order(order.clone()), now);
                         self.out.push(BrokerEffect::Order(id, order));
+                        self.note_asked(now, group_id, &endpoint);
                     }
                 }
                 None => {
@@ -225,10 +226,15 @@
     pub(super) fn probe(&mut self, now: Timestamp, group_id: &GroupId) {
         let Some(group) = self.groups.get_mut(group_id) else { return };
         for endpoint in group.view.due_probes(now) {
-            let Some(id) = self.free_connection(group_id, &endpoint) else { continue };
+            let Some(id) = self.free_connection(group_id, &endpoint) else {
+                // Busy with requests: another connection shows whether the endpoint answers.
+                self.connect_if_allowed(now, group_id, &endpoint, true);
+                continue;
+            };
             if let Some(connection) = self.connections.get_mut(&id) {
                 connection.start(ConnectionJob::Probe, now);
                 self.out.push(BrokerEffect::Probe(id));
+                self.note_asked(now, group_id, &endpoint);
             }
         }
     }
--- a/src/core/broker/events.rs
+++ b/src/core/broker/events.rs
@@ -35,6 +35,7 @@
 impl Broker {
     /// The login on a connection is complete.
     pub fn on_ready(&mut self, now: Timestamp, id: ConnectionId) {
+        self.note_heard(now, id);
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.state = ConnectionState::Idle;
         let (group_id, endpoint) = (connection.group.clone(), connection.endpoint.clone());
@@ -60,6 +61,7 @@
         status: EndpointStatus,
         probe_sent: Option<Timestamp>,
     ) {
+        self.note_heard(now, id);
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.last_status = Some(status);
         connection.status_at = now;
@@ -77,6 +79,7 @@
     /// The job of a connection ended. The status that the endpoint reported while it answered is
     /// at least as new as the job's send time.
     pub fn on_ended(&mut self, now: Timestamp, id: ConnectionId, report: JobReport) {
+        self.note_heard(now, id);
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let ConnectionState::Busy(job) =
             std::mem::replace(&mut connection.state, ConnectionState::Idle)
@@ -217,6 +220,7 @@
         let group_id = connection.group.clone();
         if let Some(group) = self.groups.get_mut(&group_id) {
             if let Some(slot) = group.endpoints.get_mut(&connection.endpoint) {
+                slot.asked = None;
                 if connection.state == ConnectionState::Connecting {
                     slot.connect_after = now + slot.backoff;
                     slot.backoff = DurationMs((slot.backoff.0 * 2).min(RECONNECT_MAX.0));
--- a/src/core/broker/group.rs
+++ b/src/core/broker/group.rs
@@ -11,7 +11,7 @@
 use crate::core::promotion::Promotion;
 use crate::core::queue::{FairQueue, QueueBounds};
 use crate::types::{
-    ConnectionId, DurationMs, EndpointId, FailureDomain, GroupId, RequestId, Timestamp,
+    ConnectionId, DurationMs, EndpointId, FailureDomain, GroupId, RequestId, Term, Timestamp,
 };
 
 /// First delay before a failed connect is repeated.
@@ -58,6 +58,10 @@
     pub connect_after: Timestamp,
     /// Delay after the next failed connect.
     pub backoff: DurationMs,
+    /// When it last sent anything.
+    pub heard: Timestamp,
+    /// When it was asked for something, if it has sent nothing since.
+    pub asked: Option<Timestamp>,
 }
 
 /// State of one group.
@@ -74,6 +78,8 @@
     pub(super) parked: Vec<RequestId>,
     pub(super) confirming: Vec<RequestId>,
     pub(super) orders: VecDeque<(EndpointId, OrderKind)>,
+    /// Highest term up to which connections to old primaries were dropped.
+    pub(super) settled_term: Term,
     pub(super) submitted: u64,
     pub(super) retried: u64,
 }
@@ -96,6 +102,7 @@
             parked: Vec::new(),
             confirming: Vec::new(),
             orders: VecDeque::new(),
+            settled_term: Term(0),
             submitted: 0,
             retried: 0,
         }
@@ -165,6 +172,8 @@
                 epoch: 0,
                 connect_after: now,
                 backoff: RECONNECT_MIN,
+                heard: now,
+                asked: None,
             };
             let slot = group.endpoints.entry(endpoint.endpoint.clone()).or_insert_with(fresh);
             slot.spec = endpoint.clone();
--- a/src/core/broker/mod.rs
+++ b/src/core/broker/mod.rs
@@ -12,6 +12,7 @@
 mod names;
 mod request;
 mod session;
+mod silence;
 
 use std::collections::BTreeMap;
 
@@ -144,6 +145,7 @@
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
         for group in groups {
             self.expire(now, &group);
+            self.drop_silent(now, &group);
             self.keep_warm(now, &group);
             self.probe(now, &group);
             self.promote(now, &group);
--- a/src/core/broker/request.rs
+++ b/src/core/broker/request.rs
@@ -221,6 +221,7 @@
 
     /// Ends what waits for durability and has it, or will never have it.
     pub(super) fn settle(&mut self, now: Timestamp, group_id: &GroupId) {
+        self.drop_old_primaries(now, group_id);
         let Some(group) = self.groups.get_mut(group_id) else { return };
         let waiting = std::mem::take(&mut group.confirming);
         let mut left = Vec::new();
--- /dev/null
+++ b/src/core/broker/silence.rs
@@ -0,0 +1,106 @@
+//! Endpoints that no longer answer, and primaries of earlier terms.
+//!
+//! A frozen or cut-off endpoint closes nothing, so requests on its connections would wait for ever.
+
+use super::connection::ConnectionJob;
+use super::{Broker, BrokerEffect, ConnectionState, LossReport};
+use crate::types::{ConnectionId, DurationMs, EndpointId, GroupId, Timestamp};
+
+/// An endpoint that was asked for something and sent nothing for this long is given up. Long
+/// enough for a paused process or a lost packet, and short enough for a failover under 3 s.
+const ENDPOINT_SILENCE: DurationMs = DurationMs(2_000);
+
+impl Broker {
+    /// Notes that an endpoint sent something over one of its connections.
+    pub(super) fn note_heard(&mut self, now: Timestamp, id: ConnectionId) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let Some(group) = self.groups.get_mut(&connection.group) else { return };
+        if let Some(slot) = group.endpoints.get_mut(&connection.endpoint) {
+            slot.heard = now;
+            slot.asked = None;
+        }
+    }
+
+    /// Notes that an answer of an endpoint is due: to a probe, an order or a connect.
+    pub(super) fn note_asked(&mut self, now: Timestamp, group: &GroupId, endpoint: &EndpointId) {
+        let Some(group) = self.groups.get_mut(group) else { return };
+        if let Some(slot) = group.endpoints.get_mut(endpoint) {
+            slot.asked.get_or_insert(now);
+        }
+    }
+
+    /// Gives up endpoints that do not answer.
+    pub(super) fn drop_silent(&mut self, now: Timestamp, group_id: &GroupId) {
+        let Some(group) = self.groups.get(group_id) else { return };
+        let silent: Vec<EndpointId> = group
+            .endpoints
+            .iter()
+            .filter(|(_, slot)| slot.asked.is_some_and(|asked| now >= asked + ENDPOINT_SILENCE))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for endpoint in silent {
+            tracing::warn!("endpoint: {endpoint} does not answer, its connections are closed");
+            self.drop_connections(now, group_id, &endpoint, |_| true);
+            if let Some(group) = self.groups.get_mut(group_id) {
+                if let Some(slot) = group.endpoints.get_mut(&endpoint) {
+                    slot.asked = None;
+                }
+            }
+        }
+    }
+
+    /// After a promotion, gives up what runs on primaries of earlier terms: nothing of it can be
+    /// acknowledged any more.
+    pub(super) fn drop_old_primaries(&mut self, now: Timestamp, group_id: &GroupId) {
+        let Some(group) = self.groups.get_mut(group_id) else { return };
+        let term = group.view.term();
+        if group.view.primary().is_none() || group.settled_term >= term {
+            return;
+        }
+        group.settled_term = term;
+        let endpoints: Vec<EndpointId> = group.endpoints.keys().cloned().collect();
+        for endpoint in endpoints {
+            self.drop_connections(now, group_id, &endpoint, |connection| {
+                let runs =
+                    matches!(connection.state, ConnectionState::Busy(ConnectionJob::Request(_)));
+                let old = |status: crate::core::group::EndpointStatus| {
+                    status.term < term && status.role == crate::core::group::Role::Primary
+                };
+                (runs || connection.pinned.is_some()) && connection.last_status.is_some_and(old)
+            });
+        }
+    }
+
+    fn drop_connections(
+        &mut self,
+        now: Timestamp,
+        group: &GroupId,
+        endpoint: &EndpointId,
+        chosen: impl Fn(&super::Connection) -> bool,
+    ) {
+        let found: Vec<ConnectionId> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| connection.group == *group)
+            .filter(|(_, connection)| connection.endpoint == *endpoint && chosen(connection))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in found {
+            self.out.push(BrokerEffect::Close(id));
+            // Whether bytes of the answer were passed on is not known here; the read is not
+            // repeated then.
+            let passed = self.passes_at_once(id);
+            self.on_lost(now, id, &LossReport { refused: None, passed });
+        }
+    }
+
+    fn passes_at_once(&self, id: ConnectionId) -> bool {
+        let Some(connection) = self.connections.get(&id) else { return false };
+        match connection.state {
+            ConnectionState::Busy(ConnectionJob::Request(request)) => {
+                self.requests.get(&request).is_some_and(|request| !request.hold)
+            }
+            _ => false,
+        }
+    }
+}
--- a/src/core/host/mod.rs
+++ b/src/core/host/mod.rs
@@ -159,7 +159,8 @@
             return;
         }
         let read = *self.tables_read.get_or_insert(now);
-        if !self.keeper.in_use().is_empty() || now >= read + SHARES_LIMIT {
+        let usable = self.keeper.in_use().iter().any(|slot| slot.usable(now));
+        if usable || now >= read + SHARES_LIMIT {
             self.life_event(now, LifeEvent::Ready);
         }
     }
