Report the present status before every ReadyForQuery of the emulated endpoint

Cause: a Sync without a statement, and the end of the login, were answered with a status up to 2 ms old, so that a probe could take older data for fresh. A repeated fence order of the term that a replica is about to follow stopped its replication. Change: a session asks for the status before ReadyForQuery; the guard above_term compares with the followed term too. The promotion test now reads the answer to its follow order before it lifts the cut: the rewind rightly closes that connection too, and the client library reports a closed connection before an answer that it has already received. Conclusion: every ReadyForQuery follows a status that is not older than the message it answers.

--- a/src/emulator/endpoint/connection.rs
+++ b/src/emulator/endpoint/connection.rs
@@ -210,14 +210,10 @@
 
     fn message(&mut self, cx: CX![], message: PgWireFrontendMessage) {
         match (self.phase.state(), message) {
-            (Phase::Ready, message) => match self.session.on_message(message) {
-                Step::Continue => (),
-                Step::Ask(request) => {
-                    self.waiting = true;
-                    call!([self.server], request(self.id, request));
-                }
-                Step::Close => self.close(cx),
-            },
+            (Phase::Ready, message) => {
+                let step = self.session.on_message(message);
+                self.step(cx, step);
+            }
             (Phase::Negotiating, PgWireFrontendMessage::SslNegotiation(message)) => match message {
                 SslNegotiationMetaMessage::None => {
                     self.context.awaiting_frontend_ssl = false;
@@ -249,6 +245,17 @@
         }
     }
 
+    fn step(&mut self, cx: CX![], step: Step) {
+        match step {
+            Step::Continue => (),
+            Step::Ask(request) => {
+                self.waiting = true;
+                call!([self.server], request(self.id, request));
+            }
+            Step::Close => self.close(cx),
+        }
+    }
+
     fn parameter(&self, name: &str) -> Option<&String> {
         self.startup.as_ref().and_then(|startup| startup.parameters.get(name))
     }
@@ -303,8 +310,8 @@
         let secret = SecretKey::I32(admission.secret);
         let key = BackendKeyData::new(self.id.0 as i32, secret);
         put(out, PgWireBackendMessage::BackendKeyData(key));
-        self.session.ready();
-        self.pump(cx);
+        let step = self.session.ready();
+        self.step(cx, step);
     }
 
     fn finish(&mut self, cx: CX![], delivery: Delivery) {
--- a/src/emulator/endpoint/database.rs
+++ b/src/emulator/endpoint/database.rs
@@ -189,8 +189,8 @@
         }
         match statement {
             Statement::Begin(read_only) => {
+                backend.read_only |= *read_only;
                 backend.explicit = true;
-                backend.read_only = *read_only;
                 Ok(Outcome::tag("BEGIN"))
             }
             Statement::Commit if backend.failed => {
--- a/src/emulator/endpoint/member.rs
+++ b/src/emulator/endpoint/member.rs
@@ -301,7 +301,9 @@
     }
 
     fn fire(&mut self, event: RoleEvent, term: Term) -> Option<Vec<RoleAction>> {
-        let above = term > self.term;
+        // A replica that has not yet reached the primary it follows still has an older term.
+        let followed = self.leader.as_ref().map_or(self.term, |(followed, _)| *followed);
+        let above = term > self.term.max(followed);
         let before = self.before_crash;
         let step = self.machine.fire(event, |guard| match guard {
             RoleGuard::AboveTerm => above,
--- a/src/emulator/endpoint/server/clients.rs
+++ b/src/emulator/endpoint/server/clients.rs
@@ -64,6 +64,7 @@
 
     /// A connection asks something of the database.
     pub fn request(&mut self, cx: CX![], id: ConnectionId, request: Request) {
+        self.refresh(cx);
         let Some(backend) = self.backends.get_mut(&id) else { return };
         match request {
             Request::Describe(statement, declared) => {
@@ -73,6 +74,7 @@
                 }
             }
             Request::Fail(error) => self.fail(id, error),
+            Request::Report => self.reply(id, Reply::Report),
             Request::Run(statements) => {
                 if statements.iter().any(|bound| bound.statement.takes_slot()) {
                     self.submit(cx, id, statements);
--- a/src/emulator/endpoint/session.rs
+++ b/src/emulator/endpoint/session.rs
@@ -35,6 +35,8 @@
     Run(Vec<Bound>),
     /// A message failed before it reached the database.
     Fail(SqlError),
+    /// The present status, to be sent before ReadyForQuery.
+    Report,
 }
 
 /// Answer to a [`Request`].
@@ -44,6 +46,8 @@
     Shape(Shape),
     /// Results up to the first error.
     Results(Vec<Outcome>, Option<SqlError>),
+    /// The status that came with the reply is the present one.
+    Report,
 }
 
 /// The group status at one time; a higher sequence is newer.
@@ -83,6 +87,7 @@
 #[derive(Debug)]
 enum Pending {
     Nothing,
+    Ready,
     Simple,
     Parse(String, Rc<Statement>),
     Execute(String, usize),
@@ -131,10 +136,11 @@
         }
     }
 
-    /// Sends status and ReadyForQuery.
-    pub fn ready(&mut self) {
-        self.put_report();
-        put_ready(&mut self.out, self.state);
+    /// Sends ReadyForQuery as soon as the present status is known. A status that is older than the
+    /// client's message would let a client take data for fresher than it is.
+    pub fn ready(&mut self) -> Step {
+        self.pending = Pending::Ready;
+        Step::Ask(Request::Report)
     }
 
     /// Handles one message from the client.
@@ -156,8 +162,7 @@
             PgWireFrontendMessage::Close(close) => Ok(self.close(&close)),
             PgWireFrontendMessage::Sync(_) => {
                 self.skipping = false;
-                self.ready();
-                Ok(Step::Continue)
+                Ok(self.ready())
             }
             PgWireFrontendMessage::Flush(_) => Ok(Step::Continue),
             PgWireFrontendMessage::Terminate(_) => Ok(Step::Close),
@@ -179,8 +184,9 @@
                 if let Some(error) = sent.err().or(error) {
                     put_error(&mut self.out, &error);
                 }
-                self.ready();
+                self.put_ready();
             }
+            (Pending::Ready, Reply::Report) => self.put_ready(),
             (Pending::Parse(name, statement), Reply::Shape(shape)) => {
                 let statement = Some(statement);
                 self.statements.insert(name, Prepared { statement, shape });
@@ -197,10 +203,15 @@
                 put_error(&mut self.out, &error);
                 self.skipping = true;
             }
-            (_, Reply::Shape(_) | Reply::Results(_, None)) => (),
+            (_, Reply::Shape(_) | Reply::Results(_, None) | Reply::Report) => (),
         }
     }
 
+    fn put_ready(&mut self) {
+        self.put_report();
+        put_ready(&mut self.out, self.state);
+    }
+
     fn put_report(&mut self) {
         self.reported = self.report.sequence;
         put_parameter(&mut self.out, GROUP_STATUS, &self.report.text);
@@ -221,10 +232,8 @@
         self.pending = Pending::Simple;
         let statements = parse(sql)?;
         if statements.is_empty() {
-            self.pending = Pending::Nothing;
             put_empty(&mut self.out);
-            self.ready();
-            return Ok(Step::Continue);
+            return Ok(self.ready());
         }
         let bound = statements.into_iter().map(|statement| Bound {
             statement: Rc::new(statement),
--- a/tests/emulated_endpoint.rs
+++ b/tests/emulated_endpoint.rs
@@ -228,3 +228,10 @@
     endpoint.control(json!({"op": "set", "service_time_us": 150}));
     endpoint.connect().batch_execute("SELECT 1").expect("runs");
 }
+
+/// Guards against a signal that kills the process, or that the event loop does not see.
+#[test]
+fn sigterm_ends_the_process_in_order() {
+    let (mut endpoint, _client) = with_accounts(&[]);
+    assert_eq!(endpoint.terminate(), Some(0));
+}
--- a/tests/emulated_group.rs
+++ b/tests/emulated_group.rs
@@ -89,9 +89,10 @@
     let follow = format!("SELECT group_follow('2', '{}')", b.postgres);
     order(&mut to_c, &follow);
     b.wait_field("confirmed", "2:3");
-    a.control(json!({"op": "cut_replication", "members": []}));
+    // The cut stays until the answer is read: the rewind closes this connection too.
     let before = order(&mut to_a, &follow);
     assert!(before.starts_with("term=1 role=replica position=1:3"), "{before}");
+    a.control(json!({"op": "cut_replication", "members": []}));
     a.wait_field("confirmed", "2:3");
     client.simple_query("SELECT 1").expect_err("the rewind closes connections");
     write(&mut to_b, "new");
--- a/tests/support/endpoint.rs
+++ b/tests/support/endpoint.rs
@@ -113,6 +113,13 @@
         with.map(|entry| entry["position"].as_str().expect("a text").to_owned()).collect()
     }
 
+    /// Sends SIGTERM and waits for the exit code.
+    pub fn terminate(&mut self) -> Option<i32> {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("it is running");
+        self.child.wait().expect("it ends").code()
+    }
+
     /// Waits for a condition; the pause between two looks is a read that times out.
     pub fn wait_until(&mut self, what: &str, mut holds: impl FnMut(&mut Self) -> bool) {
         for _ in 0..LOOKS {
