Close gaps in the tests of the emulated endpoint

Cause: with single mechanisms removed, the tests of rewind, of writes on a replica, of partitions and of freezing still passed, and the test of SIGTERM did not end. Change: the rewound table has a primary key, so a row that is left over shows; a write in a transaction on a replica and a commit after a fence are refused by name; a partition and a freeze are watched for 50 ms; a running statement is frozen too; the wait for the end of a process has a limit.

--- a/tests/emulated_group.rs
+++ b/tests/emulated_group.rs
@@ -12,6 +12,9 @@
 use serde_json::{json, Value};
 use yare::parameterized;
 
+/// Time in which an endpoint that is cut off would have done what it must not do.
+const SILENCE: Duration = Duration::from_millis(50);
+
 fn state(error: &postgres::Error) -> String {
     error.code().map(|code| code.code().to_owned()).unwrap_or_default()
 }
@@ -27,7 +30,9 @@
 fn group_with_table(arguments: &[&str]) -> ([Endpoint; 3], Client) {
     let mut group = group(arguments);
     let mut client = group[0].connect();
-    client.batch_execute("CREATE TABLE note (text text)").expect("the table is created");
+    client
+        .batch_execute("CREATE TABLE note (text text PRIMARY KEY)")
+        .expect("the table is created");
     for member in &mut group {
         member.wait_field("confirmed", "1:1");
     }
@@ -46,6 +51,8 @@
         assert_eq!(row.get::<_, &str>(0), "first");
         let error = reader.execute("DELETE FROM note", &[]).expect_err("no primary");
         assert_eq!(state(&error), "25006");
+        let error = reader.batch_execute("BEGIN; DELETE FROM note").expect_err("no primary");
+        assert_eq!(state(&error), "25006");
         assert_eq!(replica.entries_with("first"), ["1:2"]);
     }
     assert_eq!(c.status(), "term=1 role=replica position=1:2 confirmed=1:2 fenced=1");
@@ -78,12 +85,16 @@
     a.control(json!({"op": "cut_replication", "members": ["b", "c"]}));
     write(&mut client, "gone");
     assert_eq!(a.field("confirmed"), "1:2");
+    let mut open = a.connect();
+    open.batch_execute("BEGIN; INSERT INTO note (text) VALUES ('open')").expect("still primary");
     let (mut to_b, mut to_c, mut to_a) = (b.connect(), c.connect(), a.connect());
     for client in [&mut to_b, &mut to_c, &mut to_a] {
         assert!(order(client, "SELECT group_fence('2')").ends_with("fenced=2"));
     }
     let error = client.execute("DELETE FROM note", &[]).expect_err("the primary is fenced");
     assert_eq!(state(&error), "25006");
+    let error = open.batch_execute("COMMIT").expect_err("the primary is fenced");
+    assert_eq!(state(&error), "25006");
     let promoted = order(&mut to_b, "SELECT group_promote('2')");
     assert_eq!(promoted, "term=2 role=primary position=2:3 confirmed=1:2 fenced=2");
     let follow = format!("SELECT group_follow('2', '{}')", b.postgres);
@@ -157,6 +168,8 @@
     let error = raw.read(&mut [0; 1]).expect_err("no answer");
     assert_eq!(error.kind(), ErrorKind::WouldBlock);
     let writer = std::thread::spawn(move || write(&mut client, "thawed"));
+    a.idle(SILENCE);
+    assert_eq!(a.entries_with("thawed"), [""; 0]);
     a.control(json!({"op": "thaw"}));
     raw.set_read_timeout(None).expect("a timeout can be set");
     let mut answer = [0; 1];
@@ -172,10 +185,11 @@
     let ([mut a, mut b, _c], mut client) = group_with_table(&[]);
     a.control(json!({"op": "partition", "peers": ["b", "c", "far"]}));
     write(&mut client, "cut");
-    assert_eq!(a.field("confirmed"), "1:1");
     let url = format!("postgres://proxy:proxy-password@{}/t?application_name=far", a.postgres);
     let far = std::thread::spawn(move || Client::connect(&url, postgres::NoTls).map(drop));
-    a.wait_until("it is held", |a| a.count("connections_admitted") == 1);
+    a.idle(SILENCE);
+    assert_eq!((a.field("confirmed"), b.field("position")), ("1:1".into(), "1:1".into()));
+    assert_eq!(a.count("connections_admitted"), 1);
     a.control(json!({"op": "partition", "peers": []}));
     far.join().expect("the thread ends").expect("the login goes through");
     b.wait_field("confirmed", "1:2");
@@ -230,3 +244,19 @@
     b.wait_field("position", "1:2");
     drop(a);
 }
+
+/// Guards against a statement that takes its effect while the endpoint is frozen.
+#[test]
+fn a_running_statement_freezes_too() {
+    let ([mut a, _b, _c], mut client) = group_with_table(&[]);
+    a.control(json!({"op": "set", "service_time_us": 1_000_000}));
+    let sql = "INSERT INTO note (text) VALUES ('slow')";
+    let writer = std::thread::spawn(move || client.batch_execute(sql));
+    a.wait_until("it runs", |a| a.count("slots_running") == 1);
+    a.control(json!({"op": "freeze"}));
+    a.idle(Duration::from_millis(1_100));
+    assert_eq!(a.entries_with("slow"), [""; 0]);
+    a.control(json!({"op": "thaw"}));
+    writer.join().expect("the thread ends").expect("the write goes through");
+    assert_eq!(a.entries_with("slow"), ["1:2"]);
+}
--- a/tests/support/endpoint.rs
+++ b/tests/support/endpoint.rs
@@ -113,26 +113,37 @@
         with.map(|entry| entry["position"].as_str().expect("a text").to_owned()).collect()
     }
 
-    /// Sends SIGTERM and waits for the exit code.
+    /// Sends SIGTERM and waits for the exit code, which is `None` after a kill by the signal.
     pub fn terminate(&mut self) -> Option<i32> {
         let pid = rustix::process::Pid::from_child(&self.child);
         rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("it is running");
+        let control = self.control.get_ref();
+        control.set_read_timeout(Some(ANSWER_TIMEOUT)).expect("a timeout can be set");
+        let read = self.control.get_mut().read(&mut [0; 1]);
+        assert!(!read.is_err_and(|e| e.kind() == ErrorKind::WouldBlock), "it does not end");
         self.child.wait().expect("it ends").code()
     }
 
+    /// Lets time pass, by a read that times out.
+    pub fn idle(&mut self, time: Duration) {
+        let set_timeout = |endpoint: &Self, time| {
+            let stream = endpoint.control.get_ref();
+            stream.set_read_timeout(Some(time)).expect("a timeout can be set");
+        };
+        set_timeout(self, time);
+        let read = self.control.get_mut().read(&mut [0; 1]);
+        let timed_out = read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
+        assert!(timed_out, "the control port sent something unasked");
+        set_timeout(self, ANSWER_TIMEOUT);
+    }
+
     /// Waits for a condition; the pause between two looks is a read that times out.
     pub fn wait_until(&mut self, what: &str, mut holds: impl FnMut(&mut Self) -> bool) {
         for _ in 0..LOOKS {
             if holds(self) {
                 return;
             }
-            let idle = self.control.get_ref();
-            idle.set_read_timeout(Some(LOOK_INTERVAL)).expect("a timeout can be set");
-            let read = self.control.get_mut().read(&mut [0; 1]);
-            let timed_out = read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
-            assert!(timed_out, "the control port sent something unasked");
-            let idle = self.control.get_ref();
-            idle.set_read_timeout(Some(ANSWER_TIMEOUT)).expect("a timeout can be set");
+            self.idle(LOOK_INTERVAL);
         }
         let status = self.status();
         panic!("{}: {what} did not become true, status {status}", self.id);
