Test single rules of the group view and the promotion

Change: focused tests of view and promotion; an endpoint counts as answering only if it was heard within less than 1,000 ms; histories now also split hosts and endpoints into two sides.

--- a/src/core/group/anchor.rs
+++ b/src/core/group/anchor.rs
@@ -36,8 +36,8 @@
 impl Anchors {
     /// Takes the answer to a probe sent at `sent`; `majority` is the size of a majority.
     ///
-    /// An endpoint that is fenced to a higher term may already have taken part in a promotion, so
-    /// that its answer proves nothing although it still reports the old term.
+    /// An endpoint that is fenced to a higher term may already have taken part in a promotion
+    /// although it still reports the old term, so that its answer does not count.
     pub fn on_answer(
         &mut self,
         sent: Timestamp,
--- a/src/core/group/mod.rs
+++ b/src/core/group/mod.rs
@@ -221,9 +221,9 @@
         self.members.len() / 2 + 1
     }
 
-    /// Endpoints that said something at or after `since`.
+    /// Number of endpoints that said something after `since`.
     pub fn answering(&self, since: Timestamp) -> usize {
-        let heard = |member: &&Member| member.heard.is_some_and(|heard| heard >= since);
+        let heard = |member: &&Member| member.heard.is_some_and(|heard| heard > since);
         self.members.values().filter(heard).count()
     }
 
--- a/tests/group_model/fault.rs
+++ b/tests/group_model/fault.rs
@@ -16,7 +16,7 @@
         self.later(delay, Event::Fault);
         let host = self.rng.random_range(0..self.hosts.len());
         let endpoint = self.target();
-        match self.rng.random_range(0..15) {
+        match self.rng.random_range(0..17) {
             0 | 1 => self.cut_link(endpoint, ENDPOINTS + host),
             2 | 3 => self.cut_link(endpoint, (endpoint + 1) % ENDPOINTS),
             4 | 5 => self.isolate(endpoint, ENDPOINTS + self.hosts.len()),
@@ -28,6 +28,7 @@
                 self.hosts[host].paused_until = (self.now + pause).min(self.options.faults_until);
             }
             10 => self.replace_host(host),
+            14 | 15 => self.split(endpoint),
             11 => self.isolate_from_some(endpoint, ENDPOINTS),
             13 => self.store.slow = !self.store.slow,
             12 => self.store.down = !self.store.down,
@@ -52,6 +53,17 @@
         }
     }
 
+    /// Cuts an endpoint and half of the hosts off from the other endpoints and hosts.
+    fn split(&mut self, endpoint: usize) {
+        self.isolate_from_some(endpoint, ENDPOINTS);
+        let half = self.hosts.len() / 2;
+        for other in (0..ENDPOINTS).filter(|other| *other != endpoint) {
+            for host in half..self.hosts.len() {
+                self.cut_link(other, ENDPOINTS + host);
+            }
+        }
+    }
+
     pub(super) fn on_heal(&mut self) {
         self.mend();
         self.store.down = false;
--- /dev/null
+++ b/tests/promotion.rs
@@ -0,0 +1,326 @@
+//! Single rules of the promotion procedure.
+
+use medlarstile::chart::Names;
+use medlarstile::core::group::{EndpointStatus, GroupView, MemberSpec};
+use medlarstile::core::promotion::{
+    stagger, GroupRecord, Phase, Promotion, PromotionChart, PromotionEffect, ReadFault, State,
+    SwapFault, CHART_TEXT,
+};
+use medlarstile::types::{AttemptId, DurationMs, EndpointId, HostId, RowVersion, Term, Timestamp};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use yare::parameterized;
+
+const PRIMARY: &str = "term=3 role=primary position=3:10 confirmed=3:10 fenced=3";
+const REPLICA: &str = "term=3 role=replica position=3:10 confirmed=3:10 fenced=3";
+const FENCED: &str = "term=3 role=replica position=3:10 confirmed=3:10 fenced=4";
+
+fn id(text: &str) -> EndpointId {
+    text.parse().expect("an identifier")
+}
+
+fn status(text: &str) -> EndpointStatus {
+    text.parse().expect("a status")
+}
+
+fn old_record() -> GroupRecord {
+    let (attempt, start) = (AttemptId(1), "2:5".parse().expect("a position"));
+    let (term, primary, phase) = (Term(3), Some(id("a")), Phase::Promoted);
+    GroupRecord { term, primary, start, attempt, phase }
+}
+
+/// One host with its view, at a time in ms that the tests advance.
+struct Host {
+    ms: u64,
+    view: GroupView,
+    promotion: Promotion,
+}
+
+impl Host {
+    fn new() -> Self {
+        let member = |e| MemberSpec { endpoint: id(e), failure_domain: "x".parse().expect("id") };
+        let members = ["a", "b", "c"].map(member).to_vec();
+        let view = GroupView::new("g".parse().expect("an identifier"), members);
+        let host = "h".parse().expect("an identifier");
+        Self { ms: 0, view, promotion: Promotion::new(host, ChaCha8Rng::seed_from_u64(1)) }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp(self.ms * 1_000)
+    }
+
+    fn say(&mut self, endpoint: &str, text: &str) {
+        self.view.on_status(self.now(), &id(endpoint), status(text), None);
+    }
+
+    fn tick(&mut self) -> Vec<PromotionEffect> {
+        let now = self.now();
+        let effects = self.promotion.tick(now, &self.view);
+        self.learn();
+        effects
+    }
+
+    fn learn(&mut self) {
+        let now = self.now();
+        if let Some(record) = self.promotion.record() {
+            self.view.on_record(now, record);
+        }
+    }
+
+    fn read(&mut self, version: u64, record: Option<GroupRecord>) -> Vec<PromotionEffect> {
+        let row = record.map(|record| (RowVersion(version), record));
+        let effects = self.promotion.on_record_read(self.now(), &self.view, Ok(row));
+        self.learn();
+        effects
+    }
+
+    fn swapped(
+        &mut self,
+        record: &GroupRecord,
+        result: Result<RowVersion, SwapFault>,
+    ) -> Vec<PromotionEffect> {
+        let effects = self.promotion.on_record_swapped(self.now(), &self.view, record, result);
+        self.learn();
+        effects
+    }
+
+    /// Lets `span` ms pass in ticks of 50 ms, in which `statuses` are repeated.
+    fn pass(&mut self, span: u64, statuses: &[(&str, &str)]) -> Vec<PromotionEffect> {
+        let mut effects = Vec::new();
+        for _ in 0..span / 50 {
+            self.ms += 50;
+            statuses.iter().for_each(|(endpoint, text)| self.say(endpoint, text));
+            effects.extend(self.tick());
+        }
+        effects
+    }
+
+    /// A host that claims term 4 of version 7, because the primary is silent.
+    fn claiming() -> (Self, GroupRecord) {
+        let mut host = Self::new();
+        host.say("a", PRIMARY);
+        host.tick();
+        host.read(7, Some(old_record()));
+        host.pass(1_000, &[("b", REPLICA), ("c", REPLICA)]);
+        assert_eq!(host.promotion.state(), State::Suspecting);
+        host.read(7, Some(old_record()));
+        let effects = host.pass(50, &[("b", REPLICA), ("c", REPLICA)]);
+        let record = swap_of(&effects).expect("a claim");
+        (host, record)
+    }
+}
+
+fn swap_of(effects: &[PromotionEffect]) -> Option<GroupRecord> {
+    effects.iter().find_map(|effect| match effect {
+        PromotionEffect::SwapRecord { record, .. } => Some(record.clone()),
+        _ => None,
+    })
+}
+
+fn fences(effects: &[PromotionEffect]) -> usize {
+    effects.iter().filter(|effect| matches!(effect, PromotionEffect::Fence { .. })).count()
+}
+
+/// Guards against a chart whose names do not match the code, and against states without a way out.
+#[test]
+fn the_chart_is_valid() {
+    let chart = PromotionChart::load("group.scxml", CHART_TEXT).expect("a valid chart");
+    for (name, state) in State::NAMES {
+        let leaves = |(from, _, _, to): &(State, _, _, State)| from == state && to != state;
+        assert!(chart.transitions().iter().any(leaves), "state {name} is never left");
+    }
+}
+
+/// Guards against a promotion that skips a step or picks another endpoint than the highest.
+#[parameterized(
+    tie = { FENCED, FENCED, "b" },
+    later = { FENCED, "term=3 role=replica position=3:11 confirmed=3:10 fenced=4", "c" },
+    higher_term = { "term=2 role=replica position=2:90 confirmed=2:9 fenced=4", FENCED, "c" },
+)]
+fn a_silent_primary_is_replaced(b: &str, c: &str, chosen: &str) {
+    let (mut host, claim) = Host::claiming();
+    assert_eq!((claim.term, claim.phase), (Term(4), Phase::Fencing));
+    assert_eq!(fences(&host.swapped(&claim, Ok(RowVersion(8)))), 3);
+    let now = host.now();
+    assert!(host.promotion.on_fenced(now, &host.view, &id("b"), status(b)).is_empty());
+    let effects = host.promotion.on_fenced(now, &host.view, &id("c"), status(c));
+    let record = swap_of(&effects).expect("a promotion");
+    assert_eq!((record.phase, record.primary.clone()), (Phase::Promoted, Some(id(chosen))));
+    let orders = host.swapped(&record, Ok(RowVersion(9)));
+    let promote = PromotionEffect::Promote { endpoint: id(chosen), term: Term(4) };
+    assert!(orders.contains(&promote), "{orders:?}");
+}
+
+/// Guards against a promotion by a host that is itself cut off or was paused, and of a primary that
+/// was merely quiet for a moment.
+#[parameterized(
+    silent = { 1_000, &["b", "c"], State::Suspecting },
+    not_long = { 950, &["b", "c"], State::Idle },
+    no_majority = { 1_000, &["b"], State::Idle },
+    heard = { 1_000, &["a", "b", "c"], State::Idle },
+)]
+fn suspicion(span: u64, heard: &[&str], state: State) {
+    let mut host = Host::new();
+    host.say("a", PRIMARY);
+    host.tick();
+    host.read(7, Some(old_record()));
+    let text = |endpoint| if endpoint == "a" { PRIMARY } else { REPLICA };
+    let statuses: Vec<(&str, &str)> = heard.iter().map(|e| (*e, text(*e))).collect();
+    host.pass(span, &statuses);
+    assert_eq!(host.promotion.state(), state);
+}
+
+/// Guards against a host that takes its own pause for the primary's silence.
+#[test]
+fn a_paused_host_suspects_nobody() {
+    let mut host = Host::new();
+    host.say("a", PRIMARY);
+    host.tick();
+    host.read(7, Some(old_record()));
+    host.ms += 10_000;
+    host.pass(900, &[("b", REPLICA), ("c", REPLICA)]);
+    assert_eq!(host.promotion.state(), State::Idle);
+}
+
+/// Guards against a lost answer that is taken for success or failure, against a stale read that is
+/// believed, and against another host's claim that is taken for the own one.
+#[parameterized(
+    took_effect = { 8, true, State::Fencing },
+    taken_by_another = { 8, false, State::BackingOff },
+    no_effect_or_stale = { 7, false, State::Claiming },
+    older_than_known = { 6, false, State::Claiming },
+)]
+fn a_lost_answer_is_read_back(version: u64, own: bool, state: State) {
+    let (mut host, claim) = Host::claiming();
+    assert!(host.swapped(&claim, Err(SwapFault::Unknown)).is_empty());
+    assert_eq!(host.promotion.state(), State::Claiming);
+    let effects = host.pass(50, &[]);
+    assert!(effects.contains(&PromotionEffect::ReadRecord), "{effects:?}");
+    let other = GroupRecord { attempt: AttemptId(2), ..claim.clone() };
+    let found = match (version, own) {
+        (8, true) => claim.clone(),
+        (8, false) => other,
+        _ => old_record(),
+    };
+    let effects = host.read(version, Some(found));
+    assert_eq!(host.promotion.state(), state);
+    assert_eq!(fences(&effects) > 0, state == State::Fencing);
+    assert_eq!(swap_of(&effects), (version == 7).then_some(claim));
+}
+
+/// Guards against giving up an attempt because its repeated compare-and-set met its first try.
+#[test]
+fn a_conflict_with_the_own_first_try_is_read_back() {
+    let (mut host, claim) = Host::claiming();
+    host.swapped(&claim, Err(SwapFault::Unknown));
+    host.pass(50, &[]);
+    host.read(7, Some(old_record()));
+    host.swapped(&claim, Err(SwapFault::Conflict));
+    assert_eq!(host.promotion.state(), State::Claiming);
+    host.read(8, Some(claim));
+    assert_eq!(host.promotion.state(), State::Fencing);
+}
+
+/// Guards against two hosts that promote at the same time, and a group that waits for a dead host.
+#[parameterized(young = { 1_300, None }, abandoned = { 1_900, Some(Term(5)) })]
+fn an_abandoned_attempt_is_taken_over(span: u64, claimed: Option<Term>) {
+    let (mut host, claim) = Host::claiming();
+    host.swapped(&claim, Err(SwapFault::Conflict));
+    let other = GroupRecord { attempt: AttemptId(2), ..claim };
+    let mut found = None;
+    for _ in 0..span / 50 {
+        let effects = host.pass(50, &[("b", REPLICA), ("c", REPLICA)]);
+        found = found.or(swap_of(&effects).map(|record| record.term));
+        if effects.contains(&PromotionEffect::ReadRecord) {
+            host.read(8, Some(other.clone()));
+        }
+    }
+    assert_eq!(found, claimed);
+}
+
+/// Guards against a store outage that makes hosts retry without pause, or fence without a claim.
+#[test]
+fn without_the_platform_nothing_is_fenced() {
+    let (mut host, claim) = Host::claiming();
+    host.swapped(&claim, Err(SwapFault::Unknown));
+    let (mut reads, mut fenced) = (0, 0);
+    for _ in 0..400 {
+        let effects = host.pass(50, &[("b", REPLICA), ("c", REPLICA)]);
+        fenced += fences(&effects);
+        if effects.contains(&PromotionEffect::ReadRecord) {
+            reads += 1;
+            let now = host.now();
+            host.promotion.on_record_read(now, &host.view, Err(ReadFault));
+        }
+    }
+    assert_eq!(fenced, 0);
+    assert!((10..=30).contains(&reads), "{reads} reads in 20 s");
+}
+
+/// Guards against a stalled primary that is promoted again, and a first record that adopts a
+/// primary without a majority.
+#[test]
+fn a_stalled_primary_is_no_candidate() {
+    let stalled = "term=3 role=primary position=3:12 confirmed=3:10 fenced=3";
+    let mut host = Host::new();
+    host.say("a", PRIMARY);
+    host.tick();
+    host.read(7, Some(old_record()));
+    let statuses = [("a", stalled), ("b", REPLICA), ("c", REPLICA)];
+    host.pass(1_550, &statuses);
+    host.read(7, Some(old_record()));
+    let claim = swap_of(&host.pass(50, &statuses)).expect("a claim");
+    host.swapped(&claim, Ok(RowVersion(8)));
+    let now = host.now();
+    let fenced = status("term=3 role=primary position=3:12 confirmed=3:10 fenced=4");
+    host.promotion.on_fenced(now, &host.view, &id("a"), fenced);
+    host.promotion.on_fenced(now, &host.view, &id("b"), status(FENCED));
+    assert_eq!(host.promotion.state(), State::Fencing);
+    let effects = host.promotion.on_fenced(now, &host.view, &id("c"), status(FENCED));
+    assert_eq!(swap_of(&effects).and_then(|record| record.primary), Some(id("b")));
+}
+
+/// Guards against a first record that adopts a primary which a majority does not follow.
+#[parameterized(
+    majority = { REPLICA, Some(Term(3)) },
+    other_term = { "term=2 role=replica position=2:5 confirmed=2:5 fenced=2", None },
+)]
+fn the_first_record_adopts_the_primary(b: &str, term: Option<Term>) {
+    let mut host = Host::new();
+    host.tick();
+    host.read(0, None);
+    host.pass(50, &[("a", PRIMARY), ("b", b)]);
+    host.read(0, None);
+    let effects = host.pass(50, &[("a", PRIMARY), ("b", b)]);
+    let record = swap_of(&effects);
+    assert_eq!(record.as_ref().map(|record| record.term), term);
+    assert!(record.is_none_or(|r| r.phase == Phase::Promoted && r.primary == Some(id("a"))));
+}
+
+/// Guards against a member that missed its order and stays behind, and against orders to a member
+/// that a later attempt has fenced.
+#[parameterized(
+    lagging = { "term=2 role=replica position=2:5 confirmed=2:5 fenced=2", 1 },
+    in_line = { REPLICA, 0 },
+    fenced_higher = { "term=2 role=replica position=2:5 confirmed=2:5 fenced=4", 0 },
+)]
+fn orders_are_repeated(b: &str, orders: usize) {
+    let mut host = Host::new();
+    host.tick();
+    host.read(7, Some(old_record()));
+    let effects = host.pass(950, &[("a", PRIMARY), ("b", b), ("c", REPLICA)]);
+    let (endpoint, term, primary) = (id("b"), Term(3), id("a"));
+    let follow = PromotionEffect::Follow { endpoint, term, primary };
+    assert_eq!(effects.iter().filter(|effect| **effect == follow).count(), orders);
+}
+
+/// Guards against hosts that attempt a promotion at the same time, and a delay beyond the budget.
+#[test]
+fn attempts_are_staggered() {
+    let hosts: Vec<HostId> = (0..6).map(|n| format!("h{n}").parse().expect("an id")).collect();
+    let group = "g".parse().expect("an identifier");
+    let delay = |host| stagger(&group, Term(4), host, &hosts);
+    let mut delays: Vec<DurationMs> = hosts.iter().map(delay).collect();
+    delays.sort();
+    assert_eq!(delays, [0, 150, 300, 450, 450, 450].map(DurationMs));
+}
