Add the messages between hosts and the proof of the fleet's secret

Change: domain messages in core/peer.rs, postcard wire types with From and TryFrom in wire/peer.rs, frames with a length and a limit of 8 MiB (512 bytes before the proof), and an HMAC over the key material of one TLS connection in auth/peer.rs. Every message has a number; an answer repeats that of its question.

Conclusion: a host can read whatever arrives, and a proof holds for one connection, side and claim only.

--- a/src/auth/mod.rs
+++ b/src/auth/mod.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod key;
+mod peer;
 mod scram;
 mod secret;
 mod server;
@@ -12,6 +13,7 @@
 
 pub use client::ScramClient;
 pub use key::{generate_key, key_id};
+pub use peer::{ChannelBinding, PeerProof, ProofSide, EXPORT_LABEL};
 pub use scram::{Nonce, ScramError, MECHANISM};
 pub use secret::Secret;
 pub use server::{ScramServer, ServerStep};
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod host;
 pub mod life;
 pub mod limit;
+pub mod peer;
 pub mod promotion;
 pub mod queue;
 pub mod rows;
--- /dev/null
+++ b/src/wire/peer.rs
@@ -0,0 +1,480 @@
+//! Messages between hosts: postcard in frames with a length of four bytes.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use compact_str::CompactString;
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+
+use super::tables::read_config;
+use crate::auth::PeerProof;
+use crate::core::limit::{GrantId, TokenRequest, Transfer};
+use crate::core::peer::{Envelope, Hello, MessageNumber, PeerMessage, PeerTables};
+use crate::core::promotion::{GroupRecord, Phase};
+use crate::core::view::{Member, Snapshot, Statement};
+use crate::types::{
+    AccountId, AttemptId, CommitSeq, DurationMs, EndpointId, GroupId, IdError, Incarnation,
+    MilliTokens, Position, TableVersion, Term,
+};
+
+/// Bytes of the length in front of a message.
+const LENGTH_BYTES: usize = 4;
+
+/// Largest message. The tables are the largest content; the platform's row holds less.
+pub const MAX_MESSAGE_BYTES: usize = 1 << 23;
+
+/// Largest message before the peer has proven itself, enough for a `Hello`.
+pub const MAX_HELLO_BYTES: usize = 512;
+
+/// Why bytes are not a message.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum PeerFault {
+    /// message of {0} bytes, at most {1} are allowed
+    TooLong(usize, usize),
+    /// message is not readable: {0}
+    Encoding(postcard::Error),
+    /// message has bytes after its end
+    TrailingBytes,
+    /// {0}
+    Id(IdError),
+    /// tables are not readable: {0}
+    Tables(CompactString),
+}
+
+impl std::error::Error for PeerFault {}
+
+impl From<IdError> for PeerFault {
+    fn from(error: IdError) -> Self {
+        Self::Id(error)
+    }
+}
+
+/// A message with its number.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireEnvelope {
+    number: u64,
+    answers: Option<u64>,
+    message: WireMessage,
+}
+
+/// Content of a message. New variants go to the end: postcard numbers them in this order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WireMessage {
+    /// See [`PeerMessage::Hello`].
+    Hello(WireHello),
+    /// See [`PeerMessage::StatementRequest`].
+    StatementRequest,
+    /// See [`PeerMessage::Statement`].
+    Statement(WireStatement),
+    /// See [`PeerMessage::TablesRequest`].
+    TablesRequest,
+    /// See [`PeerMessage::Tables`].
+    Tables(WirePeerTables),
+    /// See [`PeerMessage::Announce`].
+    Announce(u64),
+    /// See [`PeerMessage::TokensRequest`].
+    TokensRequest(WireTokensRequest),
+    /// See [`PeerMessage::TokensGrant`].
+    TokensGrant(WireTokensGrant),
+    /// See [`PeerMessage::Records`].
+    Records(Vec<WireRecord>),
+}
+
+/// Who a host is, with its proof.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireHello {
+    host: CompactString,
+    incarnation: u64,
+    failure_domain: CompactString,
+    proof: [u8; 32],
+}
+
+/// One run of a host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireMember {
+    host: CompactString,
+    incarnation: u64,
+}
+
+/// Which version a host holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireStatement {
+    member: WireMember,
+    version: Option<u64>,
+    age_ms: Option<u64>,
+}
+
+/// Tables and members; the tables as the JSON text of `config/current`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WirePeerTables {
+    commit_seq: u64,
+    text: String,
+    members: Vec<WireMember>,
+    age_ms: Option<u64>,
+}
+
+/// One grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireGrantId {
+    incarnation: u64,
+    sequence: u64,
+}
+
+/// A request for tokens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireTokensRequest {
+    account: CompactString,
+    amount: u64,
+    incarnation: u64,
+    sequence: u64,
+    settled: Vec<WireGrantId>,
+}
+
+/// Tokens given.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireTokensGrant {
+    account: CompactString,
+    amount: u64,
+    grant: WireGrantId,
+    to_incarnation: u64,
+    request: u64,
+    left: u64,
+    spare_per_s: u64,
+}
+
+/// How far a promotion has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WirePhase {
+    /// See [`Phase::Fencing`].
+    Fencing,
+    /// See [`Phase::Promoted`].
+    Promoted,
+}
+
+/// Record of a group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireRecord {
+    group: CompactString,
+    term: u64,
+    primary: Option<CompactString>,
+    start_term: u64,
+    start_index: u64,
+    attempt: u64,
+    phase: WirePhase,
+}
+
+/// Appends a message as a frame.
+///
+/// # Errors
+///
+/// The message is longer than [`MAX_MESSAGE_BYTES`]; nothing is appended.
+pub fn put_frame(out: &mut BytesMut, envelope: &Envelope) -> Result<(), PeerFault> {
+    let bytes = postcard::to_stdvec(&WireEnvelope::from(envelope)).map_err(PeerFault::Encoding)?;
+    let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+    if bytes.len() > MAX_MESSAGE_BYTES {
+        return Err(PeerFault::TooLong(bytes.len(), MAX_MESSAGE_BYTES));
+    }
+    out.put_u32(length);
+    out.put_slice(&bytes);
+    Ok(())
+}
+
+/// Takes the content of the first frame off `input`; none while it is incomplete.
+///
+/// # Errors
+///
+/// The frame is longer than `limit`.
+pub fn take_frame(input: &mut BytesMut, limit: usize) -> Result<Option<Bytes>, PeerFault> {
+    let Some(head) = input.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+    let length = usize::try_from(u32::from_be_bytes(*head)).unwrap_or(usize::MAX);
+    if length > limit {
+        return Err(PeerFault::TooLong(length, limit));
+    }
+    if input.len() < LENGTH_BYTES + length {
+        return Ok(None);
+    }
+    input.advance(LENGTH_BYTES);
+    Ok(Some(input.split_to(length).freeze()))
+}
+
+/// Reads the content of a frame.
+///
+/// # Errors
+///
+/// Bytes that are not exactly one message, and values that the types refuse.
+pub fn read_message(bytes: &[u8]) -> Result<Envelope, PeerFault> {
+    let (wire, rest) =
+        postcard::take_from_bytes::<WireEnvelope>(bytes).map_err(PeerFault::Encoding)?;
+    if !rest.is_empty() {
+        return Err(PeerFault::TrailingBytes);
+    }
+    wire.try_into()
+}
+
+impl From<&Envelope> for WireEnvelope {
+    fn from(envelope: &Envelope) -> Self {
+        Self {
+            number: envelope.number.0,
+            answers: envelope.answers.map(|number| number.0),
+            message: WireMessage::from(&envelope.message),
+        }
+    }
+}
+
+impl TryFrom<WireEnvelope> for Envelope {
+    type Error = PeerFault;
+
+    fn try_from(wire: WireEnvelope) -> Result<Self, PeerFault> {
+        Ok(Self {
+            number: MessageNumber(wire.number),
+            answers: wire.answers.map(MessageNumber),
+            message: wire.message.try_into()?,
+        })
+    }
+}
+
+impl From<&PeerMessage> for WireMessage {
+    fn from(message: &PeerMessage) -> Self {
+        match message {
+            PeerMessage::Hello(hello, proof) => Self::Hello(WireHello::from((hello, proof))),
+            PeerMessage::StatementRequest => Self::StatementRequest,
+            PeerMessage::Statement(statement) => Self::Statement(statement.into()),
+            PeerMessage::TablesRequest => Self::TablesRequest,
+            PeerMessage::Tables(tables) => Self::Tables(tables.as_ref().into()),
+            PeerMessage::Announce(version) => Self::Announce(version.0),
+            PeerMessage::TokensRequest(request) => Self::TokensRequest(request.into()),
+            PeerMessage::TokensGrant(transfer) => Self::TokensGrant(transfer.into()),
+            PeerMessage::Records(records) => {
+                Self::Records(records.iter().map(WireRecord::from).collect())
+            }
+        }
+    }
+}
+
+impl TryFrom<WireMessage> for PeerMessage {
+    type Error = PeerFault;
+
+    fn try_from(wire: WireMessage) -> Result<Self, PeerFault> {
+        Ok(match wire {
+            WireMessage::Hello(hello) => {
+                let proof = PeerProof(hello.proof);
+                Self::Hello(hello.try_into()?, proof)
+            }
+            WireMessage::StatementRequest => Self::StatementRequest,
+            WireMessage::Statement(statement) => Self::Statement(statement.try_into()?),
+            WireMessage::TablesRequest => Self::TablesRequest,
+            WireMessage::Tables(tables) => Self::Tables(Box::new(tables.try_into()?)),
+            WireMessage::Announce(version) => Self::Announce(TableVersion(version)),
+            WireMessage::TokensRequest(request) => Self::TokensRequest(request.try_into()?),
+            WireMessage::TokensGrant(transfer) => Self::TokensGrant(transfer.try_into()?),
+            WireMessage::Records(records) => {
+                let records: Result<_, _> = records.into_iter().map(TryInto::try_into).collect();
+                Self::Records(records?)
+            }
+        })
+    }
+}
+
+impl From<(&Hello, &PeerProof)> for WireHello {
+    fn from((hello, proof): (&Hello, &PeerProof)) -> Self {
+        Self {
+            host: hello.host.as_str().into(),
+            incarnation: hello.incarnation.0,
+            failure_domain: hello.failure_domain.as_str().into(),
+            proof: proof.0,
+        }
+    }
+}
+
+impl TryFrom<WireHello> for Hello {
+    type Error = PeerFault;
+
+    fn try_from(wire: WireHello) -> Result<Self, PeerFault> {
+        Ok(Self {
+            host: wire.host.parse()?,
+            incarnation: Incarnation(wire.incarnation),
+            failure_domain: wire.failure_domain.parse()?,
+        })
+    }
+}
+
+impl From<&Member> for WireMember {
+    fn from(member: &Member) -> Self {
+        Self { host: member.host.as_str().into(), incarnation: member.incarnation.0 }
+    }
+}
+
+impl TryFrom<WireMember> for Member {
+    type Error = PeerFault;
+
+    fn try_from(wire: WireMember) -> Result<Self, PeerFault> {
+        Ok(Self { host: wire.host.parse()?, incarnation: Incarnation(wire.incarnation) })
+    }
+}
+
+impl From<&Statement> for WireStatement {
+    fn from(statement: &Statement) -> Self {
+        Self {
+            member: (&statement.member).into(),
+            version: statement.version.map(|version| version.0),
+            age_ms: statement.age.map(|age| age.0),
+        }
+    }
+}
+
+impl TryFrom<WireStatement> for Statement {
+    type Error = PeerFault;
+
+    fn try_from(wire: WireStatement) -> Result<Self, PeerFault> {
+        Ok(Self {
+            member: wire.member.try_into()?,
+            version: wire.version.map(TableVersion),
+            age: wire.age_ms.map(DurationMs),
+        })
+    }
+}
+
+impl From<&PeerTables> for WirePeerTables {
+    fn from(tables: &PeerTables) -> Self {
+        Self {
+            commit_seq: tables.snapshot.commit_seq.0,
+            text: tables.text.clone(),
+            members: tables.snapshot.members.iter().map(WireMember::from).collect(),
+            age_ms: tables.age.map(|age| age.0),
+        }
+    }
+}
+
+impl TryFrom<WirePeerTables> for PeerTables {
+    type Error = PeerFault;
+
+    fn try_from(wire: WirePeerTables) -> Result<Self, PeerFault> {
+        let unreadable = |detail: String| PeerFault::Tables(detail.into());
+        let config = read_config(&wire.text).map_err(|error| unreadable(error.to_string()))?;
+        let tables = config.tables.check().map_err(|faults| {
+            unreadable(faults.first().map(ToString::to_string).unwrap_or_default())
+        })?;
+        let members: Result<BTreeSet<Member>, PeerFault> =
+            wire.members.into_iter().map(Member::try_from).collect();
+        let commit_seq = CommitSeq(wire.commit_seq);
+        let snapshot = Snapshot { commit_seq, tables: Arc::new(tables), members: members? };
+        Ok(Self { snapshot, text: wire.text, age: wire.age_ms.map(DurationMs) })
+    }
+}
+
+impl From<GrantId> for WireGrantId {
+    fn from(grant: GrantId) -> Self {
+        Self { incarnation: grant.incarnation.0, sequence: grant.sequence }
+    }
+}
+
+impl From<WireGrantId> for GrantId {
+    fn from(wire: WireGrantId) -> Self {
+        Self { incarnation: Incarnation(wire.incarnation), sequence: wire.sequence }
+    }
+}
+
+/// The open account is written `*`, which the parser refuses from callers.
+fn account(text: &str) -> Result<AccountId, PeerFault> {
+    if text == AccountId::OPEN.as_str() {
+        return Ok(AccountId::OPEN);
+    }
+    Ok(text.parse()?)
+}
+
+impl From<&TokenRequest> for WireTokensRequest {
+    fn from(request: &TokenRequest) -> Self {
+        Self {
+            account: request.account.as_str().into(),
+            amount: request.amount.0,
+            incarnation: request.incarnation.0,
+            sequence: request.sequence,
+            settled: request.settled.iter().copied().map(WireGrantId::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<WireTokensRequest> for TokenRequest {
+    type Error = PeerFault;
+
+    fn try_from(wire: WireTokensRequest) -> Result<Self, PeerFault> {
+        Ok(Self {
+            account: account(&wire.account)?,
+            amount: MilliTokens(wire.amount),
+            incarnation: Incarnation(wire.incarnation),
+            sequence: wire.sequence,
+            settled: wire.settled.into_iter().map(GrantId::from).collect(),
+        })
+    }
+}
+
+impl From<&Transfer> for WireTokensGrant {
+    fn from(transfer: &Transfer) -> Self {
+        Self {
+            account: transfer.account.as_str().into(),
+            amount: transfer.amount.0,
+            grant: transfer.grant.into(),
+            to_incarnation: transfer.to_incarnation.0,
+            request: transfer.request,
+            left: transfer.left.0,
+            spare_per_s: transfer.spare_per_s.0,
+        }
+    }
+}
+
+impl TryFrom<WireTokensGrant> for Transfer {
+    type Error = PeerFault;
+
+    fn try_from(wire: WireTokensGrant) -> Result<Self, PeerFault> {
+        Ok(Self {
+            account: account(&wire.account)?,
+            amount: MilliTokens(wire.amount),
+            grant: wire.grant.into(),
+            to_incarnation: Incarnation(wire.to_incarnation),
+            request: wire.request,
+            left: MilliTokens(wire.left),
+            spare_per_s: MilliTokens(wire.spare_per_s),
+        })
+    }
+}
+
+impl From<&(GroupId, GroupRecord)> for WireRecord {
+    fn from((group, record): &(GroupId, GroupRecord)) -> Self {
+        Self {
+            group: group.as_str().into(),
+            term: record.term.0,
+            primary: record.primary.as_ref().map(|primary| primary.as_str().into()),
+            start_term: record.start.term.0,
+            start_index: record.start.index,
+            attempt: record.attempt.0,
+            phase: match record.phase {
+                Phase::Fencing => WirePhase::Fencing,
+                Phase::Promoted => WirePhase::Promoted,
+            },
+        }
+    }
+}
+
+impl TryFrom<WireRecord> for (GroupId, GroupRecord) {
+    type Error = PeerFault;
+
+    fn try_from(wire: WireRecord) -> Result<Self, PeerFault> {
+        let primary: Option<EndpointId> = match &wire.primary {
+            Some(primary) => Some(primary.parse()?),
+            None => None,
+        };
+        let record = GroupRecord {
+            term: Term(wire.term),
+            primary,
+            start: Position { term: Term(wire.start_term), index: wire.start_index },
+            attempt: AttemptId(wire.attempt),
+            phase: match wire.phase {
+                WirePhase::Fencing => Phase::Fencing,
+                WirePhase::Promoted => Phase::Promoted,
+            },
+        };
+        Ok((wire.group.parse()?, record))
+    }
+}
--- /dev/null
+++ b/tests/peer_wire.rs
@@ -0,0 +1,155 @@
+//! Messages between hosts: nothing is lost in the encoding, and no bytes end the process.
+
+use bytes::BytesMut;
+use medlarstile::auth::{PeerProof, ProofSide, Secret};
+use medlarstile::core::limit::{GrantId, TokenRequest, Transfer};
+use medlarstile::core::peer::{Envelope, Hello, MessageNumber, PeerMessage};
+use medlarstile::core::promotion::{GroupRecord, Phase};
+use medlarstile::core::view::{Member, Statement};
+use medlarstile::types::{
+    AccountId, AttemptId, DurationMs, Incarnation, MilliTokens, Position, TableVersion, Term,
+};
+use medlarstile::wire::peer::{put_frame, read_message, take_frame, PeerFault, MAX_MESSAGE_BYTES};
+use rand::{Rng, RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use yare::parameterized;
+
+fn hello_message() -> PeerMessage {
+    let hello = Hello {
+        host: "h1".parse().expect("an id"),
+        incarnation: Incarnation(u64::MAX),
+        failure_domain: "fd1".parse().expect("an id"),
+    };
+    PeerMessage::Hello(hello, PeerProof([7; 32]))
+}
+
+fn statement_message() -> PeerMessage {
+    let member = Member { host: "h2".parse().expect("an id"), incarnation: Incarnation(9) };
+    let (version, age) = (Some(TableVersion(3)), Some(DurationMs(1_200)));
+    PeerMessage::Statement(Statement { member, version, age })
+}
+
+fn request_message() -> PeerMessage {
+    PeerMessage::TokensRequest(TokenRequest {
+        account: AccountId::OPEN,
+        amount: MilliTokens(5_000),
+        incarnation: Incarnation(4),
+        sequence: 17,
+        settled: vec![GrantId { incarnation: Incarnation(9), sequence: 3 }],
+    })
+}
+
+fn grant_message() -> PeerMessage {
+    PeerMessage::TokensGrant(Transfer {
+        account: "north".parse().expect("an id"),
+        amount: MilliTokens(5_000),
+        grant: GrantId { incarnation: Incarnation(9), sequence: 4 },
+        to_incarnation: Incarnation(4),
+        request: 17,
+        left: MilliTokens(1),
+        spare_per_s: MilliTokens(2),
+    })
+}
+
+fn records_message() -> PeerMessage {
+    let record = GroupRecord {
+        term: Term(4),
+        primary: Some("e1".parse().expect("an id")),
+        start: Position { term: Term(3), index: 1_042 },
+        attempt: AttemptId(u64::MAX),
+        phase: Phase::Promoted,
+    };
+    PeerMessage::Records(vec![("group".parse().expect("an id"), record)])
+}
+
+fn frame(message: PeerMessage) -> BytesMut {
+    let (number, answers) = (MessageNumber(300), Some(MessageNumber(299)));
+    let mut out = BytesMut::new();
+    put_frame(&mut out, &Envelope { number, answers, message }).expect("a short message");
+    out
+}
+
+/// Guards against a field that is lost or exchanged between the domain and the wire.
+#[parameterized(
+    hello = { hello_message() },
+    question = { PeerMessage::StatementRequest },
+    statement = { statement_message() },
+    tables_request = { PeerMessage::TablesRequest },
+    announce = { PeerMessage::Announce(TableVersion(8)) },
+    request = { request_message() },
+    grant = { grant_message() },
+    records = { records_message() },
+)]
+fn keeps_every_field(message: PeerMessage) {
+    let expected = format!("{message:?}");
+    let mut input = frame(message);
+    let bytes = take_frame(&mut input, MAX_MESSAGE_BYTES).expect("short").expect("complete");
+    let read = read_message(&bytes).expect("a message");
+    assert_eq!(format!("{:?}", read.message), expected);
+    assert_eq!((read.number, read.answers), (MessageNumber(300), Some(MessageNumber(299))));
+    assert!(input.is_empty());
+    let mut longer = bytes.to_vec();
+    longer.push(0);
+    assert_eq!(read_message(&longer).err(), Some(PeerFault::TrailingBytes));
+}
+
+/// Guards against a frame that is taken before it has arrived, or that fills the memory.
+#[test]
+fn waits_for_whole_frames_and_refuses_long_ones() {
+    let whole = frame(statement_message());
+    for length in 0..whole.len() {
+        let mut part = BytesMut::from(&whole[..length]);
+        assert_eq!(take_frame(&mut part, MAX_MESSAGE_BYTES), Ok(None));
+    }
+    let mut long = BytesMut::from(&[0xff, 0xff, 0xff, 0xff][..]);
+    assert!(matches!(take_frame(&mut long, 512), Err(PeerFault::TooLong(_, 512))));
+}
+
+/// Guards against bytes of a peer that end the process: random bytes, and messages with random
+/// bytes changed, are read without a panic.
+#[test]
+fn no_bytes_panic() {
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    let good: Vec<BytesMut> = [
+        hello_message(),
+        statement_message(),
+        request_message(),
+        grant_message(),
+        records_message(),
+    ]
+    .map(frame)
+    .into();
+    let mut refused = 0;
+    for round in 0..200_000 {
+        let mut bytes = if round % 2 == 0 {
+            let mut bytes = vec![0; rng.random_range(0..200)];
+            rng.fill_bytes(&mut bytes);
+            bytes
+        } else {
+            good[rng.random_range(0..good.len())][4..].to_vec()
+        };
+        for _ in 0..rng.random_range(0..4) {
+            let place = rng.random_range(0..bytes.len().max(1));
+            if let Some(byte) = bytes.get_mut(place) {
+                *byte = rng.random();
+            }
+        }
+        refused += usize::from(read_message(&bytes).is_err());
+    }
+    assert!(refused > 100_000, "only {refused} refused");
+}
+
+/// Guards against a proof that holds for another connection, side, secret or claim.
+#[parameterized(
+    same = { "a secret of tests", 1, ProofSide::Dialer, &["h1", "4"], true },
+    other_secret = { "another secret", 1, ProofSide::Dialer, &["h1", "4"], false },
+    other_connection = { "a secret of tests", 2, ProofSide::Dialer, &["h1", "4"], false },
+    sent_back = { "a secret of tests", 1, ProofSide::Acceptor, &["h1", "4"], false },
+    other_claim = { "a secret of tests", 1, ProofSide::Dialer, &["h2", "4"], false },
+    shifted_claim = { "a secret of tests", 1, ProofSide::Dialer, &["h14", ""], false },
+)]
+fn a_proof_is_bound(secret: &str, binding: u8, side: ProofSide, said: &[&str], holds: bool) {
+    let own = Secret::new("a secret of tests");
+    let proof = PeerProof::make(&own, &[1; 32], ProofSide::Dialer, &["h1", "4"]);
+    assert_eq!(proof.holds(&Secret::new(secret), &[binding; 32], side, said), holds);
+}
