--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod life;
 pub mod limit;
 pub mod link;
+pub mod peer;
 pub mod promotion;
 pub mod queue;
 pub mod rows;
