--- a/src/chart.rs
+++ b/src/chart.rs
@@ -97,12 +97,37 @@
     target: S,
 }
 
+/// One transition of a [`Graph`], by names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Edge {
+    /// State before the event.
+    pub from: &'static str,
+    /// Event.
+    pub event: &'static str,
+    /// State after the event.
+    pub to: &'static str,
+}
+
+/// The states and transitions of a chart by their names, for checks of all charts alike.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Graph {
+    /// Initial state.
+    pub initial: &'static str,
+    /// Every state that a machine can be in. Compound states are not among them.
+    pub states: Vec<&'static str>,
+    /// Final states.
+    pub finals: Vec<&'static str>,
+    /// Transitions of those states.
+    pub edges: Vec<Edge>,
+}
+
 /// A compiled chart: rows by state and event, in priority order.
 #[derive(Debug)]
 pub struct Chart<S, E, G, A> {
     initial: S,
     entry: Vec<A>,
     finals: Vec<bool>,
+    compounds: Vec<bool>,
     rows: Vec<Vec<Vec<Row<S, G, A>>>>,
     _event: std::marker::PhantomData<E>,
 }
@@ -172,6 +197,30 @@
         all
     }
 
+    /// The chart by names.
+    pub fn graph(&self) -> Graph {
+        let named = |keep: &dyn Fn(usize) -> bool| {
+            let names = S::NAMES.iter().enumerate().filter(|(index, _)| keep(*index));
+            names.map(|(_, (name, _))| *name).collect()
+        };
+        let edges = self.transitions().into_iter().map(|(from, event, _, to)| Edge {
+            from: S::NAMES[from.index()].0,
+            event: E::NAMES[event].0,
+            to: S::NAMES[to.index()].0,
+        });
+        Graph {
+            initial: S::NAMES[self.initial.index()].0,
+            states: named(&|index| !self.compounds[index]),
+            finals: named(&|index| self.finals[index]),
+            edges: edges.filter(|edge| !self.is_compound(edge.from)).collect(),
+        }
+    }
+
+    fn is_compound(&self, name: &str) -> bool {
+        let mut states = S::NAMES.iter().zip(&self.compounds);
+        states.any(|((text, _), compound)| *text == name && *compound)
+    }
+
     /// Whether `state` is final.
     pub fn is_final(&self, state: S) -> bool {
         self.finals[state.index()]
@@ -231,9 +280,11 @@
         let states = self.resolved.states.clone();
         let mut rows = vec![vec![Vec::new(); E::NAMES.len()]; S::NAMES.len()];
         let mut finals = vec![false; S::NAMES.len()];
+        let mut compounds = finals.clone();
         for state in &states {
             let Some(id) = self.bind::<S>("state", "id", &state.id) else { continue };
             finals[id.index()] = state.kind == StateKind::Final;
+            compounds[id.index()] = state.kind == StateKind::Compound;
             for transition in &state.transitions {
                 let name = transition.event.clone().unwrap_or_default();
                 let event = self.bind::<E>("event", "event", &name);
@@ -246,7 +297,7 @@
         let leaf = self.leaf(&self.resolved.initial.clone());
         let initial = self.bind::<S>("state", "id", &leaf)?;
         let entry = self.entry_actions::<A>(None, &leaf);
-        Some(Chart { initial, entry, finals, rows, _event: std::marker::PhantomData })
+        Some(Chart { initial, entry, finals, compounds, rows, _event: std::marker::PhantomData })
     }
 
     fn row<S: Names, G: Names, A: Names>(
--- /dev/null
+++ b/src/charts.rs
@@ -0,0 +1,98 @@
+//! Every state chart of the project, in one place.
+
+use crate::chart::{Chart, ChartError, Graph};
+use crate::core::{broker, edit, life, promotion, share, view};
+use crate::error::{Error, ErrorKind};
+use crate::net::{caller, endpoint};
+
+/// A chart that the host or a command runs.
+#[derive(Debug, Clone, Copy)]
+pub struct ChartEntry {
+    /// Name of the file in `charts/` without its ending.
+    pub name: &'static str,
+    /// Compiles the chart and returns it by names.
+    pub load: fn() -> Result<Graph, Vec<ChartError>>,
+}
+
+macro_rules! entries {
+    ($($name:literal: $chart:path),* $(,)?) => {
+        &[$(ChartEntry { name: $name, load: || $chart().map(|chart| chart.graph()) }),*]
+    };
+}
+
+/// Every chart that the library runs.
+pub const CHARTS: &[ChartEntry] = entries! {
+    "caller": caller::chart,
+    "edit": edit::chart,
+    "endpoint": endpoint::chart,
+    "group": promotion::chart,
+    "host": life::chart,
+    "request": broker::chart,
+    "share": share::chart,
+    "table": view::chart,
+};
+
+macro_rules! texts {
+    ($($name:literal),* $(,)?) => {
+        &[$(($name, include_str!(concat!("../charts/", $name, ".scxml")))),*]
+    };
+}
+
+/// Name and text of every file in `charts/`, those of the emulators among them.
+pub const TEXTS: &[(&str, &str)] = texts![
+    "caller",
+    "edit",
+    "emulated_connection",
+    "emulated_endpoint",
+    "endpoint",
+    "group",
+    "host",
+    "request",
+    "share",
+    "table",
+];
+
+/// Compiles every chart.
+///
+/// # Errors
+///
+/// Every fault of every chart, with file and line.
+pub fn load_all() -> Result<Vec<Graph>, Vec<ChartError>> {
+    let mut graphs = Vec::new();
+    let mut faults = Vec::new();
+    for entry in CHARTS {
+        match (entry.load)() {
+            Ok(graph) => graphs.push(graph),
+            Err(found) => faults.extend(found),
+        }
+    }
+    if faults.is_empty() {
+        Ok(graphs)
+    } else {
+        Err(faults)
+    }
+}
+
+/// Refuses to go on with a faulty chart. Called before a command that runs charts does anything.
+///
+/// # Errors
+///
+/// `internal` with all faults.
+pub fn check() -> Result<(), Error> {
+    load_all().map(drop).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        Error::new(ErrorKind::Internal, lines.join("\n"))
+    })
+}
+
+/// The drawing of a chart as a Mermaid state diagram, for the file `docs/charts/<name>.mmd`.
+///
+/// # Errors
+///
+/// The finding of the SCXML parser.
+pub fn drawing(text: &str) -> Result<String, String> {
+    type AnyChart =
+        Chart<life::LifeState, life::LifeEvent, crate::chart::NoGuard, life::LifeAction>;
+    let drawn = AnyChart::draw(text).map_err(|error| error.to_string())?;
+    Ok(format!("{}\n", drawn.trim_end()))
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,10 @@
 //! Every command and flag.
 
 use clap::{Parser, Subcommand};
-use medlarstile::commands;
+use medlarstile::commands::args::{
+    ChartsCommand, HostsCommand, KeyCommand, StatusArgs, TablesCommand,
+};
+use medlarstile::commands::{self, fleet, tables_file};
 use medlarstile::config::HostArgs;
 use medlarstile::error::Error;
 use medlarstile::logs::{self, LogArgs};
@@ -25,6 +28,20 @@
 pub enum Command {
     /// Runs one host of the proxy.
     Host(Box<HostArgs>),
+    /// Checks, shows, compares and edits the routes and pools tables.
+    #[command(subcommand)]
+    Tables(TablesCommand),
+    /// Issues and withdraws keys of client accounts.
+    #[command(subcommand)]
+    Key(KeyCommand),
+    /// Shows hosts, share slots and database groups of the fleet.
+    Status(StatusArgs),
+    /// Commands for the hosts of the fleet.
+    #[command(subcommand)]
+    Hosts(HostsCommand),
+    /// Commands for the state charts.
+    #[command(subcommand)]
+    Charts(ChartsCommand),
     /// Runs an emulator of an outside system, for tests and demonstrations.
     Emulate(emulator::EmulateArgs),
 }
@@ -38,6 +55,11 @@
     logs::start(&cli.log)?;
     match cli.command {
         Command::Host(args) => commands::host::run(&args),
+        Command::Tables(command) => tables_file::run_tables(&command),
+        Command::Key(command) => tables_file::run_key(&command),
+        Command::Status(args) => fleet::status(&args),
+        Command::Hosts(command) => fleet::run_hosts(&command),
+        Command::Charts(ChartsCommand::Draw { out }) => commands::charts::draw(&out),
         Command::Emulate(args) => emulator::run(args),
     }
 }
--- /dev/null
+++ b/src/commands/charts.rs
@@ -0,0 +1,26 @@
+//! `medlarstile charts draw`: drawings of the state charts.
+
+use std::fs;
+use std::path::Path;
+
+use crate::charts::{drawing, TEXTS};
+use crate::error::{Error, ErrorKind};
+
+/// Writes `<name>.mmd` for every chart into `directory`, which is created if it is absent.
+///
+/// # Errors
+///
+/// The directory or a file cannot be written, or a chart cannot be drawn.
+pub fn draw(directory: &Path) -> Result<(), Error> {
+    let fault = |path: &Path, error: std::io::Error| {
+        Error::new(ErrorKind::BadSetting, format!("--out: {}: {error}", path.display()))
+    };
+    fs::create_dir_all(directory).map_err(|error| fault(directory, error))?;
+    for (name, text) in TEXTS {
+        let drawn = drawing(text)
+            .map_err(|error| Error::new(ErrorKind::Internal, format!("{name}: {error}")))?;
+        let path = directory.join(format!("{name}.mmd"));
+        fs::write(&path, drawn).map_err(|error| fault(&path, error))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/commands/edit.rs
@@ -0,0 +1,238 @@
+//! Edits of the tables: read the present version, change it, check it, confirm and propose it.
+
+use rand::rngs::OsRng;
+use rand::{Rng, TryRngCore};
+use serde_json::{json, Map, Value};
+
+use super::args::{EditArgs, Format};
+use super::tables::{diff_text, report};
+use super::terminal::{confirm, print, tell};
+use crate::charts;
+use crate::core::edit::{EditNews, EditSpec, EditState};
+use crate::error::{Error, ErrorKind};
+use crate::net::edit::{current, run, EditEnd, CONFIG};
+use crate::net::platform::PlatformSettings;
+use crate::net::tool::{read_rows, Step};
+use crate::tables::{diff, Tables};
+use crate::types::{AttemptId, DurationMs, HostId, RowVersion, TableVersion};
+use crate::wire::tables::{write_config, Config};
+
+/// The tables as the platform holds them, with the version of their row.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Present {
+    /// Version of the row, 0 if there are no tables yet.
+    pub row: RowVersion,
+    /// The tables, empty if there are none yet.
+    pub tables: Tables,
+}
+
+/// Reads the present tables.
+///
+/// # Errors
+///
+/// The platform does not answer, or the row cannot be read.
+pub fn read_present(settings: PlatformSettings) -> Result<Present, Error> {
+    let read = read_rows(settings, vec![Step::read(CONFIG)])?;
+    let rows = read.first().ok_or_else(|| Error::new(ErrorKind::Internal, "nothing was read"))?;
+    let found = current(rows)?;
+    Ok(found.map(|(row, config)| Present { row, tables: config.tables }).unwrap_or_default())
+}
+
+/// Further output of an edit that was accepted: the issued key.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Extra {
+    /// Lines for standard output in text form.
+    pub text: String,
+    /// Members of the JSON object.
+    pub members: Map<String, Value>,
+}
+
+/// Changes the present tables by `change`, and proposes the result as the next version.
+///
+/// `source` names the new tables in faults.
+///
+/// # Errors
+///
+/// `bad_table` with all faults, `canceled`, `edit_conflict`, `not_in_force`, or what kept the
+/// platform from answering.
+pub fn edit(
+    args: &EditArgs,
+    source: &str,
+    change: impl FnOnce(&Tables) -> Result<(Tables, Extra), Error>,
+) -> Result<(), Error> {
+    charts::check()?;
+    let present = read_present(args.fleet.settings())?;
+    let (mut tables, extra) = change(&present.tables)?;
+    tables.version = present.tables.version.next();
+    check(source, &tables)?;
+    let changes = diff_text(&present.tables, &tables);
+    if changes.is_empty() {
+        return print_unchanged(args, present.tables.version);
+    }
+    tell(&changes);
+    let question = format!("Replace version {} by these changes?", present.tables.version);
+    confirm(&question, args.yes)?;
+    let end = propose(args, &present, &tables)?;
+    conclude(args, &present.tables, &tables, &end, &extra)
+}
+
+fn check(source: &str, tables: &Tables) -> Result<(), Error> {
+    let report = report(source, tables);
+    if !report.faults.is_empty() {
+        tell(&report.to_text());
+    }
+    if report.valid {
+        return Ok(());
+    }
+    Err(Error::new(ErrorKind::BadTable, format!("{source} is refused; nothing was changed")))
+}
+
+fn print_unchanged(args: &EditArgs, version: TableVersion) -> Result<(), Error> {
+    match args.fleet.output.format {
+        Format::Text => print(&format!("version {version} already has this content\n")),
+        Format::Json => {
+            print(&format!("{}\n", json!({ "version": version.0, "state": "unchanged" })))
+        }
+    }
+}
+
+fn propose(args: &EditArgs, present: &Present, tables: &Tables) -> Result<EditEnd, Error> {
+    let attempt = AttemptId(random_rng()?.random());
+    let config = Config { tables: tables.clone(), editor: args.editor.as_str().into(), attempt };
+    let internal = |text: String| Error::new(ErrorKind::Internal, text);
+    let text = write_config(&config).map_err(|error| internal(error.to_string()))?;
+    let value = serde_json::from_str(&text).map_err(|error| internal(error.to_string()))?;
+    let version = tables.version;
+    let spec = EditSpec { version, attempt, expected: present.row, wait: args.wait() };
+    run(args.fleet.settings(), spec, value, move |elapsed, news| {
+        tell(&news_text(version, elapsed, news));
+    })
+}
+
+/// Random numbers from the system.
+///
+/// # Errors
+///
+/// The system has none.
+pub fn random_rng() -> Result<rand_chacha::ChaCha20Rng, Error> {
+    let mut seed = [0; 32];
+    let filled = OsRng.try_fill_bytes(&mut seed);
+    filled.map_err(|error| Error::new(ErrorKind::Internal, format!("random numbers: {error}")))?;
+    Ok(rand::SeedableRng::from_seed(seed))
+}
+
+fn news_text(version: TableVersion, elapsed: DurationMs, news: &EditNews) -> String {
+    match news {
+        EditNews::Accepted => format!("version {version} accepted after {} ms\n", elapsed.0),
+        EditNews::WaitingFor(hosts) => {
+            format!("after {} ms waiting for {}\n", elapsed.0, join(hosts))
+        }
+    }
+}
+
+fn join(hosts: &[HostId]) -> String {
+    hosts.iter().map(HostId::as_str).collect::<Vec<_>>().join(", ")
+}
+
+fn conclude(
+    args: &EditArgs,
+    old: &Tables,
+    new: &Tables,
+    end: &EditEnd,
+    extra: &Extra,
+) -> Result<(), Error> {
+    let error = failure(new.version, end);
+    let accepted = error.as_ref().is_none_or(|error| error.kind == ErrorKind::NotInForce);
+    let extra = if accepted { extra.clone() } else { Extra::default() };
+    let text = match args.fleet.output.format {
+        Format::Text => result_text(old, new, end) + &extra.text,
+        Format::Json => {
+            let mut object = result_json(old, new, end);
+            object.extend(extra.members);
+            format!("{}\n", Value::Object(object))
+        }
+    };
+    print(&text)?;
+    error.map_or(Ok(()), Err)
+}
+
+fn result_text(old: &Tables, new: &Tables, end: &EditEnd) -> String {
+    let (version, ms) = (new.version, end.elapsed.0);
+    match end.state {
+        EditState::InForce => format!("version {version} in force after {ms} ms\n"),
+        EditState::Beaten => conflict_text(old, end),
+        _ => String::new(),
+    }
+}
+
+fn conflict_text(old: &Tables, end: &EditEnd) -> String {
+    let Some(accepted) = &end.present else { return String::new() };
+    let Config { tables, editor, .. } = accepted;
+    let changes = diff_text(old, tables);
+    format!("version {} by {editor} was accepted first and changed:\n{changes}", tables.version)
+}
+
+fn result_json(old: &Tables, new: &Tables, end: &EditEnd) -> Map<String, Value> {
+    let lines = |from: &Tables, to: &Tables| {
+        diff(from, to).iter().map(ToString::to_string).collect::<Vec<_>>()
+    };
+    let waiting: Vec<&str> = end.waiting.iter().map(HostId::as_str).collect();
+    let mut object = Map::new();
+    object.insert("version".into(), json!(new.version.0));
+    object.insert("state".into(), json!(state_name(end.state)));
+    object.insert("elapsed_ms".into(), json!(end.elapsed.0));
+    object.insert("changes".into(), json!(lines(old, new)));
+    match (end.state, &end.present) {
+        (EditState::NotInForce, _) => {
+            object.insert("waiting_for".into(), json!(waiting));
+        }
+        (EditState::Beaten, Some(accepted)) => {
+            let changes = lines(old, &accepted.tables);
+            let version = accepted.tables.version.0;
+            let editor = accepted.editor.as_str();
+            let accepted = json!({ "version": version, "editor": editor, "changes": changes });
+            object.insert("accepted_first".into(), accepted);
+        }
+        _ => {}
+    }
+    object
+}
+
+/// Name of an end in the output. An edit whose end is not awaited is `accepted`.
+fn state_name(state: EditState) -> &'static str {
+    match state {
+        EditState::InForce => "in_force",
+        EditState::NotInForce => "not_in_force",
+        EditState::Beaten => "edit_conflict",
+        EditState::Unavailable => "platform_unavailable",
+        EditState::Unknown => "outcome_unknown",
+        EditState::Unwatched
+        | EditState::Swapping
+        | EditState::Resolving
+        | EditState::Accepted
+        | EditState::Following => "accepted",
+    }
+}
+
+fn failure(version: TableVersion, end: &EditEnd) -> Option<Error> {
+    let error = |kind, detail: String| Some(Error::new(kind, detail));
+    match end.state {
+        EditState::InForce | EditState::Unwatched => None,
+        EditState::NotInForce => {
+            let ms = end.elapsed.0;
+            let hosts = join(&end.waiting);
+            let detail = format!("version {version}: after {ms} ms it still waits for [{hosts}]");
+            error(ErrorKind::NotInForce, detail)
+        }
+        EditState::Beaten => {
+            error(ErrorKind::EditConflict, "nothing of this edit was written".into())
+        }
+        EditState::Unavailable => {
+            error(ErrorKind::PlatformUnavailable, "no call was sent; nothing was written".into())
+        }
+        _ => error(
+            ErrorKind::OutcomeUnknown,
+            format!("the platform does not say whether version {version} was accepted"),
+        ),
+    }
+}
--- a/src/commands/host.rs
+++ b/src/commands/host.rs
@@ -9,6 +9,7 @@
 use rustls::ServerConfig;
 use stakker::{call, Actor, ActorOwn, Fwd, Stakker, StopCause};
 
+use crate::charts;
 use crate::config::{HostArgs, Settings, TlsFiles};
 use crate::error::{Error, ErrorKind};
 use crate::net::host::{HostNotice, Starter};
@@ -20,6 +21,7 @@
 ///
 /// All faults of the settings together, or what ended the host early.
 pub fn run(args: &HostArgs) -> Result<(), Error> {
+    charts::check()?;
     let settings = Settings::check(args).map_err(|faults| {
         let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
         Error::new(ErrorKind::BadSetting, lines.join("\n"))
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,4 +1,10 @@
-//! Commands of the binary as functions without I/O.
+//! Commands of the binary.
 
+pub mod args;
+pub mod charts;
+pub mod edit;
+pub mod fleet;
 pub mod host;
 pub mod tables;
+pub mod tables_file;
+pub mod terminal;
--- a/src/commands/tables.rs
+++ b/src/commands/tables.rs
@@ -69,12 +69,17 @@
             return CheckReport { file: file_name, valid: false, unreadable, faults: Vec::new() };
         }
     };
+    report(file, &tables)
+}
+
+/// Checks `tables`, which are called `name` in the report.
+pub fn report(name: &str, tables: &Tables) -> CheckReport {
     let (valid, faults) = match tables.check() {
         Ok(checked) => (true, checked.warnings().to_vec()),
         Err(faults) => (false, faults),
     };
     let faults = faults.iter().map(FaultReport::from).collect();
-    CheckReport { file: file_name, valid, unreadable: None, faults }
+    CheckReport { file: name.to_owned(), valid, unreadable: None, faults }
 }
 
 impl CheckReport {
--- /dev/null
+++ b/src/core/edit.rs
@@ -0,0 +1,281 @@
+//! One edit of the tables: compare-and-set, lost answers, and the wait until it is in force.
+//!
+//! The edit carries a random attempt id. After a lost answer the row is read back: the id says
+//! whether the edit was accepted. The same attempt may be sent again, because the compare-and-set
+//! names the version that the edit started from, so it takes effect at most once.
+
+use std::sync::LazyLock;
+
+use crate::chart::{Chart, ChartError, Machine};
+use crate::chart_names;
+use crate::core::acceptance::{Acceptance, AcceptanceWatch, HostRow};
+use crate::types::{AttemptId, CommitSeq, DurationMs, HostId, RowVersion, TableVersion, Timestamp};
+
+/// How long a tool tries to get an edit accepted while the platform does not answer.
+pub const EDIT_LIMIT: DurationMs = DurationMs(10_000);
+/// First and longest delay before a call is repeated.
+const RETRY_MIN: DurationMs = DurationMs(50);
+/// See [`RETRY_MIN`].
+const RETRY_MAX: DurationMs = DurationMs(2_000);
+/// Time between two reads of `hosts/*`. Ten reads a second by one operator are 0.5% of the reads
+/// that the table service serves.
+const FOLLOW_INTERVAL: DurationMs = DurationMs(100);
+
+chart_names! {
+    /// States of an edit.
+    pub enum EditState {
+        Swapping = "swapping", Resolving = "resolving", Accepted = "accepted",
+        Following = "following", Unwatched = "unwatched", InForce = "in_force",
+        NotInForce = "not_in_force", Beaten = "beaten", Unavailable = "unavailable",
+        Unknown = "unknown",
+    }
+    /// Events of an edit.
+    pub enum EditEvent {
+        Committed = "committed", Conflict = "conflict", Lost = "lost", NotSent = "not_sent",
+        Read = "read", Unread = "unread", Follow = "follow", Leave = "leave", Rows = "rows",
+    }
+    /// Guards of an edit.
+    pub enum EditGuard {
+        TimeLeft = "time_left", Certain = "certain", Ours = "ours", Beaten = "beaten",
+        Retry = "retry", InForce = "in_force",
+    }
+    /// Actions of an edit.
+    pub enum EditAction {
+        Swap = "swap", ReadBack = "read_back", NoteLost = "note_lost",
+        ReportAccepted = "report_accepted", ReadHosts = "read_hosts",
+    }
+}
+
+type EditChart = Chart<EditState, EditEvent, EditGuard, EditAction>;
+
+/// Compiles the chart of an edit.
+///
+/// # Errors
+///
+/// Every fault of the chart file.
+pub fn chart() -> Result<EditChart, Vec<ChartError>> {
+    Chart::load("charts/edit.scxml", include_str!("../../charts/edit.scxml"))
+}
+
+static CHART: LazyLock<EditChart> = LazyLock::new(|| chart().expect("charts are checked at start"));
+
+/// What an edit is made from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EditSpec {
+    /// Version that the edit makes.
+    pub version: TableVersion,
+    /// Attempt id in the new row.
+    pub attempt: AttemptId,
+    /// Version of the row that the edit started from, 0 for an absent row.
+    pub expected: RowVersion,
+    /// How long to wait until it is in force; `None` does not wait.
+    pub wait: Option<DurationMs>,
+}
+
+/// Result of the compare-and-set.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SwapResult {
+    /// The row was written in this commit.
+    Committed(CommitSeq),
+    /// The row has another version.
+    Conflict,
+    /// The answer was lost.
+    Lost,
+    /// The call had no effect.
+    NotSent,
+}
+
+/// The row `config/current` as read back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SeenConfig {
+    /// Version of the row, 0 for an absent row.
+    pub row: RowVersion,
+    /// Version of the tables, 0 for an absent row.
+    pub version: TableVersion,
+    /// Attempt that wrote the row.
+    pub attempt: AttemptId,
+}
+
+/// What the owner of an [`Edit`] must do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EditEffect {
+    /// Send the compare-and-set after the delay.
+    Swap(DurationMs),
+    /// Read `config/current` after the delay.
+    ReadBack(DurationMs),
+    /// Read `hosts/*` after the delay.
+    ReadHosts(DurationMs),
+    /// Tell the operator.
+    Tell(EditNews),
+    /// The edit ended in this state.
+    End(EditState),
+}
+
+/// Progress of an edit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EditNews {
+    /// The platform accepted the edit.
+    Accepted,
+    /// These hosts may still act on an older version.
+    WaitingFor(Vec<HostId>),
+}
+
+/// One edit.
+#[derive(Debug)]
+pub struct Edit {
+    machine: Machine<EditState, EditEvent, EditGuard, EditAction>,
+    facts: Facts,
+}
+
+/// What the guards and actions of the chart work on.
+#[derive(Debug)]
+struct Facts {
+    spec: EditSpec,
+    deadline: Timestamp,
+    delay: DurationMs,
+    lost: bool,
+    seen: Option<SeenConfig>,
+    committed: CommitSeq,
+    watch: Option<AcceptanceWatch>,
+    waiting: Vec<HostId>,
+}
+
+impl Edit {
+    /// An edit that starts at `now`; the first effect sends it.
+    pub fn new(now: Timestamp, spec: EditSpec) -> (Self, Vec<EditEffect>) {
+        let facts = Facts {
+            spec,
+            deadline: now + EDIT_LIMIT,
+            delay: RETRY_MIN,
+            lost: false,
+            seen: None,
+            committed: CommitSeq(0),
+            watch: None,
+            waiting: Vec::new(),
+        };
+        let edit = Self { machine: CHART.start(), facts };
+        (edit, vec![EditEffect::Swap(DurationMs(0))])
+    }
+
+    /// Takes the result of the compare-and-set.
+    pub fn on_swapped(&mut self, now: Timestamp, result: SwapResult) -> Vec<EditEffect> {
+        let event = match result {
+            SwapResult::Committed(seq) => {
+                self.facts.committed = seq;
+                EditEvent::Committed
+            }
+            SwapResult::Conflict => EditEvent::Conflict,
+            SwapResult::Lost => EditEvent::Lost,
+            SwapResult::NotSent => EditEvent::NotSent,
+        };
+        self.fire(now, event)
+    }
+
+    /// Takes the row as read back; `None` if the read failed.
+    pub fn on_read_back(&mut self, now: Timestamp, seen: Option<SeenConfig>) -> Vec<EditEffect> {
+        let Some(seen) = seen else { return self.fire(now, EditEvent::Unread) };
+        self.facts.seen = Some(seen);
+        if seen.attempt == self.facts.spec.attempt {
+            self.facts.committed = CommitSeq(seen.row.0);
+        }
+        self.fire(now, EditEvent::Read)
+    }
+
+    /// Takes the rows `hosts/*` and the commit that they were read at; `None` if the read failed.
+    pub fn on_hosts(
+        &mut self,
+        now: Timestamp,
+        read: Option<(CommitSeq, Vec<HostRow>)>,
+    ) -> Vec<EditEffect> {
+        let (Some(watch), Some((seq, rows))) = (&mut self.facts.watch, read) else {
+            return self.fire(now, EditEvent::Unread);
+        };
+        let mut effects = Vec::new();
+        if let Acceptance::Waiting(hosts) = watch.on_rows(now, seq, rows) {
+            if self.facts.waiting != hosts {
+                self.facts.waiting.clone_from(&hosts);
+                effects.push(EditEffect::Tell(EditNews::WaitingFor(hosts)));
+            }
+        }
+        effects.extend(self.fire(now, EditEvent::Rows));
+        effects
+    }
+
+    /// Hosts that the edit still waited for at the last read.
+    pub fn waiting(&self) -> &[HostId] {
+        &self.facts.waiting
+    }
+
+    fn fire(&mut self, now: Timestamp, event: EditEvent) -> Vec<EditEffect> {
+        let facts = &self.facts;
+        let step = self.machine.fire(event, |guard| facts.holds(now, guard));
+        let mut effects = Vec::new();
+        for action in step.actions {
+            effects.extend(self.facts.act(now, *action));
+        }
+        if step.to == EditState::Accepted {
+            let next =
+                if self.facts.spec.wait.is_some() { EditEvent::Follow } else { EditEvent::Leave };
+            effects.extend(self.fire(now, next));
+        } else if self.machine.is_done() {
+            effects.push(EditEffect::End(step.to));
+        }
+        effects
+    }
+}
+
+impl Facts {
+    fn holds(&self, now: Timestamp, guard: EditGuard) -> bool {
+        let seen = self.seen;
+        let time_left = now < self.deadline;
+        match guard {
+            EditGuard::TimeLeft => time_left,
+            EditGuard::Certain => !self.lost,
+            EditGuard::Ours => seen.is_some_and(|seen| seen.attempt == self.spec.attempt),
+            EditGuard::Beaten => seen.is_some_and(|seen| self.is_beaten(seen)),
+            // An older row is a stale read of the platform; the compare-and-set decides.
+            EditGuard::Retry => {
+                time_left && seen.is_some_and(|seen| seen.row <= self.spec.expected)
+            }
+            EditGuard::InForce => {
+                let state = self.watch.as_ref().map(AcceptanceWatch::state);
+                state == Some(Acceptance::InForce)
+            }
+        }
+    }
+
+    /// Another edit took the version of this one. After a lost answer a later version proves
+    /// nothing, because it may have been made on top of this edit.
+    fn is_beaten(&self, seen: SeenConfig) -> bool {
+        let newer = seen.row > self.spec.expected && seen.attempt != self.spec.attempt;
+        newer && (!self.lost || seen.version <= self.spec.version)
+    }
+
+    fn act(&mut self, now: Timestamp, action: EditAction) -> Option<EditEffect> {
+        match action {
+            EditAction::Swap => Some(EditEffect::Swap(self.next_delay())),
+            EditAction::ReadBack => Some(EditEffect::ReadBack(self.next_delay())),
+            EditAction::ReadHosts => {
+                let first = self.watch.is_none();
+                self.watch
+                    .get_or_insert_with(|| AcceptanceWatch::new(self.spec.version, self.committed));
+                let delay = if first { DurationMs(0) } else { FOLLOW_INTERVAL };
+                Some(EditEffect::ReadHosts(delay))
+            }
+            EditAction::NoteLost => {
+                self.lost = true;
+                None
+            }
+            EditAction::ReportAccepted => {
+                self.deadline = now + self.spec.wait.unwrap_or_default();
+                Some(EditEffect::Tell(EditNews::Accepted))
+            }
+        }
+    }
+
+    fn next_delay(&mut self) -> DurationMs {
+        let delay = self.delay;
+        self.delay = DurationMs((delay.0 * 2).min(RETRY_MAX.0));
+        delay
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,7 @@
 pub mod acceptance;
 pub mod broker;
 pub mod classify;
+pub mod edit;
 pub mod group;
 pub mod host;
 pub mod life;
--- a/src/core/promotion/mod.rs
+++ b/src/core/promotion/mod.rs
@@ -13,7 +13,7 @@
 
 use rand_chacha::ChaCha8Rng;
 
-pub use names::{Action, Event, Guard, PromotionChart, State, CHART_TEXT};
+pub use names::{chart, Action, Event, Guard, PromotionChart, State, CHART_TEXT};
 pub use record::{GroupRecord, Phase, PromotionEffect, ReadFault, SwapFault};
 pub use stagger::{stagger, STAGGER_MAX, STAGGER_STEP};
 
--- a/src/core/promotion/names.rs
+++ b/src/core/promotion/names.rs
@@ -2,7 +2,7 @@
 
 use std::sync::LazyLock;
 
-use crate::chart::Chart;
+use crate::chart::{Chart, ChartError};
 use crate::chart_names;
 
 chart_names! {
@@ -64,7 +64,15 @@
 /// Text of the chart file.
 pub const CHART_TEXT: &str = include_str!("../../../charts/group.scxml");
 
+/// Compiles the chart of a promotion.
+///
+/// # Errors
+///
+/// Every fault of the chart file.
+pub fn chart() -> Result<PromotionChart, Vec<ChartError>> {
+    Chart::load("charts/group.scxml", CHART_TEXT)
+}
+
 /// The compiled chart.
-pub(super) static CHART: LazyLock<PromotionChart> = LazyLock::new(|| {
-    Chart::load("charts/group.scxml", CHART_TEXT).expect("the chart is valid, a test loads it")
-});
+pub(super) static CHART: LazyLock<PromotionChart> =
+    LazyLock::new(|| chart().expect("charts are checked at start"));
--- a/src/core/share.rs
+++ b/src/core/share.rs
@@ -15,5 +15,5 @@
     ShareWrite, WriteResult,
 };
 pub use slot::{
-    ShareAction, ShareChart, ShareEvent, ShareGuard, ShareState, CHART_FILE, CHART_TEXT,
+    chart, ShareAction, ShareChart, ShareEvent, ShareGuard, ShareState, CHART_FILE, CHART_TEXT,
 };
--- a/src/core/share/slot.rs
+++ b/src/core/share/slot.rs
@@ -2,7 +2,7 @@
 
 use std::sync::LazyLock;
 
-use crate::chart::{Chart, Machine};
+use crate::chart::{Chart, ChartError, Machine};
 use crate::chart_names;
 use crate::types::{DurationMs, RowVersion, Timestamp};
 
@@ -44,9 +44,17 @@
 /// The compiled chart of a share slot.
 pub type ShareChart = Chart<ShareState, ShareEvent, ShareGuard, ShareAction>;
 
-static CHART: LazyLock<ShareChart> = LazyLock::new(|| {
-    Chart::load(CHART_FILE, CHART_TEXT).expect("the share chart is valid, a test checks it")
-});
+/// Compiles the chart of a share slot.
+///
+/// # Errors
+///
+/// Every fault of the chart file.
+pub fn chart() -> Result<ShareChart, Vec<ChartError>> {
+    Chart::load(CHART_FILE, CHART_TEXT)
+}
+
+static CHART: LazyLock<ShareChart> =
+    LazyLock::new(|| chart().expect("charts are checked at start"));
 
 /// Use of a slot by this host.
 #[derive(Debug, Clone, Copy)]
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -20,7 +20,7 @@
 use derive_more::Display;
 
 use super::view_schedule::Schedule;
-use crate::chart::{Chart, Machine};
+use crate::chart::{Chart, ChartError, Machine};
 use crate::chart_names;
 use crate::tables::CheckedTables;
 use crate::types::{
@@ -45,10 +45,16 @@
 /// The compiled `charts/table.scxml`.
 pub type ViewChart = Chart<ViewState, ViewEvent, ViewGuard, ViewAction>;
 
-static CHART: LazyLock<ViewChart> = LazyLock::new(|| {
+/// Compiles the chart of the table version.
+///
+/// # Errors
+///
+/// Every fault of the chart file.
+pub fn chart() -> Result<ViewChart, Vec<ChartError>> {
     Chart::load("charts/table.scxml", include_str!("../../charts/table.scxml"))
-        .expect("the table chart is valid, a test checks it")
-});
+}
+
+static CHART: LazyLock<ViewChart> = LazyLock::new(|| chart().expect("charts are checked at start"));
 
 /// One run of a host process, as registered in `hosts/<id>`.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
--- a/src/error.rs
+++ b/src/error.rs
@@ -59,6 +59,8 @@
     BadTable,
     /// another edit was accepted first
     EditConflict,
+    /// edit was accepted but is not in force everywhere yet
+    NotInForce,
     /// platform does not answer
     PlatformUnavailable,
     /// internal error
@@ -67,7 +69,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the list.
-    pub const ALL: [ErrorKind; 25] = [
+    pub const ALL: [ErrorKind; 26] = [
         ErrorKind::BadStartup,
         ErrorKind::BadMessage,
         ErrorKind::MessageTooLarge,
@@ -91,6 +93,7 @@
         ErrorKind::BadSetting,
         ErrorKind::BadTable,
         ErrorKind::EditConflict,
+        ErrorKind::NotInForce,
         ErrorKind::PlatformUnavailable,
         ErrorKind::Internal,
     ];
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod auth;
 pub mod chart;
+pub mod charts;
 pub mod commands;
 pub mod config;
 pub mod consts;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod caller;
 pub mod cancel;
+pub mod edit;
 pub mod endpoint;
 pub mod host;
 pub mod platform;
 pub mod reactor;
 pub mod stream;
+pub mod tool;
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -94,6 +94,8 @@
     DatabaseName;
     /// A key of a client account; the name, never the key itself.
     KeyId;
+    /// The person or program that edits the tables.
+    EditorName;
     /// A table of the platform's table service.
     TableName;
     /// The key of a row, or the beginning of keys, within one table of the table service.
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -7,9 +7,9 @@
 
 pub use amount::{Burst, ConnectionCount, Cost, MilliTokens, RatePerS, Slots, Weight};
 pub use id::{
-    AccountId, AttemptId, CallId, ConnectionId, DatabaseName, EndpointId, FailureDomain, GroupId,
-    HostId, IdError, Incarnation, KeyId, ObjectName, PoolName, RequestId, RouteName, RowKey,
-    SessionId, ShareSlot, TableName,
+    AccountId, AttemptId, CallId, ConnectionId, DatabaseName, EditorName, EndpointId,
+    FailureDomain, GroupId, HostId, IdError, Incarnation, KeyId, ObjectName, PoolName, RequestId,
+    RouteName, RowKey, SessionId, ShareSlot, TableName,
 };
 pub use position::{CommitSeq, Position, PositionError, Renewals, RowVersion, TableVersion, Term};
 pub use time::{DurationMs, Timestamp};
--- /dev/null
+++ b/tests/charts.rs
@@ -0,0 +1,93 @@
+//! Every chart of the project loads, has no dead ends, and matches its drawing.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use medlarstile::chart::Graph;
+use medlarstile::charts::{drawing, load_all, CHARTS, TEXTS};
+use yare::parameterized;
+
+fn folder(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(name)
+}
+
+fn stems(folder_name: &str, ending: &str) -> BTreeSet<String> {
+    let entries = fs::read_dir(folder(folder_name)).expect("the folder exists");
+    let names = entries.map(|entry| entry.expect("an entry").file_name());
+    let names = names.filter_map(|name| name.into_string().ok());
+    names.filter_map(|name| name.strip_suffix(ending).map(str::to_owned)).collect()
+}
+
+fn graph(name: &str) -> Graph {
+    let entry = CHARTS.iter().find(|entry| entry.name == name).expect("the chart is listed");
+    (entry.load)().expect("the chart is valid")
+}
+
+/// States that a machine can come to from `start`, each with the events that lead there.
+fn paths(graph: &Graph, start: &'static str) -> BTreeMap<&'static str, Vec<&'static str>> {
+    let mut paths = BTreeMap::from([(start, Vec::new())]);
+    let mut open = vec![start];
+    while let Some(state) = open.pop() {
+        let path = paths[state].clone();
+        for edge in graph.edges.iter().filter(|edge| edge.from == state) {
+            if !paths.contains_key(edge.to) {
+                paths.insert(edge.to, [path.as_slice(), &[edge.event]].concat());
+                open.push(edge.to);
+            }
+        }
+    }
+    paths
+}
+
+/// Guards against a state that no sequence of events reaches, a final state that is never reached,
+/// and a state from which a chart with final states cannot end.
+#[parameterized(
+    caller = { "caller" }, edit = { "edit" }, endpoint = { "endpoint" }, group = { "group" },
+    host = { "host" }, request = { "request" }, share = { "share" }, table = { "table" },
+)]
+fn every_state_is_reached(name: &str) {
+    let graph = graph(name);
+    let reached = paths(&graph, graph.initial);
+    for state in graph.states.iter().chain(&graph.finals) {
+        assert!(reached.contains_key(state), "{name}: {state} is not reached");
+    }
+    for state in graph.states.iter().filter(|_| !graph.finals.is_empty()) {
+        let onward = paths(&graph, state);
+        let ends = graph.finals.iter().any(|last| onward.contains_key(last));
+        assert!(ends, "{name}: no final state is reached from {state}");
+    }
+}
+
+/// Guards against the walk above passing because it sees no states.
+#[test]
+fn an_unreachable_state_is_noticed() {
+    let mut graph = graph("host");
+    graph.edges.retain(|edge| edge.to != "draining");
+    assert!(!paths(&graph, graph.initial).contains_key("releasing"));
+}
+
+/// Guards against a chart that is not checked at the start of a host, or not drawn.
+#[test]
+fn the_lists_name_every_file() {
+    let loaded = load_all().expect("every chart is valid");
+    assert_eq!(loaded.len(), CHARTS.len());
+    let files = stems("charts", ".scxml");
+    let texts: BTreeSet<String> = TEXTS.iter().map(|(name, _)| (*name).to_owned()).collect();
+    assert_eq!(texts, files);
+    let host: BTreeSet<String> = CHARTS.iter().map(|entry| entry.name.to_owned()).collect();
+    let emulated = files.iter().filter(|name| name.starts_with("emulated_")).cloned();
+    assert_eq!(host.union(&emulated.collect()).cloned().collect::<BTreeSet<_>>(), files);
+}
+
+/// Guards against drawings in `docs/charts` that show an older chart. `medlarstile charts draw
+/// --out docs/charts` renews them.
+#[test]
+fn the_committed_drawings_match_the_charts() {
+    assert_eq!(stems("docs/charts", ".mmd"), stems("charts", ".scxml"));
+    for (name, text) in TEXTS {
+        let file = folder("docs/charts").join(format!("{name}.mmd"));
+        let committed = fs::read_to_string(file).expect("the drawing is committed");
+        assert_eq!(committed, drawing(text).expect("a chart can be drawn"), "{name}");
+    }
+}
--- /dev/null
+++ b/tests/edit.rs
@@ -0,0 +1,111 @@
+//! Decisions of one edit of the tables, with a paused clock.
+
+use medlarstile::core::acceptance::HostRow;
+use medlarstile::core::edit::{
+    Edit, EditEffect, EditSpec, EditState, SeenConfig, SwapResult, EDIT_LIMIT,
+};
+use medlarstile::core::view::Member;
+use medlarstile::types::{
+    AttemptId, CommitSeq, DurationMs, Incarnation, RowVersion, TableVersion, Timestamp,
+};
+use yare::parameterized;
+
+const OURS: AttemptId = AttemptId(77);
+const OTHER: AttemptId = AttemptId(78);
+
+/// What the platform answers, in the order of the calls.
+#[derive(Clone, Copy)]
+enum Reply {
+    Swap(SwapResult),
+    /// Row version, table version and attempt of `config/current`.
+    Found(u64, u64, AttemptId),
+    Unread,
+    /// Time goes on beyond the limit for getting the edit accepted.
+    LimitPassed,
+}
+
+use Reply::{Found, LimitPassed, Swap, Unread};
+
+const COMMITTED: Reply = Swap(SwapResult::Committed(CommitSeq(20)));
+const LOST: Reply = Swap(SwapResult::Lost);
+const CONFLICT: Reply = Swap(SwapResult::Conflict);
+const NOT_SENT: Reply = Swap(SwapResult::NotSent);
+
+fn edit(wait: Option<DurationMs>) -> Edit {
+    let version = TableVersion(5);
+    let spec = EditSpec { version, attempt: OURS, expected: RowVersion(10), wait };
+    let (edit, effects) = Edit::new(Timestamp(0), spec);
+    assert_eq!(effects, [EditEffect::Swap(DurationMs(0))]);
+    edit
+}
+
+/// Guards against an edit that is reported as refused although it took effect, as accepted although
+/// it did not, or as lost although a read back decides.
+#[parameterized(
+    committed = { &[COMMITTED], EditState::Unwatched },
+    accepted_but_lost = { &[LOST, Found(20, 5, OURS)], EditState::Unwatched },
+    lost_before_it_ran = { &[LOST, Found(10, 4, OTHER), COMMITTED], EditState::Unwatched },
+    repeated_after_it_ran = { &[LOST, Found(10, 4, OTHER), CONFLICT, Found(20, 5, OURS)], EditState::Unwatched },
+    lost_race = { &[CONFLICT, Found(20, 5, OTHER)], EditState::Beaten },
+    lost_race_after_a_stale_read = { &[CONFLICT, Found(10, 4, OTHER), CONFLICT, Found(20, 5, OTHER)], EditState::Beaten },
+    lost_race_by_two = { &[CONFLICT, Found(30, 6, OTHER)], EditState::Beaten },
+    lost_answer_and_race = { &[LOST, Found(20, 5, OTHER)], EditState::Beaten },
+    another_edit_on_top = { &[LOST, Found(30, 6, OTHER)], EditState::Unknown },
+    never_read_back = { &[LOST, Unread, LimitPassed, Unread], EditState::Unknown },
+    conflict_never_read_back = { &[CONFLICT, Unread, LimitPassed, Unread], EditState::Beaten },
+    never_sent = { &[NOT_SENT, LimitPassed, NOT_SENT], EditState::Unavailable },
+    lost_then_never_sent = { &[LOST, Found(10, 4, OTHER), LimitPassed, NOT_SENT], EditState::Unknown },
+)]
+fn ends(replies: &[Reply], expected: EditState) {
+    let mut edit = edit(None);
+    let mut now = Timestamp(0);
+    let mut effects = Vec::new();
+    for reply in replies {
+        assert!(!matches!(effects.last(), Some(EditEffect::End(_))), "it ended early");
+        effects = match *reply {
+            Swap(result) => edit.on_swapped(now, result),
+            Found(row, version, attempt) => {
+                let (row, version) = (RowVersion(row), TableVersion(version));
+                edit.on_read_back(now, Some(SeenConfig { row, version, attempt }))
+            }
+            Unread => edit.on_read_back(now, None),
+            LimitPassed => {
+                now += EDIT_LIMIT;
+                Vec::new()
+            }
+        };
+    }
+    assert_eq!(effects.last(), Some(&EditEffect::End(expected)));
+}
+
+fn row(host: &str, confirmed: u64) -> HostRow {
+    HostRow {
+        member: Member { host: host.parse().expect("an id"), incarnation: Incarnation(1) },
+        registered: Some(CommitSeq(1)),
+        renewed: CommitSeq(15),
+        members_seen: Some(CommitSeq(15)),
+        confirmed: Some(TableVersion(confirmed)),
+    }
+}
+
+/// Guards against a report that does not wait for a silent host, and against a wait without end.
+#[parameterized(
+    all_confirm = { 5, 10_000, &[0], EditState::InForce },
+    one_is_silent = { 4, 10_000, &[0, 3_400, 3_500], EditState::InForce },
+    wait_is_over = { 4, 1_000, &[0, 900, 1_000], EditState::NotInForce },
+)]
+fn follows(second: u64, wait_ms: u64, reads_ms: &[u64], expected: EditState) {
+    let mut edit = edit(Some(DurationMs(wait_ms)));
+    edit.on_swapped(Timestamp(0), SwapResult::Committed(CommitSeq(20)));
+    for (index, read_ms) in reads_ms.iter().enumerate() {
+        let now = Timestamp(0) + DurationMs(*read_ms);
+        let rows = vec![row("h1", 5), row("h2", second)];
+        let effects = edit.on_hosts(now, Some((CommitSeq(21), rows)));
+        let is_last = index + 1 == reads_ms.len();
+        let ended = matches!(effects.last(), Some(EditEffect::End(_)));
+        assert_eq!(ended, is_last, "at {read_ms} ms");
+        if is_last {
+            assert_eq!(effects.last(), Some(&EditEffect::End(expected)));
+        }
+    }
+}
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,263 @@
+//! Commands of operators against a fleet of processes.
+
+#[path = "support/endpoint.rs"]
+mod endpoint;
+#[path = "support/fleet.rs"]
+mod fleet;
+mod support;
+
+use std::fs;
+use std::io::{Read, Write};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+
+use fleet::{route, sqlstate, Fleet};
+use medlarstile::commands::tables::issue_key;
+use medlarstile::tables::Tables;
+use medlarstile::wire::tables::{read_config, write_toml, Config};
+use postgres::Client;
+use rand::SeedableRng;
+use rand_chacha::ChaCha20Rng;
+use serde_json::{json, Value};
+use support::id;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_medlarstile");
+
+fn with_environment(mut command: Command, fleet: &Fleet, editor: &str) -> Command {
+    command
+        .env("MEDLARSTILE_LOG", "warn")
+        .env("MEDLARSTILE_PLATFORM", fleet.platform.address.to_string())
+        .env("MEDLARSTILE_EDITOR", editor)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    command
+}
+
+fn run(fleet: &Fleet, arguments: &[&str]) -> Output {
+    let mut command = Command::new(BINARY);
+    command.args(arguments);
+    with_environment(command, fleet, "test").output().expect("the binary runs")
+}
+
+/// Runs a command that must succeed and returns its JSON object.
+fn run_json(fleet: &Fleet, arguments: &[&str]) -> Value {
+    let output = run(fleet, &[arguments, &["--format", "json"]].concat());
+    assert!(output.status.success(), "{arguments:?}: {}", text(&output.stderr));
+    serde_json::from_slice(&output.stdout).expect("one JSON object")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+fn file(name: &str, tables: &Tables) -> String {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("operator_{name}.toml"));
+    fs::write(&path, write_toml(tables).expect("the tables can be written")).expect("written");
+    path.to_str().expect("a text").to_owned()
+}
+
+fn accepted(fleet: &Fleet) -> Config {
+    let rows = support::rows(&fleet.platform.client("test"));
+    read_config(&rows[0].value.to_string()).expect("the row holds tables")
+}
+
+/// Guards against "in force" being reported before every host acts on the edit, against lost
+/// output of `key issue`, and against `tables show` that cannot be edited and accepted again.
+#[test]
+fn an_edit_in_force_is_in_force_on_every_host() {
+    let mut fleet = Fleet::start(&[]);
+    fleet.commit();
+    let hosts = [fleet.host("h1", &[]), fleet.host("h2", &[])];
+    let key = fleet.add_keyed_route();
+    let path = file("in_force", &fleet.tables);
+    let result = run_json(&fleet, &["tables", "edit", &path, "--yes"]);
+    let logins = hosts.each_ref().map(|host| host.keyed(key.expose()).is_ok());
+    assert_eq!(logins, [true, true], "{result}");
+    assert_eq!((&result["state"], &result["version"]), (&json!("in_force"), &json!(2)));
+    let issue = ["key", "issue", "--account", "north", "--label", "second", "--yes"];
+    let issued = run_json(&fleet, &issue);
+    let second = issued["key"].as_str().expect("the key is printed");
+    assert!(hosts.iter().all(|host| host.keyed(second).is_ok()), "{}", issued["state"]);
+    let shown = run(&fleet, &["tables", "show"]);
+    let path = path.replace("in_force", "shown");
+    fs::write(&path, &shown.stdout).expect("written");
+    let again = run_json(&fleet, &["tables", "edit", &path, "--yes"]);
+    assert_eq!(again, json!({"version": 3, "state": "unchanged"}));
+}
+
+/// Sends requests until one is refused; the first one must be answered. Returns how many were
+/// answered after it; once `stopped` is set none may be.
+fn load(mut client: Client, stopped: Arc<AtomicBool>) -> thread::JoinHandle<u64> {
+    client.simple_query("SELECT 1").expect("the key is valid");
+    thread::spawn(move || {
+        let mut answered = 0;
+        loop {
+            let late = stopped.load(Ordering::SeqCst);
+            if client.simple_query("SELECT 1").is_err() {
+                return answered;
+            }
+            assert!(!late, "a request was served after the withdrawal was in force");
+            answered += 1;
+        }
+    })
+}
+
+/// Guards against a withdrawn key that goes on working under load. The command itself, which ends
+/// when the withdrawal is in force, gets 4 s.
+#[test]
+fn a_withdrawal_under_load_takes_less_than_4_s() {
+    let mut fleet = Fleet::start(&[]);
+    let key = fleet.add_keyed_route();
+    let mut rng = ChaCha20Rng::seed_from_u64(8);
+    issue_key(&mut fleet.tables, &id("north"), "other", &mut rng).expect("a second key");
+    fleet.commit();
+    let hosts = [fleet.host("h1", &[]), fleet.host("h2", &[])];
+    let stopped = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = hosts
+        .iter()
+        .flat_map(|host| [host, host])
+        .map(|host| load(host.keyed(key.expose()).expect("valid"), Arc::clone(&stopped)))
+        .collect();
+    let first = fleet.tables.routes[1].keys[0].key.to_string();
+    let mut command = Command::new("timeout");
+    command.args(["4", BINARY, "key", "withdraw", "--account", "north", "--key", &first, "--yes"]);
+    let output = with_environment(command, &fleet, "test").output().expect("timeout runs");
+    stopped.store(true, Ordering::SeqCst);
+    assert!(output.status.success(), "{:?} {}", output.status, text(&output.stderr));
+    println!("{}", text(&output.stdout).trim());
+    for client in clients {
+        let answered = client.join().expect("no request was served late");
+        assert!(answered > 0, "there was no load when the key was withdrawn");
+    }
+    assert!(hosts.iter().all(|host| host.keyed(key.expose()).is_err()));
+}
+
+/// An editor that has read the tables and waits for the confirmation.
+fn asked(fleet: &Fleet, editor: &str, path: &str) -> Child {
+    let mut command = Command::new(BINARY);
+    command.args(["tables", "edit", path]);
+    let mut child = with_environment(command, fleet, editor).spawn().expect("the binary runs");
+    let stderr = child.stderr.as_mut().expect("a pipe");
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"[y/N] ") {
+        let mut byte = [0];
+        stderr.read_exact(&mut byte).unwrap_or_else(|_| panic!("no question: {}", text(&seen)));
+        seen.push(byte[0]);
+    }
+    child
+}
+
+fn confirm(child: &mut Child) {
+    child.stdin.take().expect("a pipe").write_all(b"y\n").expect("the editor reads");
+}
+
+/// Guards against two edits that are mixed or overwrite each other.
+#[test]
+fn one_of_two_racing_editors_wins_whole() {
+    let mut fleet = Fleet::start(&[]);
+    fleet.commit();
+    let editors = ["left", "right"].map(|editor| {
+        let mut tables = fleet.tables.clone();
+        tables.routes.push(route(editor, editor, "*"));
+        (editor, tables)
+    });
+    let mut children =
+        editors.each_ref().map(|(editor, tables)| asked(&fleet, editor, &file(editor, tables)));
+    children.iter_mut().for_each(confirm);
+    let outputs = children.map(|child| child.wait_with_output().expect("the editor ends"));
+    let codes = outputs.each_ref().map(|output| output.status.code());
+    let (winner, loser) = match codes {
+        [Some(0), Some(7)] => (0, 1),
+        [Some(7), Some(0)] => (1, 0),
+        other => panic!("{other:?}"),
+    };
+    let present = accepted(&fleet);
+    let (name, tables) = &editors[winner];
+    assert_eq!((present.editor.as_str(), &present.tables.routes), (*name, &tables.routes));
+    let expected =
+        format!("version 2 by {name} was accepted first and changed:\nroutes {name}: row added\n");
+    assert_eq!(text(&outputs[loser].stdout), expected);
+}
+
+/// Guards against an edit that writes a part of a faulty table, or hides some of its faults.
+#[test]
+fn a_bad_table_is_refused_with_all_faults() {
+    let mut fleet = Fleet::start(&[]);
+    fleet.commit();
+    let mut tables = fleet.tables.clone();
+    tables.routes[0].freshness = "soon".into();
+    tables.routes[0].pool = "nowhere".into();
+    tables.pools[1].address = "localhost".into();
+    let path = file("bad", &tables);
+    let output = run(&fleet, &["tables", "edit", &path, "--yes"]);
+    assert_eq!(output.status.code(), Some(2));
+    let told = text(&output.stderr);
+    for (column, value) in [("freshness", "soon"), ("pool", "nowhere"), ("address", "localhost")] {
+        let found = |line: &&str| line.contains(column) && line.contains(value);
+        assert!(told.lines().any(|line| found(&line)), "{column}: {told}");
+    }
+    assert_eq!(accepted(&fleet).tables.version.0, 1);
+    assert_eq!(run(&fleet, &["tables", "check", &path]).status.code(), Some(2));
+}
+
+/// Guards against an edit that is made again, or reported as failed, because an answer was lost.
+#[test]
+fn a_lost_answer_is_resolved() {
+    let mut fleet = Fleet::start(&[]);
+    fleet.commit();
+    fleet.platform.control(json!({"lose_next": 1}));
+    fleet.tables.routes.push(route("new", "new", "*"));
+    let path = file("lost", &fleet.tables);
+    let result = run_json(&fleet, &["tables", "edit", &path, "--yes"]);
+    let report = fleet.platform.control(json!({}));
+    assert_eq!(report["clients"]["operator"]["lost"], json!(1), "no answer was lost");
+    assert_eq!((&result["state"], &result["version"]), (&json!("in_force"), &json!(2)));
+    assert_eq!(report["commit_seq"], json!(2), "the edit was made once");
+}
+
+/// Guards against an edit that is reported as in force while a paused host may still act on the
+/// old tables, and against a continued host that serves a keyed request before it has read them.
+#[test]
+fn a_frozen_host_is_waited_for_and_serves_nothing_old() {
+    let mut fleet = Fleet::start(&[]);
+    let key = fleet.add_keyed_route();
+    fleet.commit();
+    let (_first, frozen) = (fleet.host("h1", &[]), fleet.host("h2", &[]));
+    let mut client = frozen.keyed(key.expose()).expect("the key is valid");
+    frozen.signal("-STOP");
+    let waiting = thread::spawn(move || client.simple_query("SELECT 1").map(drop));
+    let issue = ["key", "issue", "--account", "north", "--label", "second", "--yes"];
+    let result = run_json(&fleet, &issue);
+    let elapsed_ms = result["elapsed_ms"].as_u64().expect("a number");
+    assert!((3_500..5_000).contains(&elapsed_ms), "in force after {elapsed_ms} ms");
+    println!("in force after {elapsed_ms} ms with one frozen host");
+    let status = run_json(&fleet, &["status", "--watch-ms", "1500"]);
+    let renews = |index: usize| status["hosts"][index]["renews"].clone();
+    assert_eq!((renews(0), renews(1)), (json!(true), json!(false)), "{status}");
+    frozen.signal("-CONT");
+    let error = waiting.join().expect("an answer").expect_err("the host has old tables");
+    assert_eq!(sqlstate(&error), "57P03");
+    let second = result["key"].as_str().expect("the key is printed");
+    fleet.endpoints[0].wait_until("the new key works", |_| frozen.keyed(second).is_ok());
+}
+
+/// Guards against a live host that is forgotten, and against a dead one that stays.
+#[test]
+fn only_a_host_that_is_gone_can_be_forgotten() {
+    let mut fleet = Fleet::start(&[]);
+    fleet.commit();
+    let (_first, mut second) = (fleet.host("h1", &[]), fleet.host("h2", &[]));
+    second.signal("-KILL");
+    second.wait();
+    assert_eq!(run(&fleet, &["hosts", "forget", "h1", "--yes"]).status.code(), Some(2));
+    let unconfirmed = run(&fleet, &["hosts", "forget", "h2"]);
+    assert_eq!(unconfirmed.status.code(), Some(5), "{}", text(&unconfirmed.stderr));
+    let removed = run_json(&fleet, &["hosts", "forget", "h2", "--yes"]);
+    assert_eq!(removed, json!({"removed": "h2"}));
+    let rows = fleet.platform.client("test").read(&id("hosts"), None).expect("an answer").rows;
+    assert_eq!(rows.iter().map(|row| row.key.as_str()).collect::<Vec<_>>(), ["h1"]);
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -60,8 +60,13 @@
 
     /// Asks the host to stop.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Sends a signal to the process of the host.
+    pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &pid]).status();
+        let status = Command::new("kill").args([signal, &pid]).status();
         assert!(status.expect("kill runs").success());
     }
 
