Document settings and operation, and test the pages against the code

Cause: there was no page for the settings of a host, for operators and for callers, and the debug output of the flags showed the secrets.

Change: configuration.md is compared with the clap definitions and the allowed values, commands.md and callers.md with the table of answers. Secrets are of type Secret from the command line on.

Measured: 13 tests of settings and pages pass; before there were none.

Conclusion: a flag, default or answer can no longer differ from its page.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,6 @@
 //! Settings of a host: one documented field per option, checked as a whole.
 
+use std::convert::Infallible;
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -65,11 +66,11 @@
     #[arg(long, env = "MEDLARSTILE_ENDPOINT_USER")]
     pub endpoint_user: Option<String>,
     /// Password with which the host logs in at endpoints; better given by the variable.
-    #[arg(long, env = "MEDLARSTILE_ENDPOINT_PASSWORD", hide_env_values = true)]
-    pub endpoint_password: Option<String>,
+    #[arg(long, env = "MEDLARSTILE_ENDPOINT_PASSWORD", hide_env_values = true, value_parser = secret_text)]
+    pub endpoint_password: Option<Secret>,
     /// Secret shared by all hosts, at least 16 characters; better given by the variable.
-    #[arg(long, env = "MEDLARSTILE_FLEET_SECRET", hide_env_values = true)]
-    pub fleet_secret: Option<String>,
+    #[arg(long, env = "MEDLARSTILE_FLEET_SECRET", hide_env_values = true, value_parser = secret_text)]
+    pub fleet_secret: Option<Secret>,
     /// PEM file with the certificate chain for callers; without it TLS is declined.
     #[arg(long, env = "MEDLARSTILE_TLS_CERTIFICATE")]
     pub tls_certificate: Option<String>,
@@ -145,11 +146,19 @@
     pub key: PathBuf,
 }
 
+fn secret_text(text: &str) -> Result<Secret, Infallible> {
+    Ok(Secret::new(text))
+}
+
 /// Name, variable and allowed values of one option.
-struct OptionSpec {
-    flag: &'static str,
-    variable: &'static str,
-    allowed: &'static str,
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OptionSpec {
+    /// Flag without the dashes.
+    pub flag: &'static str,
+    /// Environment variable.
+    pub variable: &'static str,
+    /// Allowed values, and the default if there is one.
+    pub allowed: &'static str,
 }
 
 macro_rules! option {
@@ -186,6 +195,27 @@
     option!("drain-limit-ms", "DRAIN_LIMIT_MS", "0 to 3600000, default 30000");
 const STATSD: OptionSpec = option!("statsd", "STATSD", "IP:PORT");
 
+/// Every option of a host, for the page that documents them.
+pub const OPTIONS: [OptionSpec; 17] = [
+    HOST_ID,
+    FAILURE_DOMAIN,
+    LISTEN,
+    PEER_LISTEN,
+    PLATFORM,
+    ENDPOINT_USER,
+    ENDPOINT_PASSWORD,
+    FLEET_SECRET,
+    TLS_CERTIFICATE,
+    TLS_KEY,
+    MAX_MESSAGE_BYTES,
+    SHARE_SLOTS,
+    PRIMARY_PATIENCE_MS,
+    CONFIRM_LIMIT_MS,
+    DRAIN_NOTICE_MS,
+    DRAIN_LIMIT_MS,
+    STATSD,
+];
+
 impl Settings {
     /// Checks all settings.
     ///
@@ -202,12 +232,8 @@
             peer_listen: reader.or(&PEER_LISTEN, &args.peer_listen, "127.0.0.1:6433"),
             platform: reader.required_or(&PLATFORM, &args.platform, "127.0.0.1:1"),
             endpoint_user: reader.text(&ENDPOINT_USER, &args.endpoint_user, 1),
-            endpoint_password: Secret::new(reader.secret(
-                &ENDPOINT_PASSWORD,
-                &args.endpoint_password,
-                1,
-            )),
-            fleet_secret: Secret::new(reader.secret(&FLEET_SECRET, &args.fleet_secret, 16)),
+            endpoint_password: reader.secret(&ENDPOINT_PASSWORD, &args.endpoint_password, 1),
+            fleet_secret: reader.secret(&FLEET_SECRET, &args.fleet_secret, 16),
             tls,
             max_message_bytes: reader.range(
                 &MAX_MESSAGE_BYTES,
@@ -325,18 +351,15 @@
     }
 
     /// Like `text`, but no fault shows the value.
-    fn secret(
-        &mut self,
-        option: &OptionSpec,
-        text: &Option<String>,
-        least: usize,
-    ) -> CompactString {
-        match text {
+    fn secret(&mut self, option: &OptionSpec, secret: &Option<Secret>, least: usize) -> Secret {
+        match secret {
             None => self.missing(option),
-            Some(text) if text.len() < least => self.invalid(option, "***", "too short"),
+            Some(secret) if secret.expose().len() < least => {
+                self.invalid(option, "***", "too short");
+            }
             Some(_) => {}
         }
-        text.as_deref().unwrap_or_default().into()
+        secret.clone().unwrap_or_else(|| Secret::new(""))
     }
 
     fn tls(&mut self, args: &HostArgs) -> Option<TlsFiles> {
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,201 @@
+//! Settings of a host: the check of all of them, and the page that documents them.
+
+use std::collections::BTreeMap;
+
+use clap::{Args, Command, Subcommand};
+use medlarstile::auth::Secret;
+use medlarstile::commands::args::{
+    ChartsCommand, EditArgs, HostsCommand, KeyCommand, StatusArgs, TablesCommand,
+};
+use medlarstile::config::{HostArgs, SettingFault, Settings, OPTIONS};
+use medlarstile::error::ErrorKind;
+use medlarstile::logs::LogArgs;
+use yare::parameterized;
+
+const CONFIGURATION: &str = include_str!("../docs/configuration.md");
+const COMMANDS: &str = include_str!("../docs/commands.md");
+const CALLERS: &str = include_str!("../docs/callers.md");
+
+fn good() -> HostArgs {
+    let text = |text: &str| Some(text.to_owned());
+    HostArgs {
+        host_id: text("h1"),
+        failure_domain: text("east"),
+        platform: text("127.0.0.1:8080"),
+        endpoint_user: text("proxy"),
+        endpoint_password: Some(Secret::new("endpoint-password")),
+        fleet_secret: Some(Secret::new("a secret of sixteen")),
+        ..HostArgs::default()
+    }
+}
+
+fn faults(args: &HostArgs) -> Vec<String> {
+    let faults = Settings::check(args).expect_err("the settings are faulty");
+    faults.iter().map(ToString::to_string).collect()
+}
+
+/// Guards against a check that stops at the first fault.
+#[test]
+fn reports_all_faults_at_once() {
+    let args = HostArgs {
+        host_id: Some("a b".into()),
+        platform: None,
+        share_slots: Some("0".into()),
+        drain_limit_ms: Some("soon".into()),
+        ..good()
+    };
+    let expected = [
+        "--host-id (MEDLARSTILE_HOST_ID) is \"a b\": identifier has the character ' ', allowed \
+         are letters, digits, '_', '-' and '.' ('/' in object names); allowed: 1 to 63 of A-Z \
+         a-z 0-9 _ - .",
+        "--platform (MEDLARSTILE_PLATFORM) is missing; allowed: IP:PORT",
+        "--share-slots (MEDLARSTILE_SHARE_SLOTS) is \"0\": out of range; allowed: 1 to 65536, \
+         default 16",
+        "--drain-limit-ms (MEDLARSTILE_DRAIN_LIMIT_MS) is \"soon\": invalid digit found in \
+         string; allowed: 0 to 3600000, default 30000",
+    ];
+    assert_eq!(faults(&args), expected);
+    assert!(Settings::check(&good()).is_ok());
+}
+
+/// Guards against a required option that is silently filled in.
+#[test]
+fn names_every_missing_option() {
+    let found = Settings::check(&HostArgs::default()).expect_err("all is missing");
+    let missing = found.iter().filter_map(|fault| match fault {
+        SettingFault::Missing { flag, .. } => Some(*flag),
+        SettingFault::Invalid { .. } => None,
+    });
+    let required = OPTIONS.iter().filter(|option| row(CONFIGURATION, option.flag)[2] == "required");
+    assert_eq!(missing.collect::<Vec<_>>(), required.map(|option| option.flag).collect::<Vec<_>>());
+}
+
+/// Guards against a value outside of the documented range that is accepted.
+#[parameterized(
+    port = { |args| args.listen = Some("127.0.0.1".into()), "--listen" },
+    name = { |args| args.listen = Some("localhost:1".into()), "--listen" },
+    small = { |args| args.max_message_bytes = Some("1023".into()), "--max-message-bytes" },
+    large = { |args| args.confirm_limit_ms = Some("600001".into()), "--confirm-limit-ms" },
+    negative = { |args| args.drain_notice_ms = Some("-1".into()), "--drain-notice-ms" },
+    half_tls = { |args| args.tls_key = Some("key.pem".into()), "--tls-certificate" },
+    empty_user = { |args| args.endpoint_user = Some(String::new()), "--endpoint-user" },
+)]
+fn refuses(change: fn(&mut HostArgs), flag: &str) {
+    let mut args = good();
+    change(&mut args);
+    let found = faults(&args);
+    assert!(found.len() == 1 && found[0].starts_with(&format!("{flag} (")), "{found:?}");
+}
+
+/// Guards against secrets in messages and in debug output.
+#[test]
+fn never_shows_a_secret() {
+    let args = HostArgs { fleet_secret: Some(Secret::new("hunter2")), ..good() };
+    let found = faults(&args);
+    let expected = "--fleet-secret (MEDLARSTILE_FLEET_SECRET) is \"***\": too short; allowed: at \
+                    least 16 characters";
+    assert_eq!(found, [expected]);
+    let settings = Settings::check(&good()).expect("good settings");
+    let shown = format!("{args:?} {found:?} {:?} {settings:?}", good());
+    for secret in ["hunter2", "endpoint-password", "sixteen"] {
+        assert!(!shown.contains(secret), "{secret} in {shown}");
+    }
+}
+
+/// Cells of the row of a flag in a table of a page: flag, variable, default, allowed, meaning.
+fn row<'a>(page: &'a str, flag: &str) -> Vec<&'a str> {
+    let start = format!("| `--{flag}` |");
+    let line = page.lines().find(|line| line.starts_with(&start));
+    let line = line.unwrap_or_else(|| panic!("--{flag} is not on the page"));
+    line.trim_matches('|').split('|').map(str::trim).collect()
+}
+
+/// Flags of a command and of all commands below it, with their variables.
+fn flags(command: &Command) -> BTreeMap<String, String> {
+    let own = command.get_arguments().filter_map(|argument| {
+        let flag = argument.get_long()?.to_owned();
+        let variable = argument.get_env().and_then(|text| text.to_str());
+        Some((flag, variable.unwrap_or_default().to_owned()))
+    });
+    let below = command.get_subcommands().flat_map(flags);
+    own.chain(below).collect()
+}
+
+fn page_flags(page: &str) -> Vec<&str> {
+    let starts = page.lines().filter_map(|line| line.strip_prefix("| `--"));
+    starts.filter_map(|rest| rest.split('`').next()).collect()
+}
+
+/// Guards against a page that differs from the options that the code knows.
+#[test]
+fn the_page_names_every_option_of_a_host() {
+    let command = LogArgs::augment_args(HostArgs::augment_args(Command::new("host")));
+    let defined = flags(&command);
+    let mut listed = page_flags(CONFIGURATION);
+    listed.sort_unstable();
+    assert_eq!(listed, defined.keys().collect::<Vec<_>>());
+    for (flag, variable) in &defined {
+        assert_eq!(row(CONFIGURATION, flag)[1], format!("`{variable}`"), "--{flag}");
+    }
+    for option in OPTIONS {
+        let cells = row(CONFIGURATION, option.flag);
+        let (allowed, default) = match option.allowed.split_once(", default ") {
+            Some((allowed, default)) => (allowed, Some(default)),
+            None => (option.allowed, None),
+        };
+        assert_eq!(cells[3], allowed, "--{}", option.flag);
+        assert!(default.is_none_or(|default| cells[2] == default), "--{}", option.flag);
+        assert_eq!(option.variable, defined[option.flag], "--{}", option.flag);
+    }
+    for argument in command.get_arguments() {
+        let Some(flag) = argument.get_long() else { continue };
+        let help = argument.get_help().map(ToString::to_string).unwrap_or_default();
+        assert_eq!(row(CONFIGURATION, flag)[4], help, "--{flag}");
+        for default in argument.get_default_values() {
+            assert_eq!(Some(row(CONFIGURATION, flag)[2]), default.to_str(), "--{flag}");
+        }
+    }
+}
+
+/// Guards against a command's flag without a variable, and against a page that differs.
+#[test]
+fn the_page_names_the_flags_of_edits() {
+    let edit = EditArgs::augment_args(Command::new("edit"));
+    let mut listed = page_flags(COMMANDS);
+    listed.sort_unstable();
+    assert_eq!(listed, flags(&edit).keys().collect::<Vec<_>>());
+    for (flag, variable) in flags(&edit) {
+        assert_eq!(row(COMMANDS, &flag)[1], format!("`{variable}`"));
+    }
+    let commands = [
+        TablesCommand::augment_subcommands(Command::new("tables")),
+        KeyCommand::augment_subcommands(Command::new("key")),
+        HostsCommand::augment_subcommands(Command::new("hosts")),
+        ChartsCommand::augment_subcommands(Command::new("charts")),
+        StatusArgs::augment_args(Command::new("status")),
+    ];
+    for (flag, variable) in commands.iter().flat_map(flags) {
+        let expected = format!("MEDLARSTILE_{}", flag.replace('-', "_").to_uppercase());
+        assert_eq!(variable, expected, "--{flag}");
+    }
+}
+
+/// Guards against pages that show other answers than the table from kind to answer.
+#[test]
+fn the_pages_show_the_table_of_answers() {
+    for kind in ErrorKind::ALL {
+        let answer = kind.answer();
+        let name = serde_json::to_value(kind).expect("a text");
+        let name = name.as_str().expect("a text");
+        let code = format!("| {} |", answer.exit_code);
+        let line = COMMANDS.lines().find(|line| line.starts_with(&code)).expect("the code");
+        assert!(line.contains(&format!("`{name}`")), "{name}: {line}");
+        let start = format!("| `{name}` | {} |", answer.sqlstate);
+        let Some(line) = CALLERS.lines().find(|line| line.starts_with(&start)) else {
+            let only_commands = ["F0000", "40001", "08006"].contains(&answer.sqlstate.as_str());
+            assert!(only_commands, "{name} is not on the page for callers");
+            continue;
+        };
+        assert!(line.ends_with(&format!("| {} |", answer.hint)), "{name}: {line}");
+    }
+}
