Refuse SET SESSION and name defaults in the help of host

Cause: SET SESSION and SET SESSION CHARACTERISTICS were passed on as writes, so the setting stayed on the pooled endpoint connection for the next caller, while plain SET was refused. The help of host did not name the defaults.

Change: both are refused like SET; SET LOCAL and SET TRANSACTION go on. Every option with a default names it in its help, and a test compares it with the check and with configuration.md.

--- a/src/config.rs
+++ b/src/config.rs
@@ -53,10 +53,10 @@
     /// Failure domain that this host runs in.
     #[arg(long, env = "MEDLARSTILE_FAILURE_DOMAIN")]
     pub failure_domain: Option<String>,
-    /// IP address and port for callers; port 0 takes a free one.
+    /// IP address and port for callers; port 0 takes a free one; default 127.0.0.1:6432.
     #[arg(long, env = "MEDLARSTILE_LISTEN")]
     pub listen: Option<String>,
-    /// IP address and UDP port for other hosts.
+    /// IP address and UDP port for other hosts; default 127.0.0.1:6433.
     #[arg(long, env = "MEDLARSTILE_PEER_LISTEN")]
     pub peer_listen: Option<String>,
     /// IP address and port of the platform's service.
@@ -77,22 +77,22 @@
     /// PEM file with the private key of the certificate.
     #[arg(long, env = "MEDLARSTILE_TLS_KEY")]
     pub tls_key: Option<String>,
-    /// Largest message of a caller in bytes.
+    /// Largest message of a caller in bytes; default 16777216.
     #[arg(long, env = "MEDLARSTILE_MAX_MESSAGE_BYTES")]
     pub max_message_bytes: Option<String>,
-    /// Parts into which the rates of client accounts are divided; equal on all hosts.
+    /// Parts into which the rates of client accounts are divided; equal on all hosts; default 16.
     #[arg(long, env = "MEDLARSTILE_SHARE_SLOTS")]
     pub share_slots: Option<String>,
-    /// Wait for a busy replica before the primary serves a read, in milliseconds.
+    /// Wait for a busy replica before the primary serves a read, in milliseconds; default 200.
     #[arg(long, env = "MEDLARSTILE_PRIMARY_PATIENCE_MS")]
     pub primary_patience_ms: Option<String>,
-    /// Wait for the confirmation of a write, in milliseconds.
+    /// Wait for the confirmation of a write, in milliseconds; default 10000.
     #[arg(long, env = "MEDLARSTILE_CONFIRM_LIMIT_MS")]
     pub confirm_limit_ms: Option<String>,
-    /// Time after SIGTERM in which new work is still taken, in milliseconds.
+    /// Time after SIGTERM in which new work is still taken, in milliseconds; default 10000.
     #[arg(long, env = "MEDLARSTILE_DRAIN_NOTICE_MS")]
     pub drain_notice_ms: Option<String>,
-    /// Longest wait for open transactions while stopping, in milliseconds.
+    /// Longest wait for open transactions while stopping, in milliseconds; default 30000.
     #[arg(long, env = "MEDLARSTILE_DRAIN_LIMIT_MS")]
     pub drain_limit_ms: Option<String>,
     /// IP address and UDP port of a statsd server for metrics.
--- a/src/core/classify.rs
+++ b/src/core/classify.rs
@@ -9,8 +9,8 @@
 
 use compact_str::CompactString;
 use sqlparser::ast::{
-    Expr, ObjectName, Query, Select, Set, SetExpr, Statement, TableFactor, TransactionAccessMode,
-    TransactionMode, Visit, Visitor,
+    ContextModifier, Expr, ObjectName, Query, Select, Set, SetExpr, Statement, TableFactor,
+    TransactionAccessMode, TransactionMode, Visit, Visitor,
 };
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
@@ -146,7 +146,8 @@
             }
             Class::refused("SET outside of a transaction; use SET LOCAL")
         }
-        Set::SingleAssignment { .. } | Set::SetTransaction { .. } => Class::write(),
+        Set::SingleAssignment { scope: Some(ContextModifier::Local), .. }
+        | Set::SetTransaction { session: false, .. } => Class::write(),
         _ => Class::refused("SET outside of a transaction; use SET LOCAL"),
     }
 }
--- a/tests/classify.rs
+++ b/tests/classify.rs
@@ -51,7 +51,7 @@
 }
 
 /// Guards against session state that would leak to the next user of a connection.
-#[parameterized(set = { "SET work_mem = '1MB'" }, role = { "SET ROLE x" }, copy = { "COPY t FROM STDIN" }, listen = { "LISTEN c" }, prepare = { "PREPARE p AS SELECT 1" }, discard = { "DISCARD ALL" })]
+#[parameterized(set = { "SET work_mem = '1MB'" }, set_session = { "SET SESSION work_mem = '1MB'" }, characteristics = { "SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY" }, role = { "SET ROLE x" }, copy = { "COPY t FROM STDIN" }, listen = { "LISTEN c" }, prepare = { "PREPARE p AS SELECT 1" }, discard = { "DISCARD ALL" })]
 fn refused(sql: &str) {
     assert!(classify(sql).unsupported.is_some());
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -144,7 +144,10 @@
             None => (option.allowed, None),
         };
         assert_eq!(cells[3], allowed, "--{}", option.flag);
-        assert!(default.is_none_or(|default| cells[2] == default), "--{}", option.flag);
+        if let Some(default) = default {
+            assert_eq!(cells[2], default, "--{}", option.flag);
+            assert!(cells[4].ends_with(&format!("; default {default}")), "--{}", option.flag);
+        }
         assert_eq!(option.variable, defined[option.flag], "--{}", option.flag);
     }
     for argument in command.get_arguments() {
