--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 pub mod broker;
 pub mod cas;
 pub mod classify;
+pub mod edit;
 pub mod group;
 pub mod host;
 pub mod life;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,9 +2,11 @@
 
 pub mod caller;
 pub mod cancel;
+pub mod edit;
 pub mod endpoint;
 pub mod host;
 pub mod peer;
 pub mod platform;
 pub mod reactor;
 pub mod stream;
+pub mod tool;
