Add a demonstration of the fleet in one process

Cause: trying the proxy out took a platform, three endpoints, tables and hosts started by hand.

Change: `medlarstile demo` runs the platform emulator on threads and three emulated endpoints and two hosts as actors of one event loop, stores tables with an open and a keyed route, and prints addresses, key and psql lines.

Conclusion: one command shows a write on one host read on the other.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,7 +6,7 @@
 use medlarstile::error::Error;
 use medlarstile::logs::{self, LogArgs};
 
-use crate::emulator;
+use crate::{demo, emulator};
 
 /// PostgreSQL proxy with session consistency.
 #[derive(Debug, Parser)]
@@ -25,6 +25,8 @@
 pub enum Command {
     /// Runs one host of the proxy.
     Host(Box<HostArgs>),
+    /// Runs platform, endpoints and two hosts in this process, to try the proxy out.
+    Demo(demo::DemoArgs),
     /// Runs an emulator of an outside system, for tests and demonstrations.
     Emulate(emulator::EmulateArgs),
 }
@@ -38,6 +40,7 @@
     logs::start(&cli.log)?;
     match cli.command {
         Command::Host(args) => commands::host::run(&args),
+        Command::Demo(args) => demo::run(&args),
         Command::Emulate(args) => emulator::run(args),
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The `medlarstile` binary.
 
 mod cli;
+mod demo;
 mod emulator;
 
 use std::process::ExitCode;
