Add a load tool on actors

Cause: throughput, latency and memory of the path could not be measured.

Only loopback targets are accepted.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,7 +6,7 @@
 use medlarstile::error::Error;
 use medlarstile::logs::{self, LogArgs};
 
-use crate::{demo, emulator};
+use crate::{demo, emulator, load};
 
 /// PostgreSQL proxy with session consistency.
 #[derive(Debug, Parser)]
@@ -27,6 +27,8 @@
     Host(Box<HostArgs>),
     /// Runs platform, endpoints and two hosts in this process, to try the proxy out.
     Demo(demo::DemoArgs),
+    /// Sends statements to a host or an endpoint on loopback and measures the answers.
+    Load(load::LoadArgs),
     /// Runs an emulator of an outside system, for tests and demonstrations.
     Emulate(emulator::EmulateArgs),
 }
@@ -41,6 +43,7 @@
     match cli.command {
         Command::Host(args) => commands::host::run(&args),
         Command::Demo(args) => demo::run(&args),
+        Command::Load(args) => load::run(args),
         Command::Emulate(args) => emulator::run(args),
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod demo;
 mod emulator;
+mod load;
 
 use std::process::ExitCode;
 
