--- a/src/cli.rs
+++ b/src/cli.rs
@@ -9,7 +9,7 @@
 use medlarstile::error::Error;
 use medlarstile::logs::{self, LogArgs};
 
-use crate::emulator;
+use crate::{demo, emulator, load};
 
 /// PostgreSQL proxy with session consistency.
 #[derive(Debug, Parser)]
@@ -42,6 +42,10 @@
     /// Commands for the state charts.
     #[command(subcommand)]
     Charts(ChartsCommand),
+    /// Runs platform, endpoints and two hosts in this process, to try the proxy out.
+    Demo(demo::DemoArgs),
+    /// Sends statements to a host or an endpoint on loopback and measures the answers.
+    Load(load::LoadArgs),
     /// Runs an emulator of an outside system, for tests and demonstrations.
     Emulate(emulator::EmulateArgs),
 }
@@ -60,6 +64,8 @@
         Command::Status(args) => fleet::status(&args),
         Command::Hosts(command) => fleet::run_hosts(&command),
         Command::Charts(ChartsCommand::Draw { out }) => commands::charts::draw(&out),
+        Command::Demo(args) => demo::run(&args),
+        Command::Load(args) => load::run(args),
         Command::Emulate(args) => emulator::run(args),
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,9 @@
 //! The `medlarstile` binary.
 
 mod cli;
+mod demo;
 mod emulator;
+mod load;
 
 use std::process::ExitCode;
 
