--- a/src/charts.rs
+++ b/src/charts.rs
@@ -1,9 +1,9 @@
 //! Every state chart of the project, in one place.
 
 use crate::chart::{Chart, ChartError, Graph};
-use crate::core::{broker, edit, life, promotion, share, view};
+use crate::core::{broker, cas, edit, life, link, promotion, share, view};
 use crate::error::{Error, ErrorKind};
-use crate::net::{caller, endpoint};
+use crate::net::{caller, endpoint, peer};
 
 /// A chart that the host or a command runs.
 #[derive(Debug, Clone, Copy)]
@@ -27,8 +27,11 @@
     "endpoint": endpoint::chart,
     "group": promotion::chart,
     "host": life::chart,
+    "peer": peer::chart,
+    "platform": link::chart,
     "request": broker::chart,
     "share": share::chart,
+    "swap": cas::chart,
     "table": view::chart,
 };
 
@@ -47,8 +50,12 @@
     "endpoint",
     "group",
     "host",
+    "load_connection",
+    "peer",
+    "platform",
     "request",
     "share",
+    "swap",
     "table",
 ];
 
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -5,6 +5,7 @@
 
 use clap::Args;
 use compact_str::CompactString;
+use medlarstile::auth::Secret;
 use medlarstile::commands::tables::issue_key;
 use medlarstile::config::{HostArgs, Settings};
 use medlarstile::core::store::{Commit, Transaction};
@@ -148,8 +149,8 @@
         peer_listen: Some(loopback(0).to_string()),
         platform: Some(platform.to_string()),
         endpoint_user: Some(ENDPOINT_USER.to_owned()),
-        endpoint_password: Some(ENDPOINT_PASSWORD.to_owned()),
-        fleet_secret: Some("secret of the demonstration".to_owned()),
+        endpoint_password: Some(Secret::new(ENDPOINT_PASSWORD)),
+        fleet_secret: Some(Secret::new("secret of the demonstration")),
         ..HostArgs::default()
     };
     Settings::check(&args).map_err(|faults| {
--- a/src/net/host/start.rs
+++ b/src/net/host/start.rs
@@ -8,11 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 use stakker::{
-    actor, after, call, fwd, fwd_nop, ret_nop, ret_panic, ret_some_to, ActorOwn, Fwd, Stakker, CX,
+    actor, after, call, fwd, ret_nop, ret_panic, ret_some_to, ActorOwn, Fwd, Stakker, CX,
 };
 
 use super::{Host, HostNotice, HostParts};
@@ -57,8 +55,7 @@
         notify: Fwd<HostNotice>,
     ) -> Option<Self> {
         let platform = PlatformSettings::new(settings.platform, settings.host.clone());
-        let rng = ChaCha8Rng::from_os_rng();
-        let platform = actor!(cx, PlatformActor::init(platform, fwd_nop!(), rng), ret_nop!());
+        let platform = actor!(cx, PlatformActor::init(platform), ret_nop!());
         let mut starter = Self { parts: None, platform: None, host: None, notify, stopped: false };
         match bind_peer_socket(settings.peer_listen) {
             Ok((peer_socket, peer_address)) => {
--- a/src/net/platform/actor.rs
+++ b/src/net/platform/actor.rs
@@ -2,12 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
-use stakker::{fwd_to, Core, Fwd, PipedThread, Ret, CX};
+use stakker::{fwd_to, Core, PipedThread, Ret, CX};
 
 use super::client::{PlatformClient, PlatformSettings};
-use crate::core::link::{Link, LinkState};
+use crate::core::link::Link;
 use crate::core::store::{Answer, Call, CallError};
 use crate::types::{CallId, Timestamp};
 
@@ -38,7 +39,6 @@
     waiting: BTreeMap<CallId, Waiting>,
     next: CallId,
     link: Link,
-    changes: Fwd<LinkState>,
     rng: ChaCha8Rng,
 }
 
@@ -49,14 +49,8 @@
 }
 
 impl PlatformActor {
-    /// Starts the worker thread. `changes` gets each change of the link's state, which is suspect
-    /// at first; `rng` draws the delays of repeated calls. The actor fails if the thread ends.
-    pub fn init(
-        cx: CX![],
-        settings: PlatformSettings,
-        changes: Fwd<LinkState>,
-        rng: ChaCha8Rng,
-    ) -> Option<Self> {
+    /// Starts the worker thread. The actor fails if the thread ends.
+    pub fn init(cx: CX![], settings: PlatformSettings) -> Option<Self> {
         let done = fwd_to!([cx], on_done() as (Done));
         let ended = fwd_to!([cx], on_end() as (Option<String>));
         let thread = PipedThread::spawn(done, ended, cx, move |link| {
@@ -69,7 +63,8 @@
             }
         });
         let link = Link::new(timestamp(cx));
-        Some(Self { thread, waiting: BTreeMap::new(), next: CallId(0), link, changes, rng })
+        let rng = ChaCha8Rng::from_os_rng();
+        Some(Self { thread, waiting: BTreeMap::new(), next: CallId(0), link, rng })
     }
 
     /// Makes a call; `ret` gets its result. The time of this message is before the call is sent,
@@ -95,7 +90,6 @@
         let answered = done.result.as_ref().map_or_else(CallError::reached, |_| true);
         if let Some(state) = self.link.on_result(sent, timestamp(cx), answered) {
             tracing::info!("platform: link is {state:?}");
-            self.changes.fwd(state);
         }
         ret.ret(done.result);
     }
