Connect hosts over QUIC and use their views, tables, tokens and records

Cause: the host ignored AskPeers, WantTables, Announce and AskTokens, so a host without the platform served no keyed route after 3 s and spent only its own share of a rate.

Change: net/peer owns the UDP socket and drives quinn-proto under charts/peer.scxml; net/host/peers.rs carries out the effects and answers peers. The host with the lower id dials and proves first. Questions are answered in the round of the event loop after the one that read them, so that no answer is dated before its question.

--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod endpoints;
+mod peers;
 mod platform;
 mod start;
 
@@ -31,6 +32,7 @@
 use crate::types::{ConnectionId, Incarnation, Renewals, RequestId, SessionId, Timestamp};
 use crate::wire::batch::Batch;
 use crate::wire::pg::BackendKey;
+use peers::{peer_spec, Peers};
 pub use start::Starter;
 
 /// Time between two ticks of the core. The promotion procedure needs at most 50 ms.
@@ -68,8 +70,7 @@
     credentials: Rc<Credentials>,
     listener: Option<MioSource<TcpListener>>,
     platform: ActorOwn<PlatformActor>,
-    /// Bound for as long as the process lives; its address identifies the incarnation.
-    _peer_socket: UdpSocket,
+    peers: Peers,
     callers: BTreeMap<SessionId, ActorOwn<Caller>>,
     keys: BTreeMap<SessionId, BackendKey>,
     batches: BTreeMap<RequestId, Batch>,
@@ -97,6 +98,7 @@
             user: settings.endpoint_user.clone(),
             password: settings.endpoint_password.clone(),
         };
+        let peers = Peers::start(cx, peer_spec(&spec, &settings, peer_socket));
         let host = Self {
             started: cx.now(),
             core: HostCore::new(spec, core_rng),
@@ -106,7 +108,7 @@
             credentials: Rc::new(credentials),
             listener: None,
             platform,
-            _peer_socket: peer_socket,
+            peers,
             callers: BTreeMap::new(),
             keys: BTreeMap::new(),
             batches: BTreeMap::new(),
@@ -164,10 +166,10 @@
             HostEffect::AnnounceLeaving => self.leaving = true,
             HostEffect::StopListening => self.listener = None,
             HostEffect::Close => self.close(cx),
-            HostEffect::AskPeers
-            | HostEffect::WantTables(_)
-            | HostEffect::Announce(_)
-            | HostEffect::AskTokens(..) => {}
+            HostEffect::AskPeers => self.ask_peers(cx),
+            HostEffect::WantTables(member) => self.want_tables(cx, &member),
+            HostEffect::Announce(version) => self.announce(version),
+            HostEffect::AskTokens(host, request) => self.ask_tokens(host, request),
         }
     }
 
@@ -213,6 +215,7 @@
     fn close(&mut self, cx: CX![]) {
         self.deregister(cx);
         self.listener = None;
+        self.peers.close();
     }
 
     fn stopped(&mut self, _: CX![]) {
--- /dev/null
+++ b/src/net/host/peers.rs
@@ -0,0 +1,299 @@
+//! Other hosts: their questions, the answers to this host's questions, and news.
+
+use std::collections::BTreeMap;
+use std::net::UdpSocket;
+use std::time::Duration;
+
+use stakker::{actor, after, call, fwd, fwd_to, ret_some_to, ActorOwn, StopCause, CX};
+
+use super::{Host, HostNotice};
+use crate::config::Settings;
+use crate::core::host::HostSpec;
+use crate::core::limit::{LimitPeer, TokenRequest};
+use crate::core::peer::{Envelope, Hello, MessageNumber, PeerMessage, PeerTables};
+use crate::core::promotion::GroupRecord;
+use crate::core::rows::HostRow;
+use crate::core::view::{Member, VIEW_RIGHT};
+use crate::net::peer::{PeerActor, PeerEvent, PeerSpec, PeerTarget};
+use crate::types::{GroupId, HostId, TableVersion, Timestamp};
+
+/// What the link is started with.
+pub(super) fn peer_spec(spec: &HostSpec, settings: &Settings, socket: UdpSocket) -> PeerSpec {
+    let hello = Hello {
+        host: spec.host.clone(),
+        incarnation: spec.incarnation,
+        failure_domain: spec.home.clone(),
+    };
+    PeerSpec { socket, hello, secret: settings.fleet_secret.clone() }
+}
+
+/// A question that has no answer yet.
+#[derive(Debug)]
+struct Question {
+    host: HostId,
+    asked_at: Timestamp,
+}
+
+/// The other hosts as this host knows them.
+pub(super) struct Peers {
+    link: ActorOwn<PeerActor>,
+    open: BTreeMap<HostId, Hello>,
+    targets: Vec<PeerTarget>,
+    questions: BTreeMap<MessageNumber, Question>,
+    last_number: u64,
+    texts: BTreeMap<TableVersion, String>,
+    records: BTreeMap<GroupId, GroupRecord>,
+}
+
+impl Peers {
+    /// Starts the link.
+    pub fn start(cx: &mut stakker::Cx<'_, Host>, spec: PeerSpec) -> Self {
+        let events = fwd_to!([cx], peer_event() as (PeerEvent));
+        let ended = ret_some_to!([cx], peer_link_stopped() as (StopCause));
+        Self {
+            link: actor!(cx, PeerActor::init(spec, events), ended),
+            open: BTreeMap::new(),
+            targets: Vec::new(),
+            questions: BTreeMap::new(),
+            last_number: 0,
+            texts: BTreeMap::new(),
+            records: BTreeMap::new(),
+        }
+    }
+
+    /// Keeps the text of a table version for peers that ask for the tables.
+    pub fn keep_text(&mut self, version: TableVersion, text: String) {
+        self.texts.entry(version).or_insert(text);
+    }
+
+    /// Ends all connections.
+    pub fn close(&mut self) {
+        call!([self.link], close());
+    }
+
+    fn number(&mut self) -> MessageNumber {
+        self.last_number += 1;
+        MessageNumber(self.last_number)
+    }
+
+    fn send(&mut self, host: &HostId, answers: Option<MessageNumber>, message: PeerMessage) {
+        let number = self.number();
+        let (host, envelope) = (host.clone(), Envelope { number, answers, message });
+        call!([self.link], send(host, envelope));
+    }
+
+    /// Sends a question whose answer is judged by the time at which it was asked.
+    fn ask(&mut self, host: &HostId, asked_at: Timestamp, message: PeerMessage) {
+        let number = self.number();
+        self.questions.insert(number, Question { host: host.clone(), asked_at });
+        let (host, envelope) = (host.clone(), Envelope { number, answers: None, message });
+        call!([self.link], send(host, envelope));
+    }
+
+    fn broadcast(&mut self, message: &PeerMessage) {
+        let hosts: Vec<HostId> = self.open.keys().cloned().collect();
+        for host in hosts {
+            self.send(&host, None, message.clone());
+        }
+    }
+
+    /// The send time of the question that `host` answers; each question counts once.
+    fn asked_at(&mut self, host: &HostId, answers: Option<MessageNumber>) -> Option<Timestamp> {
+        let question = self.questions.remove(&answers?)?;
+        (question.host == *host).then_some(question.asked_at)
+    }
+
+    /// Whether the record is newer than what was known.
+    fn learn(&mut self, group: &GroupId, record: &GroupRecord) -> bool {
+        let known = self.records.get(group);
+        let newer =
+            known.is_none_or(|known| (known.term, known.phase) < (record.term, record.phase));
+        if newer {
+            self.records.insert(group.clone(), record.clone());
+        }
+        newer
+    }
+
+    fn limit_peers(&self) -> Vec<LimitPeer> {
+        let peer = |hello: &Hello| LimitPeer {
+            host: hello.host.clone(),
+            failure_domain: hello.failure_domain.clone(),
+        };
+        self.open.values().map(peer).collect()
+    }
+}
+
+impl Host {
+    /// The hosts in the rows `hosts/*` that the platform showed.
+    pub(super) fn set_peer_targets(&mut self, rows: &[HostRow]) {
+        let others = rows.iter().filter(|row| row.host != self.settings.host);
+        let target = |row: &HostRow| PeerTarget {
+            host: row.host.clone(),
+            incarnation: row.incarnation,
+            address: row.address,
+        };
+        let targets: Vec<PeerTarget> = others.map(target).collect();
+        if targets != self.peers.targets {
+            self.peers.targets.clone_from(&targets);
+            call!([self.peers.link], set_targets(targets));
+        }
+    }
+
+    /// Drops the texts of versions that this host won't hand out any more.
+    pub(super) fn drop_old_texts(&mut self) {
+        let version = self.core.view().version();
+        self.peers.texts.retain(|known, _| Some(*known) >= version);
+    }
+
+    pub(super) fn ask_peers(&mut self, cx: CX![]) {
+        let now = self.now(cx);
+        // An answer to an older question could prove nothing that is still valid.
+        self.peers.questions.retain(|_, question| now < question.asked_at + VIEW_RIGHT);
+        let hosts: Vec<HostId> = self.peers.open.keys().cloned().collect();
+        for host in hosts {
+            self.peers.ask(&host, now, PeerMessage::StatementRequest);
+        }
+    }
+
+    pub(super) fn want_tables(&mut self, cx: CX![], member: &Member) {
+        let now = self.now(cx);
+        self.peers.ask(&member.host, now, PeerMessage::TablesRequest);
+    }
+
+    pub(super) fn announce(&mut self, version: TableVersion) {
+        self.peers.broadcast(&PeerMessage::Announce(version));
+    }
+
+    pub(super) fn ask_tokens(&mut self, host: HostId, request: TokenRequest) {
+        self.peers.send(&host, None, PeerMessage::TokensRequest(request));
+    }
+
+    /// Passes a record on if it is new to this host.
+    pub(super) fn pass_on_record(&mut self, group: &GroupId, record: &GroupRecord) {
+        if self.peers.learn(group, record) {
+            let records = vec![(group.clone(), record.clone())];
+            self.peers.broadcast(&PeerMessage::Records(records));
+        }
+    }
+
+    fn peer_event(&mut self, cx: CX![], event: PeerEvent) {
+        match event {
+            PeerEvent::Opened(hello) => self.peer_opened(hello),
+            PeerEvent::Closed(host, _) => {
+                self.peers.open.remove(&host);
+                self.peers.questions.retain(|_, question| question.host != host);
+                self.core.set_peers(self.peers.limit_peers());
+            }
+            PeerEvent::Message(host, envelope) => self.peer_message(cx, &host, envelope),
+        }
+        self.carry_out(cx);
+    }
+
+    fn peer_opened(&mut self, hello: Hello) {
+        let host = hello.host.clone();
+        self.peers.open.insert(host.clone(), hello);
+        self.core.set_peers(self.peers.limit_peers());
+        let records: Vec<(GroupId, GroupRecord)> =
+            self.peers.records.iter().map(|(group, r)| (group.clone(), r.clone())).collect();
+        if !records.is_empty() {
+            self.peers.send(&host, None, PeerMessage::Records(records));
+        }
+    }
+
+    fn peer_message(&mut self, cx: CX![], host: &HostId, envelope: Envelope) {
+        let Envelope { number, answers, message } = envelope;
+        let now = self.now(cx);
+        match message {
+            PeerMessage::StatementRequest
+            | PeerMessage::TablesRequest
+            | PeerMessage::TokensRequest(_) => {
+                // The clock is read once per round of the event loop, before the round's datagrams
+                // are. An answer must not be dated before its question was sent, however long the
+                // process was paused in between, so it is made in the next round.
+                after!(Duration::ZERO, [cx], answer_peer(host.clone(), number, message));
+            }
+            PeerMessage::Statement(statement) => {
+                let asked_at = self.peers.asked_at(host, answers);
+                let Some(asked_at) = asked_at.filter(|_| self.speaks_for(host, &statement.member))
+                else {
+                    return;
+                };
+                self.core.on_statement(now, asked_at, statement);
+            }
+            PeerMessage::Tables(tables) => self.peer_tables(now, host, answers, *tables),
+            PeerMessage::Announce(version) => self.core.on_announced(now, version),
+            PeerMessage::TokensGrant(transfer) => self.core.on_transfer(now, host, &transfer),
+            PeerMessage::Records(records) => {
+                for (group, record) in records {
+                    // Passed on once more, for hosts without a connection to the first sender.
+                    self.pass_on_record(&group, &record);
+                    self.core.broker_mut().on_peer_record(now, &group, &record);
+                }
+            }
+            // The link takes no greeting from an open peer.
+            PeerMessage::Hello(..) => {}
+        }
+    }
+
+    /// Whether `member` is the process at the other end of the connection to `host`.
+    fn speaks_for(&self, host: &HostId, member: &Member) -> bool {
+        let hello = self.peers.open.get(host);
+        hello.is_some_and(|hello| {
+            (&hello.host, hello.incarnation) == (&member.host, member.incarnation)
+        })
+    }
+
+    fn peer_tables(
+        &mut self,
+        now: Timestamp,
+        host: &HostId,
+        answers: Option<MessageNumber>,
+        tables: PeerTables,
+    ) {
+        let Some(asked_at) = self.peers.asked_at(host, answers) else { return };
+        let PeerTables { snapshot, text, age } = tables;
+        self.peers.keep_text(snapshot.tables.version(), text);
+        self.core.on_peer_snapshot(now, asked_at, age, snapshot);
+        self.drop_old_texts();
+    }
+
+    fn answer_peer(
+        &mut self,
+        cx: CX![],
+        host: HostId,
+        number: MessageNumber,
+        question: PeerMessage,
+    ) {
+        let now = self.now(cx);
+        let answer = match question {
+            PeerMessage::StatementRequest => Some(PeerMessage::Statement(self.core.statement(now))),
+            PeerMessage::TablesRequest => self.own_tables(now),
+            PeerMessage::TokensRequest(request) => {
+                let transfer = self.core.on_token_request(now, &host, &request);
+                transfer.map(PeerMessage::TokensGrant)
+            }
+            _ => None,
+        };
+        if let Some(answer) = answer {
+            self.peers.send(&host, Some(number), answer);
+        }
+        self.carry_out(cx);
+    }
+
+    fn own_tables(&self, now: Timestamp) -> Option<PeerMessage> {
+        let view = self.core.view();
+        let snapshot = view.snapshot()?.clone();
+        let text = self.peers.texts.get(&snapshot.tables.version())?.clone();
+        let age = view.age(now);
+        Some(PeerMessage::Tables(Box::new(PeerTables { snapshot, text, age })))
+    }
+
+    fn peer_link_stopped(&mut self, _: CX![], cause: StopCause) {
+        if cause.has_error() {
+            fwd!(
+                [self.notify],
+                HostNotice::Failed(format!("the link to other hosts failed: {cause}"))
+            );
+        }
+    }
+}
--- a/src/net/host/platform.rs
+++ b/src/net/host/platform.rs
@@ -135,7 +135,13 @@
             let now = this.now(cx);
             let config = rows_of(result).and_then(|rows| this.newest(rows));
             let read = config.and_then(|config| snapshot(&hosts, &config));
+            let read = read.map(|ReadView { snapshot, rows, text }| {
+                this.set_peer_targets(&rows);
+                this.peers.keep_text(snapshot.tables.version(), text);
+                (snapshot, rows)
+            });
             this.core.on_view_read(now, read);
+            this.drop_old_texts();
         });
     }
 
@@ -188,6 +194,9 @@
             let now = this.now(cx);
             let rows = rows_of(result).and_then(|rows| this.newest(rows));
             let record = rows.ok_or(ReadFault).and_then(|rows| find_record(&group, &rows));
+            if let Ok(Some((_, record))) = &record {
+                this.pass_on_record(&group, record);
+            }
             this.core.broker_mut().on_record_read(now, &group, record);
         });
     }
@@ -209,6 +218,9 @@
                 Ok(Answer::Commit(Commit::Conflicts(_))) => Err(SwapFault::Conflict),
                 _ => Err(SwapFault::Unknown),
             };
+            if result.is_ok() {
+                this.pass_on_record(&group, &record);
+            }
             this.core.broker_mut().on_record_swapped(now, &group, &record, result);
         });
     }
@@ -227,7 +239,14 @@
     }
 }
 
-fn snapshot(hosts: &Rows<Value>, config: &Rows<Value>) -> Option<(Snapshot, Vec<HostRow>)> {
+/// What one read of the rows `hosts/*` and `config/current` yields.
+struct ReadView {
+    snapshot: Snapshot,
+    rows: Vec<HostRow>,
+    text: String,
+}
+
+fn snapshot(hosts: &Rows<Value>, config: &Rows<Value>) -> Option<ReadView> {
     let mut rows = Vec::new();
     for row in &hosts.rows {
         match HostRow::try_from(row) {
@@ -244,7 +263,8 @@
         tracing::info!("platform: there are no tables yet");
         return None;
     };
-    let config = match read_config(&current.value.to_string()) {
+    let text = current.value.to_string();
+    let config = match read_config(&text) {
         Ok(config) => config,
         Err(error) => {
             tracing::error!("platform: config/current cannot be read: {error}");
@@ -264,7 +284,8 @@
         .iter()
         .map(|row| Member { host: row.host.clone(), incarnation: row.incarnation })
         .collect();
-    Some((Snapshot { commit_seq: CommitSeq(hosts.commit_seq.0), tables, members }, rows))
+    let snapshot = Snapshot { commit_seq: CommitSeq(hosts.commit_seq.0), tables, members };
+    Some(ReadView { snapshot, rows, text })
 }
 
 /// The record of `group`; the rows were read by prefix and may hold those of longer names.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod cancel;
 pub mod endpoint;
 pub mod host;
+pub mod peer;
 pub mod platform;
 pub mod reactor;
 pub mod stream;
--- /dev/null
+++ b/src/net/peer/actor.rs
@@ -0,0 +1,396 @@
+//! The actor that owns the UDP socket and all connections to other hosts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use quinn_proto::{
+    ClientConfig, ConnectionHandle, DatagramEvent, Endpoint, EndpointConfig, Incoming,
+};
+use stakker::{fwd, fwd_to, timer_min, Fwd, MinTimerKey, CX};
+use stakker_mio::mio::net::UdpSocket as MioUdpSocket;
+use stakker_mio::mio::Interest;
+use stakker_mio::{MioPoll, MioSource, Ready};
+
+use super::counters::PeerCounters;
+use super::link::{Identity, Link, Refusal, Report};
+use super::tls::{quic_configs, SERVER_NAME};
+use crate::auth::Secret;
+use crate::core::peer::{Envelope, Hello};
+use crate::types::{HostId, Incarnation};
+
+/// Poll priority of the socket.
+const PRIORITY: u32 = 5;
+/// Largest UDP payload.
+const MAX_DATAGRAM_BYTES: usize = 65_535;
+/// Time before the first repetition of a failed dial.
+const REDIAL_MIN: Duration = Duration::from_millis(100);
+/// Longest time between two dials; as long as a host may serve without a fresh view.
+const REDIAL_MAX: Duration = Duration::from_secs(3);
+/// Connections of hosts that have not proven themselves, above which new ones are refused.
+const MAX_UNPROVEN: usize = 256;
+
+/// What the actor is started with.
+#[derive(Debug)]
+pub struct PeerSpec {
+    /// The bound socket, non-blocking.
+    pub socket: UdpSocket,
+    /// What this host says about itself.
+    pub hello: Hello,
+    /// Secret shared by all hosts.
+    pub secret: Secret,
+}
+
+/// A host that there should be a connection to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerTarget {
+    /// Host id.
+    pub host: HostId,
+    /// Run of its process, from its row.
+    pub incarnation: Incarnation,
+    /// Its address for peers.
+    pub address: SocketAddr,
+}
+
+/// What happens on the link.
+#[derive(Debug)]
+pub enum PeerEvent {
+    /// A host has proven itself; messages can be sent to it.
+    Opened(Hello),
+    /// The connection to a host ended, with what went over it.
+    Closed(HostId, PeerCounters),
+    /// A message of an open host.
+    Message(HostId, Envelope),
+}
+
+/// Dials one host again and again.
+#[derive(Debug)]
+struct Dial {
+    target: PeerTarget,
+    next: Instant,
+    wait: Duration,
+}
+
+/// Owns the socket and the connections.
+pub struct PeerActor {
+    socket: MioSource<MioUdpSocket>,
+    endpoint: Endpoint,
+    client: ClientConfig,
+    identity: Rc<Identity>,
+    events: Fwd<PeerEvent>,
+    links: BTreeMap<usize, Link>,
+    open: BTreeMap<HostId, usize>,
+    dials: BTreeMap<HostId, Dial>,
+    dialing: BTreeMap<HostId, usize>,
+    timer: MinTimerKey,
+    received: Vec<u8>,
+    sent: Vec<u8>,
+    stopping: bool,
+}
+
+impl PeerActor {
+    /// Starts the link. The actor fails if the socket can't be used.
+    pub fn init(cx: CX![], spec: PeerSpec, events: Fwd<PeerEvent>) -> Option<Self> {
+        let PeerSpec { socket, hello, secret } = spec;
+        let configs = match quic_configs() {
+            Ok(configs) => configs,
+            Err(error) => {
+                cx.fail_string(format!("peer: no certificate: {error}"));
+                return None;
+            }
+        };
+        let miopoll = cx.anymap_get::<MioPoll>();
+        let ready = fwd_to!([cx], readable() as (Ready));
+        let socket = MioUdpSocket::from_std(socket);
+        let socket = match miopoll.add(socket, Interest::READABLE, PRIORITY, ready) {
+            Ok(socket) => socket,
+            Err(error) => {
+                cx.fail_string(format!("peer: the socket can't be polled: {error}"));
+                return None;
+            }
+        };
+        let config = Arc::new(EndpointConfig::default());
+        Some(Self {
+            socket,
+            endpoint: Endpoint::new(config, Some(configs.server), false, None),
+            client: configs.client,
+            identity: Rc::new(Identity { hello, secret }),
+            events,
+            links: BTreeMap::new(),
+            open: BTreeMap::new(),
+            dials: BTreeMap::new(),
+            dialing: BTreeMap::new(),
+            timer: MinTimerKey::default(),
+            received: vec![0; MAX_DATAGRAM_BYTES],
+            sent: Vec::new(),
+            stopping: false,
+        })
+    }
+
+    /// Sets the other hosts. Those with a higher id are dialed; connections to hosts that are not
+    /// listed any more are left to end by themselves.
+    pub fn set_targets(&mut self, cx: CX![], targets: Vec<PeerTarget>) {
+        if self.stopping {
+            return;
+        }
+        let now = cx.now();
+        let own = self.identity.hello.host.clone();
+        let dialed = targets.into_iter().filter(|target| target.host > own);
+        let dialed: BTreeMap<HostId, PeerTarget> =
+            dialed.map(|target| (target.host.clone(), target)).collect();
+        self.dials.retain(|host, _| dialed.contains_key(host));
+        for (host, target) in dialed {
+            let known = self.dials.get(&host).is_some_and(|dial| dial.target == target);
+            if !known {
+                self.retarget(now, target);
+            }
+        }
+        self.dial_due(now);
+        self.rearm(cx);
+    }
+
+    /// Sends a message if there is an open connection to `host`.
+    pub fn send(&mut self, cx: CX![], host: HostId, envelope: Envelope) {
+        let now = cx.now();
+        let Some(handle) = self.open.get(&host).copied() else { return };
+        if let Some(link) = self.links.get_mut(&handle) {
+            link.send(now, &envelope);
+        }
+        self.drive(now, handle);
+        self.rearm(cx);
+    }
+
+    /// Closes all connections and accepts no more.
+    pub fn close(&mut self, cx: CX![]) {
+        let now = cx.now();
+        self.stopping = true;
+        self.endpoint.set_server_config(None);
+        self.dials.clear();
+        let handles: Vec<usize> = self.links.keys().copied().collect();
+        for handle in handles {
+            self.refuse(now, handle, &Refusal::Stopping);
+        }
+        self.rearm(cx);
+    }
+
+    /// A new process of a known host, or a new address: an older connection leads nowhere.
+    fn retarget(&mut self, now: Instant, target: PeerTarget) {
+        let host = target.host.clone();
+        let outdated = self.open.get(&host).copied().filter(|handle| {
+            let peer = self.links.get(handle).and_then(Link::peer);
+            peer.is_some_and(|peer| peer.incarnation < target.incarnation)
+        });
+        let stale = outdated.or_else(|| self.dialing.get(&host).copied());
+        if let Some(handle) = stale {
+            self.refuse(now, handle, &Refusal::Outdated);
+        }
+        self.dials.insert(host, Dial { target, next: now, wait: REDIAL_MIN });
+    }
+
+    fn dial_due(&mut self, now: Instant) {
+        let busy = |host: &HostId| self.open.contains_key(host) || self.dialing.contains_key(host);
+        let due = self.dials.iter().filter(|(host, dial)| dial.next <= now && !busy(host));
+        let due: Vec<HostId> = due.map(|(host, _)| host.clone()).collect();
+        for host in due {
+            let Some(dial) = self.dials.get_mut(&host) else { continue };
+            dial.next = now + dial.wait;
+            dial.wait = (dial.wait * 2).min(REDIAL_MAX);
+            let address = dial.target.address;
+            match self.endpoint.connect(now, self.client.clone(), address, SERVER_NAME) {
+                Ok((handle, connection)) => {
+                    let identity = Rc::clone(&self.identity);
+                    let link = Link::new(connection, identity, Some(host.clone()), now);
+                    self.links.insert(handle.0, link);
+                    self.dialing.insert(host, handle.0);
+                    self.drive(now, handle.0);
+                }
+                Err(error) => tracing::warn!("peer: {host} at {address} can't be dialed: {error}"),
+            }
+        }
+    }
+
+    fn readable(&mut self, cx: CX![], _: Ready) {
+        let now = cx.now();
+        let mut touched = BTreeSet::new();
+        loop {
+            match self.socket.recv_from(&mut self.received) {
+                Ok((length, from)) => touched.extend(self.datagram(now, length, from)),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                // An ICMP answer to an earlier datagram, for example; the connection times out.
+                Err(error) => tracing::debug!("peer: receive failed: {error}"),
+            }
+        }
+        for handle in touched {
+            self.drive(now, handle);
+        }
+        self.rearm(cx);
+    }
+
+    fn datagram(&mut self, now: Instant, length: usize, from: SocketAddr) -> Option<usize> {
+        let data = BytesMut::from(&self.received[..length]);
+        let mut answer = Vec::new();
+        match self.endpoint.handle(now, from, None, None, data, &mut answer)? {
+            DatagramEvent::ConnectionEvent(handle, event) => {
+                let link = self.links.get_mut(&handle.0)?;
+                link.counters.received(length);
+                link.connection.handle_event(event);
+                Some(handle.0)
+            }
+            DatagramEvent::NewConnection(incoming) => self.accept(now, incoming, length),
+            DatagramEvent::Response(transmit) => {
+                send_to(&self.socket, &answer[..transmit.size], transmit.destination);
+                None
+            }
+        }
+    }
+
+    fn accept(&mut self, now: Instant, incoming: Incoming, length: usize) -> Option<usize> {
+        let mut answer = Vec::new();
+        let unproven = self.links.values().filter(|link| link.peer().is_none()).count();
+        if unproven >= MAX_UNPROVEN {
+            let transmit = self.endpoint.refuse(incoming, &mut answer);
+            send_to(&self.socket, &answer[..transmit.size], transmit.destination);
+            return None;
+        }
+        match self.endpoint.accept(incoming, now, &mut answer, None) {
+            Ok((handle, connection)) => {
+                let mut link = Link::new(connection, Rc::clone(&self.identity), None, now);
+                link.counters.received(length);
+                self.links.insert(handle.0, link);
+                Some(handle.0)
+            }
+            Err(error) => {
+                tracing::debug!("peer: no connection accepted: {}", error.cause);
+                if let Some(transmit) = error.response {
+                    send_to(&self.socket, &answer[..transmit.size], transmit.destination);
+                }
+                None
+            }
+        }
+    }
+
+    /// Moves a connection on until nothing is left to do for it.
+    fn drive(&mut self, now: Instant, handle: usize) {
+        loop {
+            let Some(link) = self.links.get_mut(&handle) else { return };
+            let mut active = transmit(&self.socket, link, now, &mut self.sent);
+            while let Some(event) = link.connection.poll_endpoint_events() {
+                active = true;
+                if let Some(event) = self.endpoint.handle_event(ConnectionHandle(handle), event) {
+                    link.connection.handle_event(event);
+                }
+            }
+            active |= link.poll(now);
+            let reports = link.take_reports();
+            if !active && reports.is_empty() {
+                break;
+            }
+            for report in reports {
+                self.report(now, handle, report);
+            }
+        }
+        let Some(link) = self.links.get(&handle) else { return };
+        let settled = link.is_open() || link.is_closed();
+        if let Some(host) = link.dialed().filter(|_| settled).cloned() {
+            if self.dialing.get(&host) == Some(&handle) {
+                self.dialing.remove(&host);
+            }
+        }
+        if link.connection.is_drained() {
+            self.links.remove(&handle);
+        }
+    }
+
+    fn report(&mut self, now: Instant, handle: usize, report: Report) {
+        let Some(link) = self.links.get(&handle) else { return };
+        let Some(peer) = link.peer().cloned() else { return };
+        let current = self.open.get(&peer.host).copied();
+        match report {
+            Report::Opened => self.opened(now, handle, current, peer),
+            Report::Message(envelope) if current == Some(handle) => {
+                fwd!([self.events], PeerEvent::Message(peer.host, envelope));
+            }
+            Report::Closed if current == Some(handle) => {
+                let (age, counters) = (link.age(now).as_secs_f64(), link.counters);
+                tracing::info!("peer: {} was connected for {age:.1} s, {counters}", peer.host);
+                self.open.remove(&peer.host);
+                if let Some(dial) = self.dials.get_mut(&peer.host) {
+                    dial.next = now + REDIAL_MIN;
+                    dial.wait = REDIAL_MIN;
+                }
+                fwd!([self.events], PeerEvent::Closed(peer.host, counters));
+            }
+            Report::Message(_) | Report::Closed => {}
+        }
+    }
+
+    /// A host may have a second connection after the first one was lost on its side only.
+    fn opened(&mut self, now: Instant, handle: usize, current: Option<usize>, peer: Hello) {
+        if let Some(older) = current {
+            let known = self.links.get(&older).and_then(Link::peer);
+            if known.is_some_and(|known| known.incarnation > peer.incarnation) {
+                return self.refuse(now, handle, &Refusal::Outdated);
+            }
+            self.refuse(now, older, &Refusal::Replaced);
+        }
+        tracing::info!("peer: connected to {peer}");
+        self.open.insert(peer.host.clone(), handle);
+        fwd!([self.events], PeerEvent::Opened(peer));
+    }
+
+    fn refuse(&mut self, now: Instant, handle: usize, refusal: &Refusal) {
+        if let Some(link) = self.links.get_mut(&handle) {
+            link.refuse(now, refusal);
+            self.drive(now, handle);
+        }
+    }
+
+    fn on_timer(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let due = self.links.iter_mut().filter_map(|(handle, link)| {
+            link.next_timeout().filter(|timeout| *timeout <= now).map(|_| *handle)
+        });
+        let due: Vec<usize> = due.collect();
+        for handle in due {
+            if let Some(link) = self.links.get_mut(&handle) {
+                link.on_timeout(now);
+            }
+            self.drive(now, handle);
+        }
+        self.dial_due(now);
+        self.rearm(cx);
+    }
+
+    fn rearm(&mut self, cx: CX![]) {
+        let links = self.links.values_mut().filter_map(Link::next_timeout);
+        let busy = |host: &HostId| self.open.contains_key(host) || self.dialing.contains_key(host);
+        let dials = self.dials.iter().filter(|(host, _)| !busy(host)).map(|(_, dial)| dial.next);
+        if let Some(next) = links.chain(dials).min() {
+            timer_min!(&mut self.timer, next, [cx], on_timer());
+        }
+    }
+}
+
+/// Sends everything that a connection has to send; whether there was anything.
+fn transmit(socket: &MioUdpSocket, link: &mut Link, now: Instant, out: &mut Vec<u8>) -> bool {
+    let mut active = false;
+    out.clear();
+    while let Some(transmit) = link.connection.poll_transmit(now, 1, out) {
+        active = true;
+        link.counters.sent(transmit.size);
+        send_to(socket, &out[..transmit.size], transmit.destination);
+        out.clear();
+    }
+    active
+}
+
+/// Sends a datagram. One that the system does not take counts as lost; QUIC repeats its content.
+fn send_to(socket: &MioUdpSocket, data: &[u8], to: SocketAddr) {
+    if let Err(error) = socket.send_to(data, to) {
+        tracing::debug!("peer: datagram to {to} was not sent: {error}");
+    }
+}
--- /dev/null
+++ b/src/net/peer/names.rs
@@ -0,0 +1,39 @@
+//! Names of `charts/peer.scxml`, the life of one connection.
+
+use std::sync::LazyLock;
+
+use crate::chart::{Chart, ChartError, Machine};
+use crate::chart_names;
+
+chart_names! {
+    /// States of a connection to a peer.
+    pub enum PeerState { Dialing = "dialing", Proving = "proving", Open = "open", Closed = "closed" }
+    /// Events of a connection to a peer.
+    pub enum PeerStep { Connected = "connected", Proven = "proven", Refused = "refused", Lost = "lost" }
+    /// Guards of a connection to a peer.
+    pub enum PeerGuard { Dialer = "dialer" }
+    /// Actions of a connection to a peer.
+    pub enum PeerAction {
+        SendProof = "send_proof", ReportOpen = "report_open", ReportClosed = "report_closed",
+        Close = "close",
+    }
+}
+
+/// The compiled chart.
+pub type PeerChart = Chart<PeerState, PeerStep, PeerGuard, PeerAction>;
+
+/// Compiles the chart of a connection to a peer.
+///
+/// # Errors
+///
+/// Every fault of the chart file.
+pub fn chart() -> Result<PeerChart, Vec<ChartError>> {
+    Chart::load("charts/peer.scxml", include_str!("../../../charts/peer.scxml"))
+}
+
+static CHART: LazyLock<PeerChart> = LazyLock::new(|| chart().expect("charts are checked at start"));
+
+/// A machine of a new connection.
+pub(super) fn start() -> Machine<PeerState, PeerStep, PeerGuard, PeerAction> {
+    CHART.start()
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -129,7 +129,7 @@
             .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
             .args(["--platform", &self.platform.address.to_string()])
             .args(["--endpoint-user", "proxy", "--endpoint-password", "proxy-password"])
-            .args(["--fleet-secret", "a secret of the tests"])
+            .env("MEDLARSTILE_FLEET_SECRET", "a secret of the tests")
             .args(arguments)
             .stdout(Stdio::piped())
             .spawn()
