--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,3 @@
+//! Decision logic without sockets or encoding: timestamped events in, effects out.
+
+pub mod queue;
--- /dev/null
+++ b/src/core/queue/fair.rs
@@ -0,0 +1,216 @@
+//! The queue itself.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use derive_more::{Display, From, FromStr, Into};
+
+use crate::error::ErrorKind;
+use crate::types::{AccountId, Cost, Timestamp, Weight};
+
+use super::deadline::Deadlines;
+use super::speed::Speed;
+
+/// Units of virtual time per microsecond of cost at weight 1, so that division by a weight
+/// loses next to nothing.
+const VIRTUAL_SCALE: u128 = 1 << 20;
+
+/// Names a waiting request within one queue, in order of arrival.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr, From, Into,
+)]
+pub struct Ticket(pub u64);
+
+/// Most requests that may wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueBounds {
+    /// Of one account.
+    pub per_account: usize,
+    /// Of all accounts.
+    pub per_pool: usize,
+}
+
+impl Default for QueueBounds {
+    fn default() -> Self {
+        Self { per_account: 256, per_pool: 4_096 }
+    }
+}
+
+#[derive(Debug)]
+struct Entry<T> {
+    cost: Cost,
+    deadline: Timestamp,
+    item: T,
+}
+
+/// Waiting requests of one account.
+#[derive(Debug)]
+struct Line<T> {
+    weight: Weight,
+    /// Start tag of the first request; with none, of the next one.
+    start: u128,
+    entries: BTreeMap<Ticket, Entry<T>>,
+    /// Cost of all entries.
+    work: u128,
+}
+
+/// A bounded queue that serves client accounts in proportion to their weights.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    bounds: QueueBounds,
+    lines: BTreeMap<AccountId, Line<T>>,
+    heads: BTreeSet<(u128, AccountId)>,
+    deadlines: Deadlines,
+    speed: Speed,
+    virtual_time: u128,
+    next_ticket: u64,
+    waiting: usize,
+}
+
+impl<T> FairQueue<T> {
+    /// An empty queue.
+    pub fn new(bounds: QueueBounds) -> Self {
+        Self {
+            bounds,
+            lines: BTreeMap::new(),
+            heads: BTreeSet::new(),
+            deadlines: Deadlines::default(),
+            speed: Speed::default(),
+            virtual_time: 0,
+            next_ticket: 0,
+            waiting: 0,
+        }
+    }
+
+    /// Adds a request at the end of its account's line.
+    ///
+    /// # Errors
+    ///
+    /// `Overloaded` if a bound is reached or the expected wait goes past the deadline;
+    /// `DeadlineExceeded` if the deadline is already past.
+    pub fn push(
+        &mut self,
+        now: Timestamp,
+        account: &AccountId,
+        weight: Weight,
+        cost: Cost,
+        deadline: Timestamp,
+        item: T,
+    ) -> Result<Ticket, ErrorKind> {
+        if now >= deadline {
+            return Err(ErrorKind::DeadlineExceeded);
+        }
+        let own = self.lines.get(account).map_or(0, |line| line.entries.len());
+        let full = own >= self.bounds.per_account || self.waiting >= self.bounds.per_pool;
+        let weight = Weight(weight.0.max(1));
+        if full || self.expected_start(now, account, weight) > deadline {
+            return Err(ErrorKind::Overloaded);
+        }
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        self.waiting += 1;
+        self.deadlines.add(deadline, ticket, account);
+        self.enter(account, weight, ticket, Entry { cost, deadline, item });
+        Ok(ticket)
+    }
+
+    /// Takes out the request with the lowest start tag whose deadline has not come.
+    pub fn pop(&mut self, now: Timestamp) -> Option<T> {
+        let found = self.heads.iter().find_map(|(start, account)| {
+            let entries = &self.lines.get(account)?.entries;
+            let (ticket, _) = entries.iter().find(|(_, entry)| entry.deadline > now)?;
+            Some((*start, account.clone(), *ticket))
+        });
+        let (start, account, ticket) = found?;
+        let entry = self.leave(&account, ticket, true)?;
+        self.virtual_time = self.virtual_time.max(start);
+        self.forget_idle();
+        self.speed.on_pop(now, entry.cost, self.waiting > 0);
+        Some(entry.item)
+    }
+
+    /// Takes out all requests whose deadline has come.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<T> {
+        let mut expired = Vec::new();
+        while let Some((ticket, account)) = self.deadlines.due(now) {
+            expired.extend(self.leave(&account, ticket, false).map(|entry| entry.item));
+        }
+        expired
+    }
+
+    /// Takes out a request whose caller has gone.
+    pub fn remove(&mut self, account: &AccountId, ticket: Ticket) -> Option<T> {
+        self.leave(account, ticket, false).map(|entry| entry.item)
+    }
+
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.waiting
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting == 0
+    }
+
+    /// The earliest deadline, at which [`FairQueue::expire`] has something to do.
+    pub fn next_deadline(&self) -> Option<Timestamp> {
+        self.deadlines.first()
+    }
+
+    /// When a request of `account` that arrives at `now` is expected to be served: after the work
+    /// that has a lower start tag. Without an estimate of the service rate, at once.
+    pub fn expected_start(&self, now: Timestamp, account: &AccountId, weight: Weight) -> Timestamp {
+        let per_weight = VIRTUAL_SCALE / u128::from(weight.0.max(1));
+        let tag = match self.lines.get(account) {
+            Some(line) => line.start + line.work * per_weight,
+            None => self.virtual_time,
+        };
+        let before = |line: &Line<T>| {
+            let until_tag = tag.saturating_sub(line.start) * u128::from(line.weight.0);
+            line.work.min(until_tag / VIRTUAL_SCALE)
+        };
+        let work = self.lines.values().map(before).sum();
+        Timestamp(now.0.saturating_add(self.speed.time_for(work).unwrap_or(0)))
+    }
+
+    fn enter(&mut self, account: &AccountId, weight: Weight, ticket: Ticket, entry: Entry<T>) {
+        // An idle line that is still there has a tag ahead of the virtual time and keeps it.
+        let start = self.virtual_time;
+        let empty = || Line { weight, start, entries: BTreeMap::new(), work: 0 };
+        let line = self.lines.entry(account.clone()).or_insert_with(empty);
+        line.weight = weight;
+        if line.entries.is_empty() {
+            self.heads.insert((line.start, account.clone()));
+        }
+        line.work += u128::from(entry.cost.0);
+        line.entries.insert(ticket, entry);
+    }
+
+    /// Takes a request out; only a served one moves the tag of its account.
+    fn leave(&mut self, account: &AccountId, ticket: Ticket, served: bool) -> Option<Entry<T>> {
+        let line = self.lines.get_mut(account)?;
+        let entry = line.entries.remove(&ticket)?;
+        self.heads.remove(&(line.start, account.clone()));
+        line.work -= u128::from(entry.cost.0);
+        if served {
+            line.start += u128::from(entry.cost.0) * VIRTUAL_SCALE / u128::from(line.weight.0);
+        }
+        if !line.entries.is_empty() {
+            self.heads.insert((line.start, account.clone()));
+        }
+        self.waiting -= 1;
+        self.deadlines.remove(entry.deadline, ticket, account);
+        Some(entry)
+    }
+
+    /// Drops idle accounts whose tag is no longer ahead of the virtual time. When the queue runs
+    /// empty, the virtual time moves to the highest tag, so that all accounts start equal again.
+    fn forget_idle(&mut self) {
+        if self.waiting == 0 {
+            let highest = self.lines.values().map(|line| line.start).max();
+            self.virtual_time = self.virtual_time.max(highest.unwrap_or_default());
+        }
+        let now = self.virtual_time;
+        self.lines.retain(|_, line| !line.entries.is_empty() || line.start > now);
+    }
+}
--- /dev/null
+++ b/src/core/queue/speed.rs
@@ -0,0 +1,52 @@
+//! Estimate of a queue's service rate.
+
+use crate::types::{Cost, Timestamp};
+
+/// Served cost after which the estimate is renewed, counted in requests.
+const SAMPLE_POPS: u32 = 8;
+
+/// A longer gap between two pops, beyond twice the cost of the last request, is an interruption
+/// such as a failover and says nothing about the service rate.
+const MAX_GAP_US: u64 = 100_000;
+
+/// Cost served per time while requests wait, as a moving average over samples.
+#[derive(Debug, Default)]
+pub(super) struct Speed {
+    last_pop: Option<Timestamp>,
+    last_cost: u64,
+    busy_us: u64,
+    served: u64,
+    pops: u32,
+    estimate: Option<(u64, u64)>,
+}
+
+impl Speed {
+    /// Counts a request that is taken out; `waiting` says whether others wait behind it.
+    pub fn on_pop(&mut self, now: Timestamp, cost: Cost, waiting: bool) {
+        if let Some(last) = self.last_pop {
+            let longest = MAX_GAP_US + self.last_cost.saturating_mul(2);
+            self.busy_us += now.0.saturating_sub(last.0).min(longest);
+            self.served = self.served.saturating_add(cost.0);
+            self.pops += 1;
+        }
+        self.last_pop = waiting.then_some(now);
+        self.last_cost = cost.0;
+        if self.pops >= SAMPLE_POPS {
+            self.renew();
+        }
+    }
+
+    /// Time in microseconds in which `work` is served; none before the first estimate.
+    pub fn time_for(&self, work: u128) -> Option<u64> {
+        let (served, busy_us) = self.estimate?;
+        let us = work.saturating_mul(u128::from(busy_us)) / u128::from(served.max(1));
+        Some(u64::try_from(us).unwrap_or(u64::MAX))
+    }
+
+    /// Gives the old estimate and the new sample equal weight.
+    fn renew(&mut self) {
+        let (served, busy) = self.estimate.unwrap_or((self.served, self.busy_us));
+        self.estimate = Some((served.midpoint(self.served), busy.midpoint(self.busy_us)));
+        (self.served, self.busy_us, self.pops) = (0, 0, 0);
+    }
+}
