Add share leases and the fleet-wide limiter

Cause: design 3.9 asks that no account gets more than its rate and burst over all hosts, whatever fails, and that skewed demand is not refused.

Additions to the design: a slot rests for 1 s between two holders, buckets refill 99.9% of the rate because clocks may run fast, a grant is reserved for 502 ms, answers repeat the asker's incarnation, and requests name used-up grants so that their reservation can end early.

Tokens created by a claim fail the restart test. The 1 s rest, the 99.9%, the lease from the send time, the asker's incarnation and the same address are seen only by single tests, the histories pass without them.

--- /dev/null
+++ b/src/core/limit/bucket.rs
@@ -0,0 +1,195 @@
+//! The token bucket of one account over the slots of one host.
+
+use std::collections::VecDeque;
+
+use crate::core::share::HeldSlot;
+use crate::types::{Burst, DurationMs, HostId, Incarnation, MilliTokens, RatePerS, Timestamp};
+
+use super::message::GrantId;
+
+/// Part of the rate that is refilled, in thousandths. A clock may run fast by up to 0.1%.
+const REFILL_PERMILLE: u128 = 999;
+
+/// How long a receiver may spend a grant, from the send time of its request on its own clock.
+pub(super) const GRANT_LIFE: DurationMs = DurationMs(500);
+
+/// How long a giver keeps a grant reserved, from its answer on its own clock: the receiver's
+/// 500 ms, plus 0.4% for two clocks that each deviate by up to 0.1%, rounded up generously.
+const GRANT_HOLD: DurationMs = DurationMs(502);
+
+const US_PER_S: u128 = 1_000_000;
+
+/// A grant that its receiver may still spend.
+#[derive(Debug)]
+struct Reservation {
+    to: HostId,
+    to_incarnation: Incarnation,
+    request: u64,
+    grant: GrantId,
+    amount: u64,
+    until: Timestamp,
+}
+
+/// A grant to be reserved.
+#[derive(Debug)]
+pub(super) struct Outgoing<'a> {
+    pub to: &'a HostId,
+    pub to_incarnation: Incarnation,
+    pub request: u64,
+    pub grant: GrantId,
+    pub amount: MilliTokens,
+}
+
+/// Token bucket in milli-tokens. All arithmetic is exact: the remainder of each refill is carried.
+#[derive(Debug)]
+pub(super) struct Bucket {
+    rate: RatePerS,
+    burst: Burst,
+    total_slots: u32,
+    level: u64,
+    /// Fraction of a milli-token, in units of 1/(total slots · 1,000,000).
+    remainder: u128,
+    settled_at: Timestamp,
+    reserved: VecDeque<Reservation>,
+}
+
+impl Bucket {
+    /// An empty bucket.
+    pub fn new(now: Timestamp, rate: RatePerS, burst: Burst, total_slots: u32) -> Self {
+        let reserved = VecDeque::new();
+        Self { rate, burst, total_slots, level: 0, remainder: 0, settled_at: now, reserved }
+    }
+
+    /// Refills up to `now`. Slots and reservations that begin or end on the way take effect at
+    /// their exact times, however late the call is.
+    pub fn settle(&mut self, now: Timestamp, slots: &[HeldSlot]) {
+        while let Some(border) = self.next_border(now, slots) {
+            self.refill(border, slots);
+            while self.reserved.front().is_some_and(|front| front.until <= border) {
+                self.reserved.pop_front();
+            }
+            self.clamp(slots);
+        }
+        self.refill(now, slots);
+    }
+
+    /// Sets rate and burst from now on; the caller has settled. No tokens are created.
+    pub fn set_limits(&mut self, rate: RatePerS, burst: Burst, slots: &[HeldSlot]) {
+        self.rate = rate;
+        self.burst = burst;
+        self.clamp(slots);
+    }
+
+    /// Cuts the level down to what the slots and reservations leave room for.
+    pub fn clamp(&mut self, slots: &[HeldSlot]) {
+        let room = self.room(slots);
+        if self.level >= room {
+            self.level = room;
+            self.remainder = 0;
+        }
+    }
+
+    /// Tokens in the bucket.
+    pub fn level(&self) -> MilliTokens {
+        MilliTokens(self.level)
+    }
+
+    /// Burst of the account over the whole fleet.
+    pub fn whole_burst(&self) -> MilliTokens {
+        MilliTokens(self.burst.0.saturating_mul(MilliTokens::ONE.0))
+    }
+
+    /// Tokens a second of the account over the whole fleet.
+    pub fn rate_per_s(&self) -> MilliTokens {
+        MilliTokens(self.rate.0.saturating_mul(MilliTokens::ONE.0))
+    }
+
+    /// Tokens a second that `slots` held slots gain.
+    pub fn refill_per_s(&self, slots: &[HeldSlot]) -> MilliTokens {
+        let per_s = self.speed(slots) / u128::from(self.total_slots.max(1));
+        MilliTokens(clip(per_s))
+    }
+
+    /// Removes `amount`, at most the level.
+    pub fn take(&mut self, amount: MilliTokens) {
+        self.level = self.level.saturating_sub(amount.0);
+    }
+
+    /// Removes a granted amount and reserves it until it can't be spent any more.
+    pub fn give(&mut self, now: Timestamp, outgoing: &Outgoing<'_>) {
+        self.take(outgoing.amount);
+        self.reserved.push_back(Reservation {
+            to: outgoing.to.clone(),
+            to_incarnation: outgoing.to_incarnation,
+            request: outgoing.request,
+            grant: outgoing.grant,
+            amount: outgoing.amount.0,
+            until: now + GRANT_HOLD,
+        });
+    }
+
+    /// Whether a request was answered already, as long as its grant may be in use.
+    pub fn has_answered(&self, to: &HostId, incarnation: Incarnation, request: u64) -> bool {
+        let same = |r: &Reservation| (r.to_incarnation, r.request) == (incarnation, request);
+        self.reserved.iter().any(|r| same(r) && r.to == *to)
+    }
+
+    /// Ends the reservations of grants that their receiver has used up.
+    pub fn unreserve(&mut self, to: &HostId, settled: &[GrantId]) {
+        self.reserved.retain(|r| !(r.to == *to && settled.contains(&r.grant)));
+    }
+
+    /// When refill alone brings the level to `need`; none if it never does.
+    pub fn reaches(&self, need: MilliTokens, slots: &[HeldSlot]) -> Option<Timestamp> {
+        let missing = u128::from(need.0.saturating_sub(self.level));
+        if missing == 0 {
+            return Some(self.settled_at);
+        }
+        let speed = self.speed(slots);
+        if speed == 0 || need.0 > self.room(slots) {
+            return None;
+        }
+        let units = missing * self.unit() - self.remainder;
+        Some(Timestamp(self.settled_at.0.saturating_add(clip(units.div_ceil(speed)))))
+    }
+
+    fn next_border(&self, now: Timestamp, slots: &[HeldSlot]) -> Option<Timestamp> {
+        let ends = slots.iter().flat_map(|slot| [slot.from, slot.until]);
+        let holds = self.reserved.front().map(|front| front.until);
+        ends.chain(holds).filter(|at| self.settled_at < *at && *at <= now).min()
+    }
+
+    fn refill(&mut self, to: Timestamp, slots: &[HeldSlot]) {
+        let elapsed = u128::from(to.0.saturating_sub(self.settled_at.0));
+        let units = self.remainder + self.speed(slots) * elapsed;
+        self.level = self.level.saturating_add(clip(units / self.unit()));
+        self.remainder = units % self.unit();
+        self.clamp(slots);
+        self.settled_at = self.settled_at.max(to);
+    }
+
+    /// Units of the remainder gained in a microsecond; 1,000 milli-tokens per token cancel
+    /// against the thousandths of [`REFILL_PERMILLE`].
+    fn speed(&self, slots: &[HeldSlot]) -> u128 {
+        u128::from(self.rate.0) * u128::from(self.usable(slots)) * REFILL_PERMILLE
+    }
+
+    fn unit(&self) -> u128 {
+        u128::from(self.total_slots.max(1)) * US_PER_S
+    }
+
+    fn room(&self, slots: &[HeldSlot]) -> u64 {
+        let whole = u128::from(self.whole_burst().0) * u128::from(self.usable(slots));
+        let reserved: u64 = self.reserved.iter().map(|r| r.amount).sum();
+        clip(whole / u128::from(self.total_slots.max(1))).saturating_sub(reserved)
+    }
+
+    fn usable(&self, slots: &[HeldSlot]) -> u32 {
+        let usable = slots.iter().filter(|slot| slot.usable(self.settled_at)).count();
+        u32::try_from(usable).unwrap_or(u32::MAX).min(self.total_slots)
+    }
+}
+
+fn clip(value: u128) -> u64 {
+    u64::try_from(value).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/core/limit/grants.rs
@@ -0,0 +1,89 @@
+//! Tokens that one account received from peers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::types::{HostId, MilliTokens, Timestamp};
+
+use super::message::GrantId;
+
+/// Most settled grants that are reported to a peer in one request; the rest time out.
+const MAX_SETTLED: usize = 32;
+
+#[derive(Debug)]
+struct Grant {
+    giver: HostId,
+    id: GrantId,
+    left: u64,
+    until: Timestamp,
+}
+
+/// Received grants, each spendable until its own end.
+#[derive(Debug, Default)]
+pub(super) struct Grants {
+    held: Vec<Grant>,
+    seen: BTreeSet<(HostId, GrantId)>,
+    seen_until: BTreeSet<(Timestamp, HostId, GrantId)>,
+    settled: BTreeMap<HostId, Vec<GrantId>>,
+}
+
+impl Grants {
+    /// Adds a grant spendable before `until`; refuses one that was received before.
+    pub fn add(&mut self, giver: &HostId, id: GrantId, amount: MilliTokens, until: Timestamp) {
+        if !self.seen.insert((giver.clone(), id)) {
+            return;
+        }
+        self.seen_until.insert((until, giver.clone(), id));
+        if amount.0 > 0 {
+            self.held.push(Grant { giver: giver.clone(), id, left: amount.0, until });
+            self.held.sort_by_key(|grant| grant.until);
+        }
+    }
+
+    /// Drops what can't be spent any more at `now`.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.settle(|grant| grant.until <= now);
+        // A later copy of these is dropped because its request has expired.
+        while self.seen_until.first().is_some_and(|(until, _, _)| *until <= now) {
+            if let Some((_, giver, id)) = self.seen_until.pop_first() {
+                self.seen.remove(&(giver, id));
+            }
+        }
+    }
+
+    /// Tokens that can be spent; the caller has expired the rest.
+    pub fn total(&self) -> MilliTokens {
+        MilliTokens(self.held.iter().map(|grant| grant.left).sum())
+    }
+
+    /// Spends up to `amount`, first from the grant that expires first, and returns the rest.
+    pub fn spend(&mut self, amount: MilliTokens) -> MilliTokens {
+        let mut rest = amount.0;
+        for grant in &mut self.held {
+            let part = grant.left.min(rest);
+            grant.left -= part;
+            rest -= part;
+        }
+        self.settle(|grant| grant.left == 0);
+        MilliTokens(rest)
+    }
+
+    /// Grants of `giver` that are used up or dropped and were not reported yet.
+    pub fn take_settled(&mut self, giver: &HostId) -> Vec<GrantId> {
+        self.settled.remove(giver).unwrap_or_default()
+    }
+
+    /// End of the grant that expires first.
+    pub fn next_end(&self) -> Option<Timestamp> {
+        self.held.first().map(|grant| grant.until)
+    }
+
+    fn settle(&mut self, done: impl Fn(&Grant) -> bool) {
+        for grant in self.held.iter().filter(|grant| done(grant)) {
+            let settled = self.settled.entry(grant.giver.clone()).or_default();
+            if settled.len() < MAX_SETTLED {
+                settled.push(grant.id);
+            }
+        }
+        self.held.retain(|grant| !done(grant));
+    }
+}
--- /dev/null
+++ b/src/core/share/keeper.rs
@@ -0,0 +1,358 @@
+//! Decisions about the share slots of one host.
+
+use std::collections::BTreeMap;
+
+use rand::seq::SliceRandom;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::types::{AttemptId, DurationMs, RowVersion, Timestamp};
+
+use super::attempt::{Attempt, Purpose};
+use super::row::{
+    HeldSlot, Holder, LiveHost, SeenRow, ShareEffect, ShareRow, ShareSettings, ShareSlot,
+    ShareWrite, WriteResult,
+};
+use super::slot::Slot;
+use super::ShareState;
+
+/// Longest time between two renewals.
+const MAX_RENEWAL: DurationMs = DurationMs(30_000);
+/// Renewals per lease, so that a lease survives nine failed renewals.
+const RENEWALS_PER_LEASE: u64 = 10;
+/// Time between two reads of the rows while this host holds its target.
+const READ_EVERY: DurationMs = DurationMs(30_000);
+/// Time between two reads while this host holds fewer slots than its target.
+const READ_WHEN_SHORT: DurationMs = DurationMs(5_000);
+/// After this time without an answer a read has failed and a write is unknown.
+const ANSWER_LIMIT: DurationMs = DurationMs(5_000);
+/// Retry delays after failures, doubling between the two.
+const RETRY_MIN: DurationMs = DurationMs(50);
+const RETRY_MAX: DurationMs = DurationMs(2_000);
+
+/// Keeps the share slots of one host: claims, renews and gives them back.
+#[derive(Debug)]
+pub struct ShareKeeper {
+    me: Holder,
+    settings: ShareSettings,
+    rng: ChaCha8Rng,
+    slots: Vec<Slot>,
+    hosts: Vec<LiveHost>,
+    hosts_known: bool,
+    attempts: BTreeMap<AttemptId, Attempt>,
+    in_use: Vec<HeldSlot>,
+    read_at: Timestamp,
+    read_sent: Option<Timestamp>,
+    read_needed: bool,
+    renew_at: Timestamp,
+    failures: u32,
+    stopping: bool,
+}
+
+impl ShareKeeper {
+    /// A keeper for the process `me` that holds nothing and has read nothing.
+    pub fn new(me: Holder, settings: ShareSettings, rng: ChaCha8Rng) -> Self {
+        let never = Timestamp(0);
+        Self {
+            slots: (0..settings.slots).map(|n| Slot::new(ShareSlot(n))).collect(),
+            hosts: vec![me.clone()],
+            hosts_known: false,
+            me,
+            settings,
+            rng,
+            attempts: BTreeMap::new(),
+            in_use: Vec::new(),
+            read_at: never,
+            read_sent: None,
+            read_needed: true,
+            renew_at: never,
+            failures: 0,
+            stopping: false,
+        }
+    }
+
+    /// Sets the registered live processes. This host is counted whether or not it is listed.
+    /// Nothing is claimed before the first call, because the target depends on it.
+    pub fn on_hosts(&mut self, now: Timestamp, hosts: &[LiveHost], out: &mut Vec<ShareEffect>) {
+        self.hosts = hosts.to_vec();
+        self.hosts_known = true;
+        if !self.hosts.contains(&self.me) {
+            self.hosts.push(self.me.clone());
+        }
+        self.hosts.sort_by(|a, b| (&a.host, a.incarnation).cmp(&(&b.host, b.incarnation)));
+        if self.held() < self.target() {
+            let soon = now + self.jitter(READ_WHEN_SHORT);
+            self.read_at = self.read_at.min(soon);
+        }
+        self.tick(now, out);
+    }
+
+    /// Takes in the answer to [`ShareEffect::Read`]: all present rows, or none if it failed.
+    pub fn on_rows(
+        &mut self,
+        now: Timestamp,
+        rows: Option<&[SeenRow]>,
+        out: &mut Vec<ShareEffect>,
+    ) {
+        self.read_sent = None;
+        match rows {
+            None => {
+                self.failures += 1;
+                self.read_at = now + self.retry_delay();
+            }
+            Some(rows) => {
+                self.failures = 0;
+                self.read_needed = false;
+                self.see_all(now, rows);
+                let every = if self.held() < self.target() { READ_WHEN_SHORT } else { READ_EVERY };
+                self.read_at = now + self.jitter(every);
+            }
+        }
+        self.tick(now, out);
+    }
+
+    /// Takes in the result of [`ShareEffect::Write`].
+    pub fn on_result(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptId,
+        result: WriteResult,
+        out: &mut Vec<ShareEffect>,
+    ) {
+        match result {
+            WriteResult::Applied(version) => self.on_applied(now, attempt, version),
+            WriteResult::Conflict | WriteResult::Unknown => self.on_failed(now, attempt),
+        }
+        self.tick(now, out);
+    }
+
+    /// Starts to give back all slots.
+    pub fn stop(&mut self, now: Timestamp, out: &mut Vec<ShareEffect>) {
+        self.stopping = true;
+        self.tick(now, out);
+    }
+
+    /// Whether this host stopped and holds nothing that it could still give back.
+    pub fn is_stopped(&self) -> bool {
+        let done = |slot: &Slot| {
+            matches!(slot.state(), ShareState::Unread | ShareState::Free | ShareState::Other)
+        };
+        self.stopping && self.slots.iter().all(done)
+    }
+
+    /// Slots in use and the times of their use.
+    pub fn in_use(&self) -> &[HeldSlot] {
+        &self.in_use
+    }
+
+    /// Makes every decision that is due at `now`.
+    pub fn tick(&mut self, now: Timestamp, out: &mut Vec<ShareEffect>) {
+        self.end_overdue(now);
+        self.retire_excess(now);
+        self.report_use(out);
+        if !self.read_needed {
+            self.renew(now, out);
+            self.release(now, out);
+            self.claim(now, out);
+        }
+        if now >= self.read_at && self.read_sent.is_none() {
+            self.read_sent = Some(now);
+            out.push(ShareEffect::Read);
+        }
+    }
+
+    /// When [`ShareKeeper::tick`] has something to do if nothing else happens before.
+    pub fn next_wake(&self) -> Timestamp {
+        let read = self.read_sent.map_or(self.read_at, |sent| sent + ANSWER_LIMIT);
+        let open = self.attempts.values().filter(|attempt| attempt.open);
+        let overdue = open.map(|attempt| attempt.sent + ANSWER_LIMIT).min();
+        let release = self.slots.iter().filter_map(Slot::release_at).min();
+        let release = release.filter(|_| !self.is_open(Purpose::Release));
+        let renews = self.held() > 0 && !self.is_open(Purpose::Renew);
+        let renew = renews.then_some(self.renew_at);
+        let write = [release, renew].into_iter().flatten().min().filter(|_| !self.read_needed);
+        [Some(read), overdue, write].into_iter().flatten().min().unwrap_or(read)
+    }
+
+    fn see_all(&mut self, now: Timestamp, rows: &[SeenRow]) {
+        let by_slot: BTreeMap<ShareSlot, &SeenRow> =
+            rows.iter().map(|seen| (seen.slot, seen)).collect();
+        for index in 0..self.slots.len() {
+            let slot = self.slots[index].number();
+            let absent = SeenRow { slot, version: RowVersion(0), row: ShareRow::default() };
+            self.see(now, by_slot.get(&slot).copied().unwrap_or(&absent));
+        }
+    }
+
+    fn see(&mut self, now: Timestamp, seen: &SeenRow) {
+        let lease = self.settings.lease;
+        let end = self.attempts.get(&seen.row.attempt).map(|attempt| attempt.sent + lease);
+        if let Some(slot) = self.slots.get_mut(seen.slot.0 as usize) {
+            slot.see(now, seen, &self.me, end);
+        }
+    }
+
+    fn on_applied(&mut self, now: Timestamp, id: AttemptId, version: RowVersion) {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        attempt.open = false;
+        for write in attempt.writes.clone() {
+            self.see(now, &SeenRow { slot: write.slot, version, row: write.row });
+        }
+    }
+
+    /// Reads the rows back before anything is retried: the write may have taken effect.
+    fn on_failed(&mut self, now: Timestamp, id: AttemptId) {
+        let Some(attempt) = self.attempts.get_mut(&id).filter(|attempt| attempt.open) else {
+            return;
+        };
+        attempt.open = false;
+        if attempt.purpose == Purpose::Renew {
+            self.renew_at = now;
+        } else {
+            let slots: Vec<ShareSlot> = attempt.slots().collect();
+            for slot in slots {
+                self.slots[slot.0 as usize].denied();
+            }
+        }
+        self.failures += 1;
+        self.read_needed = true;
+        self.read_at = now + self.retry_delay();
+    }
+
+    fn end_overdue(&mut self, now: Timestamp) {
+        let overdue = |attempt: &Attempt| attempt.open && now >= attempt.sent + ANSWER_LIMIT;
+        let late: Vec<AttemptId> =
+            self.attempts.iter().filter(|(_, a)| overdue(a)).map(|(id, _)| *id).collect();
+        for id in late {
+            self.on_failed(now, id);
+        }
+        // A row written by an attempt older than the lease gives no right of use any more.
+        let lease = self.settings.lease;
+        self.attempts.retain(|_, attempt| attempt.open || now < attempt.sent + lease);
+        if self.read_sent.is_some_and(|sent| now >= sent + ANSWER_LIMIT) {
+            self.read_sent = None;
+            self.read_at = now;
+        }
+    }
+
+    fn retire_excess(&mut self, now: Timestamp) {
+        let target = if self.stopping { 0 } else { self.target() };
+        let mut excess = self.held().saturating_sub(target);
+        for slot in self.slots.iter_mut().rev() {
+            if excess > 0 && slot.state() == ShareState::Held {
+                slot.retire(now);
+                excess -= 1;
+            }
+        }
+    }
+
+    fn report_use(&mut self, out: &mut Vec<ShareEffect>) {
+        let held: Vec<HeldSlot> = self.slots.iter().filter_map(Slot::held).collect();
+        if held != self.in_use {
+            self.in_use.clone_from(&held);
+            out.push(ShareEffect::Use(held));
+        }
+    }
+
+    fn renew(&mut self, now: Timestamp, out: &mut Vec<ShareEffect>) {
+        if now < self.renew_at || self.is_open(Purpose::Renew) {
+            return;
+        }
+        let held = self.numbers(|slot| slot.state() == ShareState::Held);
+        if held.is_empty() {
+            return;
+        }
+        let tenth = DurationMs(self.settings.lease.0 / RENEWALS_PER_LEASE);
+        self.renew_at = now + self.jitter(tenth.min(MAX_RENEWAL));
+        self.send(now, Purpose::Renew, &held, out);
+    }
+
+    fn release(&mut self, now: Timestamp, out: &mut Vec<ShareEffect>) {
+        let rested = self.numbers(|slot| slot.release_at().is_some_and(|at| now >= at));
+        if rested.is_empty() || self.is_open(Purpose::Release) {
+            return;
+        }
+        for number in &rested {
+            self.slots[number.0 as usize].release();
+        }
+        self.send(now, Purpose::Release, &rested, out);
+    }
+
+    fn claim(&mut self, now: Timestamp, out: &mut Vec<ShareEffect>) {
+        let wanted = self.target().saturating_sub(self.held());
+        let ready = self.hosts_known && !self.stopping;
+        if !ready || wanted == 0 || self.is_open(Purpose::Claim) {
+            return;
+        }
+        let wait = DurationMs(self.settings.lease.0 + self.settings.margin.0);
+        let mut claimed = Vec::new();
+        for number in self.preferred() {
+            let slot = &mut self.slots[number.0 as usize];
+            let abandoned = slot.abandoned(now, wait, &self.hosts);
+            if claimed.len() < wanted && slot.claim(abandoned) {
+                claimed.push(number);
+            }
+        }
+        if !claimed.is_empty() {
+            self.send(now, Purpose::Claim, &claimed, out);
+        }
+    }
+
+    /// Slots in the order in which this host claims them. Hosts that start together prefer
+    /// different slots, so that they rarely conflict.
+    fn preferred(&mut self) -> Vec<ShareSlot> {
+        let hosts = self.hosts.len();
+        let rank = self.hosts.iter().position(|host| *host == self.me).unwrap_or_default();
+        let mut numbers = self.numbers(|_| true);
+        numbers.shuffle(&mut self.rng);
+        numbers.sort_by_key(|number| number.0 as usize % hosts != rank);
+        numbers
+    }
+
+    fn send(
+        &mut self,
+        now: Timestamp,
+        purpose: Purpose,
+        slots: &[ShareSlot],
+        out: &mut Vec<ShareEffect>,
+    ) {
+        let id = AttemptId(self.rng.random());
+        let holder = (purpose != Purpose::Release).then(|| self.me.clone());
+        let write = |number: &ShareSlot| {
+            let slot = &self.slots[number.0 as usize];
+            let counter = slot.row().counter + 1;
+            let row = ShareRow { holder: holder.clone(), counter, attempt: id };
+            ShareWrite { slot: *number, expected: slot.version(), row }
+        };
+        let writes: Vec<ShareWrite> = slots.iter().map(write).collect();
+        let attempt = Attempt { purpose, sent: now, writes: writes.clone(), open: true };
+        self.attempts.insert(id, attempt);
+        out.push(ShareEffect::Write { attempt: id, writes });
+    }
+
+    fn numbers(&self, chosen: impl Fn(&Slot) -> bool) -> Vec<ShareSlot> {
+        self.slots.iter().filter(|slot| chosen(slot)).map(Slot::number).collect()
+    }
+
+    fn held(&self) -> usize {
+        self.slots.iter().filter(|slot| slot.state() == ShareState::Held).count()
+    }
+
+    fn target(&self) -> usize {
+        self.slots.len().div_ceil(self.hosts.len())
+    }
+
+    fn is_open(&self, purpose: Purpose) -> bool {
+        self.attempts.values().any(|attempt| attempt.open && attempt.purpose == purpose)
+    }
+
+    fn retry_delay(&mut self) -> DurationMs {
+        let doubled = RETRY_MIN.0 << self.failures.saturating_sub(1).min(6);
+        self.jitter(DurationMs(doubled.min(RETRY_MAX.0)))
+    }
+
+    /// A random time between half of `span` and `span`, which spreads the load on the platform.
+    fn jitter(&mut self, span: DurationMs) -> DurationMs {
+        DurationMs(self.rng.random_range(span.0 / 2..=span.0))
+    }
+}
--- /dev/null
+++ b/tests/limit_history.rs
@@ -0,0 +1,325 @@
+//! Generated histories: whatever fails, the fleet never admits more than burst + rate·w.
+
+mod fleet;
+
+use std::collections::BTreeSet;
+
+use fleet::check::Limits;
+use fleet::store::Mode;
+use fleet::{Count, Faults, Fleet};
+use medlarstile::core::share::ShareSettings;
+use medlarstile::types::{AccountId, Burst, DurationMs, MilliTokens, RatePerS};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use yare::parameterized;
+
+const MS: u64 = 1_000;
+const S: u64 = 1_000_000;
+
+fn account(number: usize) -> AccountId {
+    format!("account-{number}").parse().expect("id")
+}
+
+fn limits(all: &[(u64, u64)]) -> Limits {
+    let limit =
+        |(n, (rate, burst)): (usize, &(u64, u64))| (account(n), (RatePerS(*rate), Burst(*burst)));
+    all.iter().enumerate().map(limit).collect()
+}
+
+/// Which faults a history has.
+#[derive(Debug, Clone, Copy)]
+enum Kind {
+    Network,
+    Store,
+    Restarts,
+    Everything,
+}
+
+/// Leases of 4 s instead of 15 min, so that a history of 30 s has many of them.
+const SHORT: ShareSettings =
+    ShareSettings { slots: 16, lease: DurationMs(4_000), margin: DurationMs(400) };
+
+struct History {
+    fleet: Fleet,
+    rng: ChaCha8Rng,
+    /// Index of the newest process of each host.
+    newest: Vec<usize>,
+    next_port: u16,
+    kind: Kind,
+}
+
+impl History {
+    fn new(seed: u64, kind: Kind) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        // A bucket that fills within the life of a grant, and one that takes 8 s, so that tokens
+        // created by a restart show.
+        let burst = rng.random_range(16..48);
+        let all = limits(&[(burst * rng.random_range(2..8), burst), (burst / 8, burst)]);
+        let hosts = rng.random_range(3..=8);
+        // Replaced processes can overlap with their successors.
+        let mut fleet = Fleet::new(seed, SHORT, all, 3 * hosts);
+        if !matches!(kind, Kind::Store) {
+            fleet.faults = Faults { loss: 0.05, duplicate: 0.3, delay: 0.1 };
+        }
+        let newest = (0..hosts).map(|n| fleet.start(n, 3, 7_000 + n as u16)).collect();
+        Self { fleet, rng, newest, next_port: 8_000, kind }
+    }
+
+    /// Runs 30 s; demand and faults change at random times.
+    fn run(&mut self) {
+        let end = 30 * S;
+        while self.fleet.now < end {
+            if self.fleet.now > 3 * S {
+                self.fault();
+            }
+            self.demand();
+        }
+    }
+
+    /// One round of demand: silence in which the buckets fill; requests at one host that give up
+    /// at once, so that the host is left with grants it does not need; more silence; a flash at
+    /// every process, with far more requests than there are tokens.
+    fn demand(&mut self) {
+        let account = account(self.rng.random_range(0..2));
+        let burst = self.fleet.limits[&account].1 .0;
+        self.silence(1_000);
+        let asker = self.any_process();
+        for _ in 0..self.rng.random_range(0..=burst) {
+            self.request(&account, asker, 3);
+        }
+        self.silence(700);
+        for _ in 0..burst * 2 {
+            let index = self.any_process();
+            self.request(&account, index, 0);
+        }
+        for _ in 0..self.rng.random_range(0..burst) {
+            let index = self.any_process();
+            self.request(&account, index, 800);
+            self.silence(10);
+        }
+    }
+
+    fn any_process(&mut self) -> usize {
+        self.rng.random_range(0..self.fleet.processes.len())
+    }
+
+    fn silence(&mut self, longest_ms: u64) {
+        let until = self.fleet.now + self.rng.random_range(0..longest_ms * MS);
+        self.fleet.advance(until);
+    }
+
+    fn request(&mut self, account: &AccountId, index: usize, wait_ms: u64) {
+        let whole = self.rng.random_bool(0.8);
+        let cost = if whole { 1_000 } else { self.rng.random_range(300..2_000) };
+        let wait = DurationMs(self.rng.random_range(0..=wait_ms));
+        self.fleet.request(index, account, MilliTokens(cost), wait);
+    }
+
+    fn fault(&mut self) {
+        match self.kind {
+            Kind::Network => self.network_fault(),
+            Kind::Store => self.store_fault(),
+            Kind::Restarts => self.host_fault(),
+            Kind::Everything => match self.rng.random_range(0..3) {
+                0 => self.network_fault(),
+                1 => self.store_fault(),
+                _ => self.host_fault(),
+            },
+        }
+    }
+
+    fn network_fault(&mut self) {
+        if self.rng.random_bool(0.3) {
+            let cut = self.rng.random_range(0..5);
+            self.fleet.cut = (cut < 3).then(|| format!("fd-{cut}").parse().expect("id"));
+        }
+        self.change_tables();
+    }
+
+    fn store_fault(&mut self) {
+        let modes = [Mode::Up, Mode::Up, Mode::Down, Mode::Slow, Mode::Stale, Mode::Losing];
+        self.fleet.store.mode = modes[self.rng.random_range(0..modes.len())];
+        self.pause();
+    }
+
+    /// Pauses, ends or replaces a process.
+    fn host_fault(&mut self) {
+        let host = self.rng.random_range(0..self.newest.len());
+        let index = self.newest[host];
+        let old_port = self.fleet.processes[index].me.address.port();
+        self.next_port += 1;
+        match self.rng.random_range(0..5) {
+            0 => self.pause(),
+            replaced @ (1 | 2) => {
+                self.fleet.processes[index].ended = true;
+                let port = if replaced == 1 { old_port } else { self.next_port };
+                self.newest[host] = self.fleet.start(host, 3, port);
+            }
+            3 => {
+                // The old process is only paused: it runs again beside its replacement.
+                self.fleet.processes[index].paused_until = self.fleet.now + 6 * S;
+                self.newest[host] = self.fleet.start(host, 3, self.next_port);
+            }
+            _ => self.fleet.run(index, |process, now, _, out| process.keeper.stop(now, out)),
+        }
+    }
+
+    fn pause(&mut self) {
+        let index = self.any_process();
+        let until = self.fleet.now + self.rng.random_range(MS..7 * S);
+        self.fleet.processes[index].paused_until = until;
+    }
+
+    /// Tables that each host gets at its own time and that never exceed the checked limits.
+    fn change_tables(&mut self) {
+        let index = self.any_process();
+        let part = self.rng.random_range(1..=3);
+        let less =
+            |(rate, burst): &(RatePerS, Burst)| (RatePerS(rate.0 / part), Burst(burst.0 / part));
+        let tables =
+            self.fleet.limits.iter().map(|(id, limit)| (id.clone(), less(limit))).collect();
+        self.fleet.set_limits(index, &tables);
+    }
+}
+
+/// Guards against tokens created by a lost, late, repeated or reordered transfer, by a lease used
+/// past its end, by a slot taken over too early, and by restarts and table changes.
+#[parameterized(network = { Kind::Network }, store = { Kind::Store }, restarts = { Kind::Restarts }, everything = { Kind::Everything })]
+fn never_more_than_burst_and_rate(kind: Kind) {
+    let seeds = std::env::var("MEDLARSTILE_SEEDS").ok().and_then(|text| text.parse().ok());
+    let mut total = Count::default();
+    for seed in 0..seeds.unwrap_or(50_u64) {
+        println!("seed {seed}");
+        let mut history = History::new(seed, kind);
+        history.run();
+        history.fleet.counts.values().for_each(|count| total += *count);
+    }
+    println!("{kind:?}: {total:?}");
+    assert!(total.admitted * 10 > total.asked, "the histories admit too little: {total:?}");
+}
+
+/// Demand that conforms to 95% of the rate with half of the burst, as random as that allows.
+struct Conforming {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: u64,
+}
+
+impl Conforming {
+    fn new(rate: RatePerS, burst: Burst) -> Self {
+        let (rate, burst) = (rate.0 as f64 * 0.95, burst.0 as f64 * 0.5);
+        Self { rate, burst, level: burst, at: 0 }
+    }
+
+    /// Time of the next request: random arrivals at the full rate, held back to conform.
+    fn next(&mut self, rng: &mut ChaCha8Rng) -> u64 {
+        let gap = -(1.0 - rng.random::<f64>()).ln() / (self.rate / 0.95);
+        let short = (1.0 - self.level - gap * self.rate).max(0.0) / self.rate;
+        let step = gap + short;
+        self.level = (self.level + step * self.rate).min(self.burst) - 1.0;
+        self.at += (step * S as f64) as u64;
+        self.at
+    }
+}
+
+/// How many times its rate an account sends, and its host, none for random hosts.
+type Load = (u64, Option<usize>);
+
+/// Eight hosts in four domains, warmed up until the buckets are full.
+fn warm(seed: u64, all: Limits) -> Fleet {
+    let mut fleet = Fleet::new(seed, ShareSettings::default(), all, 8);
+    for host in 0..8 {
+        fleet.start(host, 4, 7_000 + host as u16);
+    }
+    fleet.advance(60 * S);
+    fleet
+}
+
+/// Runs one load per account for `seconds`; requests wait for at most 1 s.
+fn drive(fleet: &mut Fleet, seed: u64, loads: &[Load], seconds: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let start = fleet.now;
+    let mut queue = BTreeSet::new();
+    let mut sources: Vec<Conforming> = Vec::new();
+    for (number, load) in loads.iter().enumerate() {
+        let (rate, burst) = fleet.limits[&account(number)];
+        let mut source = Conforming::new(RatePerS(rate.0 * load.0), burst);
+        queue.insert((source.next(&mut rng), number));
+        sources.push(source);
+    }
+    while let Some((at, number)) = queue.pop_first().filter(|(at, _)| *at < seconds * S) {
+        fleet.advance(start + at);
+        let host = loads[number].1.unwrap_or_else(|| rng.random_range(0..8));
+        fleet.request(host, &account(number), MilliTokens::ONE, DurationMs(1_000));
+        queue.insert((sources[number].next(&mut rng), number));
+    }
+    fleet.advance(start + seconds * S + 2 * S);
+}
+
+/// Guards against refusals of requests within the account's rate: transfers that do not follow
+/// the demand, leases lost in an outage, and one account's excess that reaches the others.
+#[parameterized(
+    even = { Mode::Up, &[(200, 200)], &[(1, None)], 60 },
+    skew = { Mode::Up, &[(200, 200)], &[(1, Some(3))], 60 },
+    skew_small_burst = { Mode::Up, &[(200, 32)], &[(1, Some(3))], 60 },
+    skew_slow_account = { Mode::Up, &[(20, 20)], &[(1, Some(3))], 600 },
+    skew_platform_down = { Mode::Down, &[(20, 40)], &[(1, Some(3))], 600 },
+    five_times = { Mode::Up, &[(50, 100), (50, 100), (50, 100), (50, 100)], &[(5, None), (1, Some(1)), (1, Some(6)), (1, None)], 75 },
+)]
+fn nothing_within_the_rate_is_refused(
+    mode: Mode,
+    all: &[(u64, u64)],
+    loads: &[Load],
+    seconds: u64,
+) {
+    let mut fleet = warm(1, limits(all));
+    fleet.store.mode = mode;
+    drive(&mut fleet, 2, loads, seconds);
+    let mut total = Count::default();
+    for number in (0..loads.len()).filter(|number| loads[*number].0 == 1) {
+        total += fleet.counts[&account(number)];
+    }
+    let Count { asked, refused, .. } = total;
+    let per_s = fleet.messages / seconds;
+    println!("refused {refused} of {asked}; {per_s} messages per second in the fleet");
+    assert!(asked >= 10_000 && refused == 0, "refused {refused} of {asked}");
+}
+
+/// Guards against a fresh burst for a host that restarts.
+#[test]
+fn restarts_grant_no_tokens() {
+    let mut fleet = warm(1, limits(&[(4, 64)]));
+    for round in 0..3 {
+        for n in 0..1_000 {
+            let index = fleet.processes.len() - 1 - n % 8;
+            fleet.request(index, &account(0), MilliTokens(100), DurationMs(0));
+        }
+        let admitted = fleet.counts[&account(0)].admitted;
+        assert!(admitted >= 600 + 30 * round, "admitted {admitted}");
+        for host in 0..8 {
+            let old = fleet.processes.len() - 8;
+            fleet.processes[old].ended = true;
+            fleet.start(host, 4, 7_000 + host as u16);
+        }
+        fleet.advance(fleet.now + 3 * S);
+    }
+}
+
+/// Guards against a cut-off domain that stops, or that spends more than its slots' share.
+#[test]
+fn a_domain_that_is_cut_off_spends_its_share() {
+    let mut fleet = warm(1, limits(&[(200, 200)]));
+    fleet.cut = "fd-0".parse().ok();
+    fleet.store.mode = Mode::Down;
+    let held: usize = [0, 4].iter().map(|n| fleet.processes[*n].keeper.in_use().len()).sum();
+    let (start, seconds) = (fleet.now, 100);
+    for step in 0..seconds * 400 {
+        fleet.advance(start + step * S / 400);
+        fleet.request(4 * (step % 2) as usize, &account(0), MilliTokens::ONE, DurationMs(500));
+    }
+    let admitted = fleet.counts[&account(0)].admitted;
+    let share = (200 * seconds + 200) * held as u64 / 16;
+    println!("admitted {admitted}, share of {held} slots is {share}");
+    assert!(held == 4 && admitted <= share && admitted * 100 >= share * 95);
+}
