--- a/src/core/limit/peers.rs
+++ b/src/core/limit/peers.rs
@@ -18,8 +18,12 @@
 const SILENCE: DurationMs = DurationMs(1_000);
 /// Age at which a peer's report about its tokens is no longer used.
 const REPORT_LIFE: DurationMs = DurationMs(500);
-/// A peer short of tokens is asked again after this time, in which it may have gained some.
+/// A peer short of tokens is asked again after this time, in which it may have gained some. The
+/// time doubles with each answer that gives nothing, so that an account over its rate on all
+/// hosts does not flood them.
 const SHORT_WAIT: DurationMs = DurationMs(50);
+/// Most doublings of [`SHORT_WAIT`], up to 400 ms.
+const MAX_DOUBLINGS: u32 = 3;
 
 #[derive(Debug)]
 struct Asked {
@@ -42,6 +46,8 @@
     gave_at: Timestamp,
     asked_at: Option<Timestamp>,
     silent_until: Timestamp,
+    /// Answers without tokens since the last one with some.
+    empty_answers: u32,
 }
 
 /// A request for tokens that is to be sent.
@@ -94,8 +100,10 @@
         known.silent_until = Timestamp(0);
         let (left, spare_per_s) = (transfer.left.0, transfer.spare_per_s.0);
         known.report = Some(Report { at: now, left, spare_per_s });
+        known.empty_answers += 1;
         if transfer.amount.0 > 0 {
             known.gave_at = now;
+            known.empty_answers = 0;
         }
         (now < until).then_some(until)
     }
@@ -168,7 +176,8 @@
             .asked
             .values()
             .any(|asked| asked.host == *host && !asked.answered && now < asked.sent + ANSWER_WAIT);
-        let rested = known.asked_at.is_none_or(|at| now >= at + SHORT_WAIT);
+        let wait = DurationMs(SHORT_WAIT.0 << known.empty_answers.min(MAX_DOUBLINGS));
+        let rested = known.asked_at.is_none_or(|at| now >= at + wait);
         let worthwhile = self
             .expected(host, now)
             .is_none_or(|expected| expected >= want.min(self.worthwhile(host)));
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -5,8 +5,10 @@
 //! next one by cost / weight. An account that was idle re-enters at the present virtual time, so
 //! idleness earns no credit. Requests that leave without being served are not charged.
 
+mod cost;
 mod deadline;
 mod fair;
 mod speed;
 
+pub use cost::CostAverages;
 pub use fair::{FairQueue, QueueBounds, Ticket};
--- a/src/core/queue/fair.rs
+++ b/src/core/queue/fair.rs
@@ -162,7 +162,7 @@
     pub fn expected_start(&self, now: Timestamp, account: &AccountId, weight: Weight) -> Timestamp {
         let per_weight = VIRTUAL_SCALE / u128::from(weight.0.max(1));
         let tag = match self.lines.get(account) {
-            Some(line) => line.start.max(self.virtual_time) + line.work * per_weight,
+            Some(line) => line.start + line.work * per_weight,
             None => self.virtual_time,
         };
         let before = |line: &Line<T>| {
@@ -174,12 +174,12 @@
     }
 
     fn enter(&mut self, account: &AccountId, weight: Weight, ticket: Ticket, entry: Entry<T>) {
+        // An idle line that is still there has a tag ahead of the virtual time and keeps it.
         let start = self.virtual_time;
         let empty = || Line { weight, start, entries: BTreeMap::new(), work: 0 };
         let line = self.lines.entry(account.clone()).or_insert_with(empty);
         line.weight = weight;
         if line.entries.is_empty() {
-            line.start = line.start.max(self.virtual_time);
             self.heads.insert((line.start, account.clone()));
         }
         line.work += u128::from(entry.cost.0);
--- a/src/core/share/keeper.rs
+++ b/src/core/share/keeper.rs
@@ -38,6 +38,7 @@
     rng: ChaCha8Rng,
     slots: Vec<Slot>,
     hosts: Vec<LiveHost>,
+    hosts_known: bool,
     attempts: BTreeMap<AttemptId, Attempt>,
     in_use: Vec<HeldSlot>,
     read_at: Timestamp,
@@ -55,6 +56,7 @@
         Self {
             slots: (0..settings.slots).map(|n| Slot::new(ShareSlot(n))).collect(),
             hosts: vec![me.clone()],
+            hosts_known: false,
             me,
             settings,
             rng,
@@ -70,12 +72,18 @@
     }
 
     /// Sets the registered live processes. This host is counted whether or not it is listed.
+    /// Nothing is claimed before the first call, because the target depends on it.
     pub fn on_hosts(&mut self, now: Timestamp, hosts: &[LiveHost], out: &mut Vec<ShareEffect>) {
         self.hosts = hosts.to_vec();
+        self.hosts_known = true;
         if !self.hosts.contains(&self.me) {
             self.hosts.push(self.me.clone());
         }
         self.hosts.sort_by(|a, b| (&a.host, a.incarnation).cmp(&(&b.host, b.incarnation)));
+        if self.held() < self.target() {
+            let soon = now + self.jitter(READ_WHEN_SHORT);
+            self.read_at = self.read_at.min(soon);
+        }
         self.tick(now, out);
     }
 
@@ -272,7 +280,8 @@
 
     fn claim(&mut self, now: Timestamp, out: &mut Vec<ShareEffect>) {
         let wanted = self.target().saturating_sub(self.held());
-        if self.stopping || wanted == 0 || self.is_open(Purpose::Claim) {
+        let ready = self.hosts_known && !self.stopping;
+        if !ready || wanted == 0 || self.is_open(Purpose::Claim) {
             return;
         }
         let wait = DurationMs(self.settings.lease.0 + self.settings.margin.0);
