Keep the classes of recent statement texts

Change: ClassCache keeps the classes of up to 1,024 texts of at most 1 KiB in two generations, shared by all callers of the thread.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod acceptance;
 pub mod broker;
+pub mod class_cache;
 pub mod classify;
 pub mod group;
 pub mod host;
--- a/src/wire/batch.rs
+++ b/src/wire/batch.rs
@@ -4,6 +4,7 @@
 //! batch may run on another one. The builder therefore renames named statements to names that are
 //! unique on a host and lists, per batch, which statements the connection must know.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -12,7 +13,8 @@
 use pgwire::messages::extendedquery::{Bind, Close, Describe, Parse, TARGET_TYPE_BYTE_STATEMENT};
 use pgwire::messages::simplequery::Query;
 
-use crate::core::classify::{classify, Access, Class};
+use crate::core::class_cache::ClassCache;
+use crate::core::classify::{Access, Class};
 use crate::error::{Error, ErrorKind};
 use crate::types::SessionId;
 use crate::wire::pg::{put, Frame};
@@ -68,6 +70,15 @@
     fault: Option<Error>,
 }
 
+thread_local! {
+    /// Shared by all callers of the thread; an entry depends on the statement's text alone.
+    static CLASSES: RefCell<ClassCache> = RefCell::default();
+}
+
+fn classify_cached(sql: &str) -> Class {
+    CLASSES.with_borrow_mut(|classes| classes.classify(sql))
+}
+
 impl BatchBuilder {
     /// A builder for the caller of `session`.
     pub fn new(session: SessionId) -> Self {
@@ -134,7 +145,7 @@
 
     fn query(&mut self, frame: &Frame) -> Result<Progress, Error> {
         let query = frame.decode::<Query>()?;
-        self.batch.class = classify(&query.query);
+        self.batch.class = classify_cached(&query.query);
         self.batch.text = Some(query.query.into());
         self.batch.frames.extend_from_slice(&frame.bytes);
         Ok(Progress::Complete)
@@ -157,7 +168,7 @@
 
     fn parse(&mut self, frame: Frame) -> Result<(), Error> {
         let mut parse = frame.decode::<Parse>()?;
-        let class = classify(&parse.query);
+        let class = classify_cached(&parse.query);
         let name = CompactString::from(parse.name.take().unwrap_or_default());
         let wire_name = if name.is_empty() { name.clone() } else { self.fresh_name() };
         parse.name = Some(wire_name.to_string()).filter(|name| !name.is_empty());
--- a/tests/classify.rs
+++ b/tests/classify.rs
@@ -1,5 +1,6 @@
 //! Statements are reads only when nothing in them can change data.
 
+use medlarstile::core::class_cache::ClassCache;
 use medlarstile::core::classify::{classify, Access, SessionCommand};
 use yare::parameterized;
 
@@ -71,3 +72,22 @@
 fn set_local_is_carried() {
     assert_eq!(classify("SET LOCAL statement_timeout = 5").unsupported, None);
 }
+
+/// Guards against a cache that answers for another text, or that grows without a bound.
+#[parameterized(
+    few_texts = { 10, 0, 10 },
+    more_texts_than_it_keeps = { 5_000, 0, 1_024 },
+    texts_too_long_to_keep = { 10, 2_000, 0 },
+)]
+fn the_cache_is_exact_and_bounded(texts: usize, padding: usize, most_kept: usize) {
+    let mut cache = ClassCache::default();
+    for round in 0..2 {
+        for number in 0..texts {
+            let verb = if number % 2 == 0 { "SELECT" } else { "DELETE FROM t WHERE id =" };
+            let sql = format!("{verb} {number}{}", " ".repeat(padding));
+            assert_eq!(cache.classify(&sql), classify(&sql), "round {round}: {sql}");
+            assert!(cache.len() <= most_kept, "{} texts are kept", cache.len());
+        }
+    }
+    assert_eq!(cache.is_empty(), most_kept == 0);
+}
