Record decisions in a timeline

Cause: operators could not check afterwards in which order requests were served and what each caller was told.

Change: HostCore collects decisions without I/O; the host stamps them with a hybrid logical clock and stores segments every second or 256 KiB, one write at a time on a worker thread of its own, with 4 MiB of room and a count of what is dropped. `medlarstile timeline` merges and filters the segments of all hosts.

The cost per request was not measured.

Conclusion: a killed host loses the records since its last stored segment. Stamps are not carried between hosts yet, so the order between hosts is that of their wall clocks.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -25,6 +25,8 @@
 pub enum Command {
     /// Runs one host of the proxy.
     Host(Box<HostArgs>),
+    /// Prints the decisions that the hosts recorded, in causal order.
+    Timeline(commands::timeline::TimelineArgs),
     /// Runs platform, endpoints and two hosts in this process, to try the proxy out.
     Demo(demo::DemoArgs),
     /// Sends statements to a host or an endpoint on loopback and measures the answers.
@@ -42,6 +44,7 @@
     logs::start(&cli.log)?;
     match cli.command {
         Command::Host(args) => commands::host::run(&args),
+        Command::Timeline(args) => commands::timeline::run(&args),
         Command::Demo(args) => demo::run(&args),
         Command::Load(args) => load::run(args),
         Command::Emulate(args) => emulator::run(args),
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,4 +1,5 @@
-//! Commands of the binary as functions without I/O.
+//! Commands of the binary.
 
 pub mod host;
 pub mod tables;
+pub mod timeline;
--- a/src/core/broker/mod.rs
+++ b/src/core/broker/mod.rs
@@ -134,6 +134,11 @@
         self.connections.get(&id)
     }
 
+    /// The session of a request.
+    pub fn session_of(&self, request: RequestId) -> Option<SessionId> {
+        self.requests.get(&request).map(|request| request.session)
+    }
+
     /// An open session.
     pub fn session(&self, session: SessionId) -> Option<&Session> {
         self.sessions.get(&session)
--- a/src/core/host/mod.rs
+++ b/src/core/host/mod.rs
@@ -4,6 +4,7 @@
 //! and carries out the effects that [`HostCore::drain`] returns. A test with a paused clock, or
 //! another front end, drives the same code.
 
+mod decisions;
 mod effect;
 mod platform;
 mod roster;
@@ -24,6 +25,7 @@
 use crate::core::limit::{LimitEffect, LimitPeer, Limiter};
 use crate::core::share::{Holder, ShareEffect, ShareKeeper, ShareSettings};
 use crate::core::view::{Authority, Member, TableView, ViewEffect, ViewStep};
+use crate::timeline::{Decision, Event};
 use crate::types::{DurationMs, FailureDomain, HostId, Incarnation, SessionId, Timestamp};
 
 /// Longest wait of a starting host for a share of the limits. Other hosts give shares back within
@@ -61,6 +63,7 @@
     logins: BTreeMap<SessionId, Login>,
     tables_read: Option<Timestamp>,
     out: Vec<HostEffect>,
+    decisions: Vec<Decision>,
 }
 
 impl HostCore {
@@ -85,6 +88,7 @@
             logins: BTreeMap::new(),
             tables_read: None,
             out: Vec::new(),
+            decisions: Vec::new(),
             spec,
         }
     }
@@ -92,7 +96,10 @@
     /// Takes the effects collected since the last call.
     pub fn drain(&mut self) -> Vec<HostEffect> {
         let mut out = std::mem::take(&mut self.out);
-        out.extend(self.broker.drain().into_iter().map(HostEffect::Broker));
+        for effect in self.broker.drain() {
+            self.note_effect(&effect);
+            out.push(HostEffect::Broker(effect));
+        }
         out
     }
 
@@ -197,6 +204,8 @@
         }
         if before != self.life.state() {
             tracing::info!("host: {} is {:?}", self.spec.host, self.life.state());
+            let state = format!("{:?}", self.life.state()).to_lowercase();
+            self.note(Decision::new(Event::HostState).detail(state));
         }
     }
 
@@ -207,7 +216,12 @@
                 ShareEffect::Write { attempt, writes } => {
                     self.out.push(HostEffect::WriteShares { attempt, writes });
                 }
-                ShareEffect::Use(slots) => self.limiter.set_shares(now, &slots),
+                ShareEffect::Use(slots) => {
+                    let numbers: Vec<String> =
+                        slots.iter().map(|held| held.slot.to_string()).collect();
+                    self.note(Decision::new(Event::SharesChanged).detail(numbers.join(",")));
+                    self.limiter.set_shares(now, &slots);
+                }
             }
         }
     }
@@ -215,7 +229,10 @@
     fn limit_effects(&mut self, now: Timestamp, effects: Vec<LimitEffect>) {
         for effect in effects {
             match effect {
-                LimitEffect::Admit(request) => self.broker.admit(now, request),
+                LimitEffect::Admit(request) => {
+                    self.note_admitted(request);
+                    self.broker.admit(now, request);
+                }
                 LimitEffect::Refuse(request, kind) => {
                     self.broker.refuse_admission(now, request, kind);
                 }
@@ -231,6 +248,7 @@
             match effect {
                 ViewEffect::Adopted { from, to } => {
                     tracing::info!("tables: version {to} is in use, before {from:?}");
+                    self.note(Decision::new(Event::TablesAdopted).detail(to));
                     self.adopt_tables(now);
                     self.out.push(HostEffect::Announce(to));
                 }
@@ -243,6 +261,7 @@
                 ViewEffect::WantTables(member) => self.out.push(HostEffect::WantTables(member)),
                 ViewEffect::AuthorityChanged { from, to } => {
                     tracing::info!("tables: authority is {to:?}, before {from:?}");
+                    self.note(Decision::new(Event::AuthorityChanged).detail(to));
                 }
             }
         }
--- a/src/core/host/sessions.rs
+++ b/src/core/host/sessions.rs
@@ -93,7 +93,10 @@
         let cost = MilliTokens::ONE;
         let take = self.limiter.admit(now, id, &account, cost, deadline, &mut effects);
         match take {
-            Take::Taken => self.broker.admit(now, id),
+            Take::Taken => {
+                self.note_admitted(id);
+                self.broker.admit(now, id);
+            }
             Take::Refused(kind) => self.broker.refuse_admission(now, id, kind),
             Take::Wait { .. } => {}
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod logs;
 pub mod net;
 pub mod tables;
+pub mod timeline;
 pub mod types;
 pub mod wire;
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -4,6 +4,7 @@
 mod endpoints;
 mod platform;
 mod start;
+mod timeline;
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
@@ -27,7 +28,7 @@
 use crate::core::share::ShareSettings;
 use crate::net::caller::{Caller, CallerOptions};
 use crate::net::endpoint::{Credentials, EndpointConnection};
-use crate::net::platform::PlatformActor;
+use crate::net::platform::{PlatformActor, PlatformSettings};
 use crate::types::{ConnectionId, Incarnation, Renewals, RequestId, SessionId, Timestamp};
 use crate::wire::batch::Batch;
 use crate::wire::pg::BackendKey;
@@ -78,6 +79,7 @@
     rows: MonotonicRows,
     renewals: Renewals,
     leaving: bool,
+    timeline: timeline::HostTimeline,
 }
 
 impl Host {
@@ -97,6 +99,8 @@
             user: settings.endpoint_user.clone(),
             password: settings.endpoint_password.clone(),
         };
+        let store = PlatformSettings::new(settings.platform, settings.host.clone());
+        let timeline = timeline::HostTimeline::new(cx, &spec, store);
         let host = Self {
             started: cx.now(),
             core: HostCore::new(spec, core_rng),
@@ -115,6 +119,7 @@
             rows: MonotonicRows::default(),
             renewals: Renewals(0),
             leaving: false,
+            timeline,
             settings,
         };
         after!(Duration::ZERO, [cx], tick());
@@ -132,6 +137,7 @@
         let now = self.now(cx);
         self.core.tick(now);
         self.carry_out(cx);
+        self.store_segment(cx, now);
         after!(TICK, [cx], tick());
     }
 
@@ -144,6 +150,8 @@
     fn carry_out(&mut self, cx: CX![]) {
         loop {
             let effects = self.core.drain();
+            let now = self.now(cx);
+            self.record(now);
             if effects.is_empty() {
                 return;
             }
@@ -211,6 +219,7 @@
     }
 
     fn close(&mut self, cx: CX![]) {
+        self.flush_timeline(cx);
         self.deregister(cx);
         self.listener = None;
     }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::os::fd::{AsRawFd, OwnedFd};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use displaydoc::Display;
 use rustix::time::{
@@ -109,6 +109,11 @@
     Ok(())
 }
 
+/// Wall time since 1970, zero before that. Stamps of the timeline start from it.
+pub fn wall_clock() -> Duration {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()
+}
+
 fn clock() -> Instant {
     Instant::now()
 }
--- /dev/null
+++ b/src/timeline/clock.rs
@@ -0,0 +1,84 @@
+//! Hybrid logical clock: wall time that never goes back and never lags behind a received stamp.
+
+use std::str::FromStr;
+
+use derive_more::Display;
+use displaydoc::Display as DocDisplay;
+use serde::{Deserialize, Serialize};
+
+use crate::types::HostId;
+
+/// When a host decided something; a stamp caused by another one is larger. Written
+/// `WALL_MS.COUNTER.HOST`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize)]
+#[display("{wall_ms}.{counter}.{host}")]
+pub struct Stamp {
+    /// Milliseconds since 1970, at least those of every stamp seen before.
+    pub wall_ms: u64,
+    /// Order within the millisecond.
+    pub counter: u32,
+    /// Host that took the stamp.
+    pub host: HostId,
+}
+
+/// Why a text is not a stamp.
+#[derive(Debug, Clone, PartialEq, Eq, DocDisplay)]
+pub enum StampError {
+    /// a stamp is written WALL_MS.COUNTER.HOST, for example 1700000000000.3.h1
+    Shape,
+}
+
+impl std::error::Error for StampError {}
+
+impl FromStr for Stamp {
+    type Err = StampError;
+
+    fn from_str(text: &str) -> Result<Self, StampError> {
+        let mut parts = text.splitn(3, '.');
+        let (Some(wall), Some(counter), Some(host)) = (parts.next(), parts.next(), parts.next())
+        else {
+            return Err(StampError::Shape);
+        };
+        Ok(Self {
+            wall_ms: wall.parse().map_err(|_| StampError::Shape)?,
+            counter: counter.parse().map_err(|_| StampError::Shape)?,
+            host: host.parse().map_err(|_| StampError::Shape)?,
+        })
+    }
+}
+
+/// The clock of one host.
+#[derive(Debug, Clone)]
+pub struct Clock {
+    host: HostId,
+    wall_ms: u64,
+    counter: u32,
+}
+
+impl Clock {
+    /// A clock that has seen nothing.
+    pub fn new(host: HostId) -> Self {
+        Self { host, wall_ms: 0, counter: 0 }
+    }
+
+    /// The next stamp; larger than every stamp that this clock gave or observed.
+    pub fn stamp(&mut self, wall_ms: u64) -> Stamp {
+        self.advance(wall_ms, None);
+        Stamp { wall_ms: self.wall_ms, counter: self.counter, host: self.host.clone() }
+    }
+
+    /// Takes over the stamp of a message from another host.
+    pub fn observe(&mut self, wall_ms: u64, stamp: &Stamp) {
+        self.advance(wall_ms, Some((stamp.wall_ms, stamp.counter)));
+    }
+
+    fn advance(&mut self, wall_ms: u64, seen: Option<(u64, u32)>) {
+        let latest = (self.wall_ms, self.counter).max(seen.unwrap_or_default());
+        (self.wall_ms, self.counter) = match latest {
+            (latest_ms, _) if wall_ms > latest_ms => (wall_ms, 0),
+            // A full counter borrows the next millisecond.
+            (latest_ms, u32::MAX) => (latest_ms + 1, 0),
+            (latest_ms, counter) => (latest_ms, counter + 1),
+        };
+    }
+}
--- /dev/null
+++ b/src/timeline/query.rs
@@ -0,0 +1,48 @@
+//! Merges the records of all hosts and selects from them.
+
+use compact_str::CompactString;
+
+use super::Record;
+use crate::types::{GroupId, RequestId, SessionId};
+
+/// Which records to show; an absent condition holds for all.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Filter {
+    /// Only this request.
+    pub request: Option<RequestId>,
+    /// Only this session.
+    pub session: Option<SessionId>,
+    /// Only this database group.
+    pub group: Option<GroupId>,
+    /// Only this client account.
+    pub account: Option<CompactString>,
+    /// Only records of this wall time or later.
+    pub since_ms: Option<u64>,
+    /// Only records of this wall time or earlier.
+    pub until_ms: Option<u64>,
+}
+
+impl Filter {
+    /// Whether the filter lets `record` through.
+    pub fn accepts(&self, record: &Record) -> bool {
+        fn holds<T: PartialEq>(wanted: &Option<T>, present: &Option<T>) -> bool {
+            wanted.is_none() || wanted == present
+        }
+        let decision = &record.decision;
+        holds(&self.request, &decision.request)
+            && holds(&self.session, &decision.session)
+            && holds(&self.group, &decision.group)
+            && holds(&self.account, &decision.account)
+            && self.since_ms.is_none_or(|since| record.stamp.wall_ms >= since)
+            && self.until_ms.is_none_or(|until| record.stamp.wall_ms <= until)
+    }
+}
+
+/// The accepted records of all segments in the order of their stamps, without repetitions.
+pub fn merge(segments: Vec<Vec<Record>>, filter: &Filter) -> Vec<Record> {
+    let records = segments.into_iter().flatten();
+    let mut records: Vec<Record> = records.filter(|record| filter.accepts(record)).collect();
+    records.sort_by(|left, right| left.stamp.cmp(&right.stamp));
+    records.dedup();
+    records
+}
