--- a/src/cli.rs
+++ b/src/cli.rs
@@ -42,6 +42,8 @@
     /// Commands for the state charts.
     #[command(subcommand)]
     Charts(ChartsCommand),
+    /// Prints the decisions that the hosts recorded, in causal order.
+    Timeline(commands::timeline::TimelineArgs),
     /// Runs platform, endpoints and two hosts in this process, to try the proxy out.
     Demo(demo::DemoArgs),
     /// Sends statements to a host or an endpoint on loopback and measures the answers.
@@ -64,6 +66,7 @@
         Command::Status(args) => fleet::status(&args),
         Command::Hosts(command) => fleet::run_hosts(&command),
         Command::Charts(ChartsCommand::Draw { out }) => commands::charts::draw(&out),
+        Command::Timeline(args) => commands::timeline::run(&args),
         Command::Demo(args) => demo::run(&args),
         Command::Load(args) => load::run(args),
         Command::Emulate(args) => emulator::run(args),
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -8,3 +8,4 @@
 pub mod tables;
 pub mod tables_file;
 pub mod terminal;
+pub mod timeline;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,7 @@
 pub mod acceptance;
 pub mod broker;
 pub mod cas;
+pub mod class_cache;
 pub mod classify;
 pub mod edit;
 pub mod group;
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -5,6 +5,7 @@
 mod peers;
 mod platform;
 mod start;
+mod timeline;
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
@@ -28,7 +29,7 @@
 use crate::core::share::ShareSettings;
 use crate::net::caller::{Caller, CallerOptions};
 use crate::net::endpoint::{Credentials, EndpointConnection};
-use crate::net::platform::PlatformActor;
+use crate::net::platform::{PlatformActor, PlatformSettings};
 use crate::types::{ConnectionId, Incarnation, Renewals, RequestId, SessionId, Timestamp};
 use crate::wire::batch::Batch;
 use crate::wire::pg::BackendKey;
@@ -79,6 +80,7 @@
     rows: MonotonicRows,
     renewals: Renewals,
     leaving: bool,
+    timeline: timeline::HostTimeline,
 }
 
 impl Host {
@@ -99,6 +101,8 @@
             password: settings.endpoint_password.clone(),
         };
         let peers = Peers::start(cx, peer_spec(&spec, &settings, peer_socket));
+        let store = PlatformSettings::new(settings.platform, settings.host.clone());
+        let timeline = timeline::HostTimeline::new(cx, &spec, store);
         let host = Self {
             started: cx.now(),
             core: HostCore::new(spec, core_rng),
@@ -117,6 +121,7 @@
             rows: MonotonicRows::default(),
             renewals: Renewals(0),
             leaving: false,
+            timeline,
             settings,
         };
         after!(Duration::ZERO, [cx], tick());
@@ -134,6 +139,7 @@
         let now = self.now(cx);
         self.core.tick(now);
         self.carry_out(cx);
+        self.store_segment(cx, now);
         after!(TICK, [cx], tick());
     }
 
@@ -146,6 +152,8 @@
     fn carry_out(&mut self, cx: CX![]) {
         loop {
             let effects = self.core.drain();
+            let now = self.now(cx);
+            self.record(now);
             if effects.is_empty() {
                 return;
             }
@@ -213,6 +221,7 @@
     }
 
     fn close(&mut self, cx: CX![]) {
+        self.flush_timeline(cx);
         self.deregister(cx);
         self.listener = None;
         self.peers.close();
