--- a/src/core/broker/dispatch.rs
+++ b/src/core/broker/dispatch.rs
@@ -2,8 +2,10 @@
 
 use std::rc::Rc;
 
+use rand::seq::SliceRandom;
+
 use super::connection::ConnectionJob;
-use super::{Broker, BrokerEffect, OrderKind, RequestEvent};
+use super::{Broker, BrokerEffect, OrderKind, ReadChoice, RequestEvent};
 use crate::core::group::{Eligible, Unserved};
 use crate::core::promotion::PromotionEffect;
 use crate::error::ErrorKind;
@@ -124,7 +126,7 @@
     fn placement(&mut self, now: Timestamp, group_id: &GroupId, id: RequestId) -> Placement {
         let Some(request) = self.requests.get(&id) else { return Placement::Later };
         let Some(session) = self.sessions.get(&request.session) else { return Placement::Later };
-        let patient = now < request.arrived + self.settings.primary_patience_ms;
+        let patient = now < request.queued + self.settings.primary_patience_ms;
         let (floor, freshness) = (session.floor, session.spec.freshness);
         let endpoints = Rc::clone(&session.spec.endpoints);
         let Some(group) = self.groups.get_mut(group_id) else {
@@ -145,6 +147,9 @@
         let in_pool = |id: &EndpointId| endpoints.contains(id) && self.takes_work(group_id, id);
         let replicas: Vec<_> = replicas.into_iter().filter(in_pool).collect();
         let primary = primary.filter(|id| self.takes_work(group_id, id));
+        if self.settings.read_choice == ReadChoice::AnyAtRandom {
+            return self.random_placement(group_id, replicas.into_iter().chain(primary).collect());
+        }
         let free = replicas.iter().find_map(|id| self.free_connection(group_id, id));
         if let Some(connection) = free {
             return Placement::On(connection);
@@ -160,6 +165,17 @@
         }
     }
 
+    /// Any endpoint of `candidates`, a free one if there is one.
+    fn random_placement(
+        &mut self,
+        group_id: &GroupId,
+        mut candidates: Vec<EndpointId>,
+    ) -> Placement {
+        candidates.shuffle(&mut self.rng);
+        let free = candidates.iter().find_map(|id| self.free_connection(group_id, id));
+        free.map_or(Placement::Busy(candidates), Placement::On)
+    }
+
     fn assign(&mut self, now: Timestamp, id: RequestId, connection: ConnectionId) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.connection = Some(connection);
--- a/src/core/broker/events.rs
+++ b/src/core/broker/events.rs
@@ -41,9 +41,15 @@
         let Some(group) = self.groups.get_mut(&group_id) else {
             return self.close_connection(id);
         };
+        let epoch = connection.epoch;
+        let mut outdated = false;
         if let Some(slot) = group.endpoints.get_mut(&endpoint) {
             slot.connecting = slot.connecting.saturating_sub(1);
             slot.backoff = RECONNECT_MIN;
+            outdated = slot.epoch != epoch;
+        }
+        if outdated {
+            self.close_connection(id);
         }
         self.dispatch(now, &group_id);
     }
@@ -229,6 +235,7 @@
                 group.view.on_lost(now, &connection.endpoint);
             }
         }
+        self.close_outdated(&group_id, &connection.endpoint);
         match connection.state {
             ConnectionState::Busy(ConnectionJob::Request(request)) => {
                 self.request_lost(now, request, report.passed);
--- a/src/core/broker/group.rs
+++ b/src/core/broker/group.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::{Broker, OrderKind};
+use super::{Broker, ConnectionState, OrderKind};
 use crate::core::group::{GroupView, MemberSpec};
 use crate::core::promotion::Promotion;
 use crate::core::queue::{FairQueue, QueueBounds};
@@ -186,7 +186,9 @@
             .connections
             .iter()
             .filter(|(_, connection)| connection.group == *group_id)
-            .filter(|(_, connection)| connection.is_free())
+            .filter(|(_, connection)| {
+                connection.is_free() || connection.state == ConnectionState::Connecting
+            })
             .map(|(id, _)| *id)
             .collect();
         for id in free {
--- a/src/core/broker/mod.rs
+++ b/src/core/broker/mod.rs
@@ -51,6 +51,41 @@
     pub confirm_limit_ms: DurationMs,
     /// Retries allowed per hundred requests of a group.
     pub retry_percent: u64,
+    /// Which of the endpoints that may serve a read gets it.
+    pub read_choice: ReadChoice,
+    /// Order of the requests that wait.
+    pub queue_order: QueueOrder,
+}
+
+/// Which of the endpoints that may serve a read gets it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ReadChoice {
+    /// A replica; the primary after `primary_patience_ms`.
+    #[default]
+    ReplicasFirst,
+    /// Any endpoint, the primary included.
+    AnyAtRandom,
+}
+
+/// Order of the requests that wait.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum QueueOrder {
+    /// Fair to client accounts by weight and cost.
+    #[default]
+    Fair,
+    /// In order of arrival.
+    Arrival,
+}
+
+impl QueueOrder {
+    /// Line of the queue in which a request of `account` waits.
+    fn line(self, account: &AccountId) -> &AccountId {
+        static ALL: AccountId = AccountId::OPEN;
+        match self {
+            QueueOrder::Fair => account,
+            QueueOrder::Arrival => &ALL,
+        }
+    }
 }
 
 /// The decision core for requests.
@@ -143,6 +178,7 @@
     pub fn tick(&mut self, now: Timestamp) {
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
         for group in groups {
+            self.drop_silent(now, &group);
             self.expire(now, &group);
             self.keep_warm(now, &group);
             self.probe(now, &group);
--- a/src/core/broker/request.rs
+++ b/src/core/broker/request.rs
@@ -24,6 +24,8 @@
     pub class: Class,
     /// When it arrived.
     pub arrived: Timestamp,
+    /// When it last began to wait for an endpoint, after its tokens were taken.
+    pub queued: Timestamp,
     /// When it is refused if it still waits.
     pub deadline: Timestamp,
     /// Its place in the chart.
@@ -86,6 +88,7 @@
             group: session.spec.group.clone(),
             class,
             arrived: now,
+            queued: now,
             deadline: now + session.spec.max_wait_ms,
             machine: chart.start(),
             connection: pinned,
@@ -161,9 +164,11 @@
         let Some(group) = self.groups.get_mut(&request.group) else {
             return self.refuse_kind(now, id, ErrorKind::NoEndpoint, "the pool is gone");
         };
-        match group.queue_mut(read).push(now, &account, weight, cost, deadline, id) {
+        let line = self.settings.queue_order.line(&account);
+        match group.queue_mut(read).push(now, line, weight, cost, deadline, id) {
             Ok(ticket) => {
                 if let Some(request) = self.requests.get_mut(&id) {
+                    request.queued = now;
                     request.ticket = Some(ticket);
                 }
             }
@@ -178,7 +183,8 @@
         group.parked.retain(|parked| *parked != id);
         let Some(session) = self.sessions.get(&request.session) else { return };
         if let Some(ticket) = ticket {
-            group.queue_mut(read).remove(&session.spec.account, ticket);
+            let line = self.settings.queue_order.line(&session.spec.account);
+            group.queue_mut(read).remove(line, ticket);
         }
     }
 
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::auth::Secret;
 use crate::config::Settings;
-use crate::core::broker::BrokerSettings;
+use crate::core::broker::{BrokerSettings, QueueOrder, ReadChoice};
 use crate::core::host::{HostCore, HostEffect, HostSpec};
 use crate::core::life::DrainTimes;
 use crate::core::rows::MonotonicRows;
@@ -256,6 +256,8 @@
             primary_patience_ms: settings.primary_patience_ms,
             confirm_limit_ms: settings.confirm_limit_ms,
             retry_percent: crate::consts::RETRY_PERCENT,
+            read_choice: ReadChoice::default(),
+            queue_order: QueueOrder::default(),
         },
         host,
         incarnation,
