Keep one rule for endpoints that do not answer

Change: core/broker/silence.rs stays, which also opens a connection for the probe when all are busy; the other one goes.

--- a/src/core/broker/connection.rs
+++ b/src/core/broker/connection.rs
@@ -1,16 +1,8 @@
 //! Connections to endpoints as the core sees them.
 
-use std::collections::BTreeMap;
-
-use super::{Broker, BrokerEffect, LossReport, OrderKind};
+use super::{Broker, BrokerEffect, OrderKind};
 use crate::core::group::EndpointStatus;
-use crate::types::{
-    ConnectionId, DurationMs, EndpointId, GroupId, RequestId, SessionId, Timestamp,
-};
-
-/// Longest wait for the answer to a probe or an order; ten times the longest link delay and pause
-/// that are expected of an endpoint in service.
-const PROBE_LIMIT: DurationMs = DurationMs(2_000);
+use crate::types::{ConnectionId, EndpointId, GroupId, RequestId, SessionId, Timestamp};
 
 /// What a connection runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -147,47 +139,6 @@
         }
     }
 
-    /// Gives up connections to endpoints that left a probe or an order unanswered. These take no
-    /// slot, so that the silence means a broken link; a request that was sent before over a
-    /// connection that is silent since then would never end.
-    pub(super) fn drop_silent(&mut self, now: Timestamp, group: &GroupId) {
-        let unanswered = |connection: &&Connection| {
-            let own = matches!(
-                connection.state,
-                ConnectionState::Busy(ConnectionJob::Probe | ConnectionJob::Order(_))
-            );
-            own && connection.group == *group && now >= connection.started + PROBE_LIMIT
-        };
-        let silent: BTreeMap<EndpointId, Timestamp> = self
-            .connections
-            .values()
-            .filter(unanswered)
-            .map(|connection| (connection.endpoint.clone(), connection.started))
-            .collect();
-        if silent.is_empty() {
-            return;
-        }
-        let lost = |connection: &Connection| {
-            let since = silent.get(&connection.endpoint).copied();
-            let busy = matches!(connection.state, ConnectionState::Busy(_));
-            let quiet = |at: Timestamp| connection.started <= at && connection.status_at <= at;
-            busy && connection.group == *group && since.is_some_and(quiet)
-        };
-        let ids: Vec<ConnectionId> =
-            self.connections.iter().filter(|(_, found)| lost(found)).map(|(id, _)| *id).collect();
-        for id in ids {
-            // An answer that is not held may have been passed on in part.
-            let passed = match self.connections.get(&id).map(|connection| &connection.state) {
-                Some(ConnectionState::Busy(ConnectionJob::Request(request))) => {
-                    self.requests.get(request).is_some_and(|request| !request.hold)
-                }
-                _ => false,
-            };
-            self.out.push(BrokerEffect::Close(id));
-            self.on_lost(now, id, &LossReport { refused: None, passed });
-        }
-    }
-
     /// A free connection to an endpoint that is trusted to report the endpoint's present state.
     pub(super) fn free_connection(
         &self,
--- a/src/core/broker/mod.rs
+++ b/src/core/broker/mod.rs
@@ -184,7 +184,6 @@
     pub fn tick(&mut self, now: Timestamp) {
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
         for group in groups {
-            self.drop_silent(now, &group);
             self.expire(now, &group);
             self.drop_silent(now, &group);
             self.keep_warm(now, &group);
