Let a read wait for freshness until its deadline

Change: such a read waits; at its deadline it is refused with what was missing (stale, no_primary or no_endpoint).

--- a/src/core/broker/dispatch.rs
+++ b/src/core/broker/dispatch.rs
@@ -139,11 +139,11 @@
                 group.view.on_anchor_demand(now);
                 return Placement::Later;
             }
-            // The primary or an endpoint may come back before the deadline.
-            Eligible::Nobody(Unserved::NoPrimary | Unserved::NoEndpoint) => {
+            // The primary or an endpoint may come back before the deadline; `expire` tells the
+            // caller which of them was missing if none does.
+            Eligible::Nobody(Unserved::NoPrimary | Unserved::NoEndpoint | Unserved::Stale) => {
                 return Placement::Later;
             }
-            Eligible::Nobody(Unserved::Stale) => return Placement::Refuse(ErrorKind::Stale),
         };
         let in_pool = |id: &EndpointId| endpoints.contains(id) && self.takes_work(group_id, id);
         let replicas: Vec<_> = replicas.into_iter().filter(in_pool).collect();
--- a/src/core/broker/events.rs
+++ b/src/core/broker/events.rs
@@ -5,7 +5,7 @@
 use super::connection::ConnectionJob;
 use super::group::{RECONNECT_MAX, RECONNECT_MIN};
 use super::{Broker, Connection, ConnectionState, OrderKind, RequestEvent, RequestState};
-use crate::core::group::{EndpointStatus, Role};
+use crate::core::group::{Eligible, EndpointStatus, Role, Unserved};
 use crate::core::promotion::{GroupRecord, PromotionEffect, ReadFault, SwapFault};
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
@@ -288,13 +288,29 @@
         let overdue = |id: &RequestId| requests.get(id).is_some_and(|found| now >= found.deadline);
         expired.extend(group.parked.iter().copied().filter(overdue));
         group.parked.retain(|id| !overdue(id));
-        let no_primary = group.view.primary().is_none();
         for id in expired {
-            let kind = if no_primary { ErrorKind::NoPrimary } else { ErrorKind::DeadlineExceeded };
+            let kind = self.missing(now, id);
             self.refuse_kind(now, id, kind, "it waited until its deadline");
         }
     }
 
+    /// What a request that has waited until its deadline lacked.
+    fn missing(&self, now: Timestamp, id: RequestId) -> ErrorKind {
+        let Some(request) = self.requests.get(&id) else { return ErrorKind::DeadlineExceeded };
+        let Some(group) = self.groups.get(&request.group) else { return ErrorKind::NoEndpoint };
+        let session = self.sessions.get(&request.session);
+        let Some(session) = session.filter(|_| request.replica_may_run()) else {
+            let primary = group.view.primary();
+            return primary.map_or(ErrorKind::NoPrimary, |_| ErrorKind::DeadlineExceeded);
+        };
+        match group.view.eligible(now, &session.floor, session.spec.freshness) {
+            Eligible::Nobody(Unserved::NoPrimary) => ErrorKind::NoPrimary,
+            Eligible::Nobody(Unserved::NoEndpoint) => ErrorKind::NoEndpoint,
+            Eligible::Nobody(Unserved::Stale | Unserved::Wait(_)) => ErrorKind::Stale,
+            Eligible::Serve { .. } => ErrorKind::DeadlineExceeded,
+        }
+    }
+
     /// Takes the answer to `ReadRecord`.
     pub fn on_record_read(
         &mut self,
