--- a/src/wire/batch.rs
+++ b/src/wire/batch.rs
@@ -18,6 +18,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::types::SessionId;
 use crate::wire::pg::{put, Frame};
+use crate::wire::shape::is_well_formed;
 
 /// A prepared statement of one caller.
 #[derive(Debug, PartialEq, Eq)]
@@ -97,6 +98,10 @@
     ///
     /// `bad_message` for a message type that a caller may not send here.
     pub fn push(&mut self, frame: Frame) -> Result<Progress, Error> {
+        if !is_well_formed(frame.tag, frame.body()) {
+            let detail = format!("body of message {:?} is malformed", char::from(frame.tag));
+            return Err(Error::new(ErrorKind::BadMessage, detail));
+        }
         match frame.tag {
             b'Q' => self.query(&frame),
             b'P' => self.extended(frame, Self::parse),
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,4 +5,5 @@
 pub mod pg;
 pub mod platform;
 pub mod rows;
+pub mod shape;
 pub mod tables;
--- a/src/wire/pg.rs
+++ b/src/wire/pg.rs
@@ -22,6 +22,7 @@
 
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind, Ran};
+use crate::wire::shape::{is_field_list, is_sasl_initial};
 
 /// Bytes of the length field of every frame.
 const LENGTH_BYTES: usize = 4;
@@ -248,6 +249,9 @@
 pub fn error_fields(frame: &Frame) -> (CompactString, CompactString) {
     let mut sqlstate = CompactString::default();
     let mut message = CompactString::default();
+    if !is_field_list(frame.body()) {
+        return (sqlstate, "the endpoint sent a malformed ErrorResponse".into());
+    }
     if let Ok(error) = frame.decode::<ErrorResponse>() {
         for (tag, text) in error.fields {
             match tag {
@@ -334,6 +338,9 @@
 ///
 /// `bad_message` when the body does not follow the protocol.
 pub fn sasl_initial(frame: &Frame) -> Result<(String, Bytes), Error> {
+    if !is_sasl_initial(frame.body()) {
+        return Err(bad_message("SASLInitialResponse is malformed"));
+    }
     let message = frame.decode::<SASLInitialResponse>()?;
     Ok((message.auth_method, message.data.unwrap_or_default()))
 }
--- /dev/null
+++ b/src/wire/shape.rs
@@ -0,0 +1,93 @@
+//! Shapes of PostgreSQL message bodies, checked before `pgwire` decodes them.
+//!
+//! `pgwire` 0.42 panics on bodies that end early, so that one malformed message could end a host.
+
+/// One part of a message body.
+enum Part {
+    /// Text that ends with a zero byte.
+    Text,
+    /// This many bytes.
+    Bytes(usize),
+    /// A 32-bit length, -1 for none, and that many bytes.
+    Sized,
+    /// A 16-bit count of such parts.
+    Repeated(&'static [Part]),
+    /// Everything that is left.
+    Rest,
+}
+
+const PARSE: &[Part] = &[Part::Text, Part::Text, Part::Repeated(&[Part::Bytes(4)])];
+const BIND: &[Part] = &[
+    Part::Text,
+    Part::Text,
+    Part::Repeated(&[Part::Bytes(2)]),
+    Part::Repeated(&[Part::Sized]),
+    Part::Repeated(&[Part::Bytes(2)]),
+];
+const NAMED: &[Part] = &[Part::Bytes(1), Part::Text];
+const QUERY: &[Part] = &[Part::Text];
+const SASL_INITIAL: &[Part] = &[Part::Text, Part::Sized];
+const ANY: &[Part] = &[Part::Rest];
+
+/// Whether the body of a caller's message has the shape that its type demands.
+pub fn is_well_formed(tag: u8, body: &[u8]) -> bool {
+    let parts = match tag {
+        b'P' => PARSE,
+        b'B' => BIND,
+        b'D' | b'C' => NAMED,
+        b'Q' => QUERY,
+        _ => ANY,
+    };
+    matches_whole(parts, body)
+}
+
+/// Whether the body is that of a `SASLInitialResponse`.
+pub fn is_sasl_initial(body: &[u8]) -> bool {
+    matches_whole(SASL_INITIAL, body)
+}
+
+/// Whether the body is a sequence of byte and text pairs that ends with a zero byte, as in
+/// `ErrorResponse`.
+pub fn is_field_list(mut body: &[u8]) -> bool {
+    loop {
+        match body {
+            [0] => return true,
+            [] | [0, ..] => return false,
+            [_, rest @ ..] => match skip(&Part::Text, rest) {
+                Some(rest) => body = rest,
+                None => return false,
+            },
+        }
+    }
+}
+
+fn matches_whole(parts: &[Part], body: &[u8]) -> bool {
+    let rest = parts.iter().try_fold(body, |body, part| skip(part, body));
+    rest.is_some_and(<[u8]>::is_empty)
+}
+
+/// The body behind a part, if it has the part.
+fn skip<'a>(part: &Part, body: &'a [u8]) -> Option<&'a [u8]> {
+    match part {
+        Part::Text => {
+            let end = body.iter().position(|byte| *byte == 0)?;
+            body.get(end + 1..)
+        }
+        Part::Bytes(count) => body.get(*count..),
+        Part::Sized => {
+            let (length, rest) = body.split_first_chunk::<4>()?;
+            match i32::from_be_bytes(*length) {
+                -1 => Some(rest),
+                length => rest.get(usize::try_from(length).ok()?..),
+            }
+        }
+        Part::Repeated(parts) => {
+            let (count, mut rest) = body.split_first_chunk::<2>()?;
+            for _ in 0..u16::from_be_bytes(*count) {
+                rest = parts.iter().try_fold(rest, |rest, part| skip(part, rest))?;
+            }
+            Some(rest)
+        }
+        Part::Rest => Some(&[]),
+    }
+}
