Split the actors of callers and endpoint connections

Change: each is a folder with message.rs (chart names, messages), login.rs and mod.rs; no line of behaviour changed. Conclusion: the parts can be read one at a time.

--- a/src/net/caller.rs
+++ b/src/net/caller/mod.rs
@@ -1,27 +1,33 @@
 //! Actor of one caller connection: it owns the socket, logs the caller in and submits its requests.
 
+mod login;
+mod message;
+
 use std::net::SocketAddr;
-use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
-use rustls::ServerConfig;
 use stakker::{after, call, fwd, fwd_to, stop, Actor, Fwd, CX};
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, Ready};
 
-use crate::auth::{ScramServer, ServerStep};
-use crate::chart::{Chart, ChartError, Machine, NoGuard};
-use crate::chart_names;
-use crate::core::classify::{SessionCommand, POSITION_PARAMETER};
+use crate::auth::ScramServer;
+use crate::chart::{Machine, NoGuard};
+use crate::core::classify::POSITION_PARAMETER;
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
 use crate::net::endpoint::EndpointConnection;
 use crate::net::stream::{Stream, StreamState};
 use crate::types::{KeyId, RequestId, SessionId};
 use crate::wire::batch::{Batch, BatchBuilder, Progress};
-use crate::wire::pg::{self, BackendKey, FirstPacket, Frame};
+use crate::wire::pg::{self, BackendKey, Frame};
+
+use message::CHART;
+pub use message::{
+    chart, Answer, CallerAction, CallerChart, CallerEvent, CallerInput, CallerOptions, CallerState,
+    RouteAnswer, StartupRequest,
+};
 
 /// Longest time from accept to the end of login.
 const LOGIN_LIMIT: Duration = Duration::from_secs(10);
@@ -32,101 +38,6 @@
 /// Largest answer that is held until its write is durable.
 const MAX_HELD_BYTES: usize = 16 * 1024 * 1024;
 
-chart_names! {
-    /// States of a caller connection.
-    pub enum CallerState {
-        Open = "open", Starting = "starting", Routing = "routing", Proving = "proving",
-        Admitting = "admitting", Idle = "idle", Waiting = "waiting", Closed = "closed",
-    }
-    /// Events of a caller connection.
-    pub enum CallerInput {
-        Lost = "lost", Fault = "fault", SslRequest = "ssl_request", CancelRequest = "cancel_request",
-        Startup = "startup", OpenRoute = "open_route", KeyedRoute = "keyed_route", Proof = "proof",
-        Proved = "proved", Admitted = "admitted", Request = "request", Terminate = "terminate",
-        Answered = "answered",
-    }
-    /// Actions of a caller connection.
-    pub enum CallerAction {
-        Leave = "leave", Refuse = "refuse", AnswerSsl = "answer_ssl",
-        ForwardCancel = "forward_cancel", Close = "close", AskRoute = "ask_route",
-        LogIn = "log_in", OfferMechanisms = "offer_mechanisms", CheckProof = "check_proof",
-        Greet = "greet", Submit = "submit", Finish = "finish",
-    }
-}
-
-type CallerChart = Chart<CallerState, CallerInput, NoGuard, CallerAction>;
-
-/// Compiles the chart of caller connections.
-///
-/// # Errors
-///
-/// Every fault of the chart file.
-pub fn chart() -> Result<CallerChart, Vec<ChartError>> {
-    Chart::load("charts/caller.scxml", include_str!("../../charts/caller.scxml"))
-}
-
-static CHART: LazyLock<CallerChart> =
-    LazyLock::new(|| chart().expect("charts are checked at start"));
-
-/// What a caller asked for in its start-up message.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StartupRequest {
-    /// `user` parameter: the client account.
-    pub user: CompactString,
-    /// `database` parameter, the user name when absent.
-    pub database: CompactString,
-    /// Session token of the start-up options.
-    pub position: Option<CompactString>,
-}
-
-/// What a caller tells the hub.
-#[derive(Debug)]
-pub enum CallerEvent {
-    /// The start-up message arrived.
-    Startup(StartupRequest),
-    /// The caller has proved a key, or needs none.
-    LoggedIn(Option<KeyId>),
-    /// A request is complete.
-    Request(RequestId, Box<Batch>),
-    /// A statement that the hub answers.
-    Command(RequestId, SessionCommand),
-    /// A cancel request for another connection of this host.
-    Cancel(BackendKey),
-    /// The connection is gone.
-    Left,
-}
-
-/// How the hub answers a start-up message.
-#[derive(Debug)]
-pub enum RouteAnswer {
-    /// The route is open to all.
-    Open,
-    /// The caller must prove a key.
-    Keyed(Box<ScramServer>),
-}
-
-/// Settings that all callers of a host share.
-#[derive(Debug, Clone)]
-pub struct CallerOptions {
-    /// TLS configuration; without one `SSLRequest` is declined.
-    pub tls: Option<Arc<ServerConfig>>,
-    /// Largest message that a caller may send.
-    pub max_message_bytes: usize,
-}
-
-/// The end of a request, with what goes before `ReadyForQuery`.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Answer {
-    /// The endpoint's answer is passed on.
-    Release,
-    /// The endpoint's answer is dropped and the error sent instead.
-    Fail(Error),
-    /// The host answers a `SET`.
-    Set,
-    /// The host answers a `SHOW` with this text.
-    Show(CompactString),
-}
-
 /// A caller connection.
 pub struct Caller {
     session: SessionId,
@@ -348,38 +259,6 @@
         }
     }
 
-    fn first_packet(&mut self, cx: CX![]) -> Result<bool, Error> {
-        match pg::next_first_packet(&mut self.stream.input)? {
-            None => return Ok(false),
-            Some(FirstPacket::SslRequest) => self.fire(cx, CallerInput::SslRequest),
-            Some(FirstPacket::GssRequest) => {
-                self.stream.output.extend_from_slice(b"N");
-                self.send(cx);
-            }
-            Some(FirstPacket::Cancel(key)) => {
-                self.cancel = Some(key);
-                self.fire(cx, CallerInput::CancelRequest);
-            }
-            Some(FirstPacket::Startup(parameters)) => {
-                self.startup = Some(startup_request(&parameters)?);
-                self.fire(cx, CallerInput::Startup);
-            }
-        }
-        Ok(true)
-    }
-
-    fn proof_frame(&mut self, cx: CX![]) -> Result<bool, Error> {
-        let limit = self.options.max_message_bytes;
-        let Some(frame) = pg::next_frame(&mut self.stream.input, limit)? else { return Ok(false) };
-        if frame.tag != b'p' {
-            let detail = format!("message type {:?} during login", char::from(frame.tag));
-            return Err(Error::new(ErrorKind::BadMessage, detail));
-        }
-        self.proof = Some(frame);
-        self.fire(cx, CallerInput::Proof);
-        Ok(true)
-    }
-
     fn request_frame(&mut self, cx: CX![]) -> Result<bool, Error> {
         let limit = self.options.max_message_bytes;
         let Some(frame) = pg::next_frame(&mut self.stream.input, limit)? else { return Ok(false) };
@@ -452,57 +331,6 @@
         }
     }
 
-    fn answer_ssl(&mut self, cx: CX![]) {
-        let Some(config) = self.options.tls.clone().filter(|_| !self.stream.is_tls()) else {
-            self.stream.output.extend_from_slice(b"N");
-            return self.send(cx);
-        };
-        self.stream.output.extend_from_slice(b"S");
-        self.send(cx);
-        if let Err(error) = self.stream.start_tls(&config) {
-            self.lose(cx, &error.to_string());
-        }
-    }
-
-    fn check_proof(&mut self, cx: CX![]) {
-        let Some(frame) = self.proof.take() else { return };
-        match self.scram_step(&frame) {
-            Ok(ServerStep::Continue(text)) => {
-                pg::put_sasl_continue(&mut self.stream.output, text.as_bytes());
-                self.send(cx);
-            }
-            Ok(ServerStep::Accepted { key, message }) => {
-                pg::put_sasl_final(&mut self.stream.output, message.as_bytes());
-                self.key = Some(key);
-                self.scram = None;
-                self.fire(cx, CallerInput::Proved);
-            }
-            Err(error) => {
-                tracing::info!("caller: {} from {} failed to log in", self.session, self.peer);
-                self.fault(cx, error);
-            }
-        }
-    }
-
-    fn scram_step(&mut self, frame: &Frame) -> Result<ServerStep, Error> {
-        let unexpected = || Error::new(ErrorKind::BadMessage, "no SASL exchange is under way");
-        let scram = self.scram.as_mut().ok_or_else(unexpected)?;
-        let data = if self.sasl_started {
-            pg::sasl_response(frame)?
-        } else {
-            self.sasl_started = true;
-            let (mechanism, data) = pg::sasl_initial(frame)?;
-            if mechanism != pg::SCRAM_MECHANISM {
-                let detail = format!("SASL mechanism {mechanism:?} was not offered");
-                return Err(Error::new(ErrorKind::BadMessage, detail));
-            }
-            data
-        };
-        let text = std::str::from_utf8(&data);
-        let text = text.map_err(|_| Error::new(ErrorKind::BadMessage, "SASL is not UTF-8"))?;
-        Ok(scram.on_message(text)?)
-    }
-
     fn submit(&mut self) {
         let Some(mut batch) = self.batch.take() else { return };
         self.requests += 1;
@@ -580,36 +408,3 @@
         stop!(cx);
     }
 }
-
-/// Reads the parameters of a start-up message.
-///
-/// # Errors
-///
-/// `bad_startup` when the user is missing.
-fn startup_request(
-    parameters: &std::collections::BTreeMap<String, String>,
-) -> Result<StartupRequest, Error> {
-    let user = parameters.get("user").filter(|user| !user.is_empty());
-    let user = user.ok_or_else(|| Error::new(ErrorKind::BadStartup, "user is missing"))?;
-    let database = parameters.get("database").unwrap_or(user);
-    let position = parameters.get("options").and_then(|options| position_option(options));
-    Ok(StartupRequest { user: user.into(), database: database.into(), position })
-}
-
-/// Finds `-c medlarstile.position=...` in the start-up options.
-fn position_option(options: &str) -> Option<CompactString> {
-    let mut words = options.split_whitespace();
-    while let Some(word) = words.next() {
-        let setting = match word.strip_prefix("-c") {
-            Some("") => words.next().unwrap_or_default(),
-            Some(setting) => setting,
-            None => word.strip_prefix("--").unwrap_or_default(),
-        };
-        if let Some((name, value)) = setting.split_once('=') {
-            if name == POSITION_PARAMETER {
-                return Some(value.into());
-            }
-        }
-    }
-    None
-}
--- a/src/net/endpoint.rs
+++ b/src/net/endpoint/mod.rs
@@ -1,24 +1,20 @@
 //! Actor of one connection to an endpoint: it owns the socket and runs one job at a time.
 
+mod login;
+mod message;
+
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::rc::Rc;
-use std::sync::LazyLock;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
-use rand::SeedableRng;
-use rand_chacha::ChaCha20Rng;
 use stakker::{after, call, fwd, fwd_to, stop, Actor, Fwd, CX};
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, Ready};
 
-use crate::auth::{Nonce, ScramClient, Secret};
-use crate::chart::{Chart, ChartError, Machine, NoGuard};
-use crate::chart_names;
-use crate::core::group::EndpointStatus;
-use crate::core::transaction::TransactionState;
+use crate::auth::ScramClient;
+use crate::chart::{Machine, NoGuard};
 use crate::error::{Error, ErrorKind};
 use crate::net::caller::Caller;
 use crate::net::stream::{Stream, StreamState};
@@ -26,6 +22,12 @@
 use crate::wire::batch::Batch;
 use crate::wire::pg::{self, AuthRequest, BackendKey, Frame};
 
+use message::CHART;
+pub use message::{
+    chart, ConnectionEvent, Credentials, EndpointAction, EndpointChart, EndpointEvent,
+    EndpointState, Job, JobEnd, Target,
+};
+
 /// Name of the reported parameter that carries an endpoint's status.
 const STATUS_PARAMETER: &str = "group_status";
 /// Longest time from connect to the first `ReadyForQuery`.
@@ -35,113 +37,6 @@
 /// Input read before the frames in it are passed on.
 const READ_AHEAD_BYTES: usize = 256 * 1024;
 
-chart_names! {
-    /// States of an endpoint connection.
-    pub enum EndpointState {
-        Open = "open", Connecting = "connecting", Authenticating = "authenticating",
-        Idle = "idle", Busy = "busy", Closed = "closed",
-    }
-    /// Events of an endpoint connection.
-    pub enum EndpointEvent {
-        Connected = "connected", AuthRequest = "auth_request", Ready = "ready", Run = "run",
-        Lost = "lost", Close = "close",
-    }
-    /// Actions of an endpoint connection.
-    pub enum EndpointAction {
-        SendStartup = "send_startup", AnswerAuth = "answer_auth", ReportReady = "report_ready",
-        SendJob = "send_job", ReportEnd = "report_end", ReportLost = "report_lost",
-        Terminate = "terminate",
-    }
-}
-
-type EndpointChart = Chart<EndpointState, EndpointEvent, NoGuard, EndpointAction>;
-
-/// Compiles the chart of endpoint connections.
-///
-/// # Errors
-///
-/// Every fault of the chart file.
-pub fn chart() -> Result<EndpointChart, Vec<ChartError>> {
-    Chart::load("charts/endpoint.scxml", include_str!("../../charts/endpoint.scxml"))
-}
-
-static CHART: LazyLock<EndpointChart> =
-    LazyLock::new(|| chart().expect("charts are checked at start"));
-
-/// How the host logs in at endpoints.
-#[derive(Debug, Clone)]
-pub struct Credentials {
-    /// User name.
-    pub user: CompactString,
-    /// Password of the user.
-    pub password: Secret,
-}
-
-/// Where and how to connect.
-#[derive(Debug, Clone)]
-pub struct Target {
-    /// Address of the endpoint.
-    pub address: SocketAddr,
-    /// Database name sent in the start-up message.
-    pub database: CompactString,
-    /// Credentials of the host.
-    pub credentials: Rc<Credentials>,
-}
-
-/// Work for one connection.
-pub enum Job {
-    /// A caller's request.
-    Request {
-        /// Id of the request.
-        request: RequestId,
-        /// Actor that gets the answer.
-        caller: Actor<Caller>,
-        /// Frames and prepared statements.
-        batch: Batch,
-        /// Whether the caller actor keeps the answer until the core releases it.
-        hold: bool,
-    },
-    /// SQL of the host itself: a probe or an order.
-    Own {
-        /// Text of the statement.
-        sql: CompactString,
-    },
-}
-
-/// How a job ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct JobEnd {
-    /// Request of the job; `None` for the host's own SQL.
-    pub request: Option<RequestId>,
-    /// Transaction state after the job.
-    pub transaction: TransactionState,
-    /// SQLSTATE and message of the last error, if there was one.
-    pub error: Option<(CompactString, CompactString)>,
-}
-
-/// What a connection tells the hub.
-#[derive(Debug)]
-pub enum ConnectionEvent {
-    /// Login is complete.
-    Ready,
-    /// The endpoint reported its status.
-    Status(EndpointStatus),
-    /// The job ended.
-    Ended(JobEnd),
-    /// The connection is closed. `sent` says whether bytes of a job may have reached the endpoint,
-    /// `passed` whether bytes of its answer went to the caller.
-    Lost {
-        /// Cause, for the log.
-        cause: String,
-        /// Request under way.
-        request: Option<RequestId>,
-        /// SQLSTATE with which the endpoint refused the login.
-        refused: Option<CompactString>,
-        /// Bytes of the answer were passed on.
-        passed: bool,
-    },
-}
-
 struct Running {
     request: Option<RequestId>,
     caller: Option<Actor<Caller>>,
@@ -452,55 +347,6 @@
         }
     }
 
-    fn send_startup(&mut self, cx: CX![]) {
-        let parameters = [
-            ("user", self.target.credentials.user.as_str()),
-            ("database", self.target.database.as_str()),
-            ("application_name", "medlarstile"),
-            ("client_encoding", "UTF8"),
-        ];
-        pg::put_startup(&mut self.stream.output, &parameters);
-        self.send(cx);
-    }
-
-    fn answer_auth(&mut self, cx: CX![]) {
-        let Some(request) = self.auth.take() else { return };
-        let result = self.auth_answer(request);
-        match result {
-            Ok(()) => self.send(cx),
-            Err(error) => self.lose(cx, error.to_string()),
-        }
-    }
-
-    fn auth_answer(&mut self, request: AuthRequest) -> Result<(), Error> {
-        let credentials = &self.target.credentials;
-        match request {
-            AuthRequest::Ok => Ok(()),
-            AuthRequest::CleartextPassword => {
-                pg::put_password(&mut self.stream.output, credentials.password.expose());
-                Ok(())
-            }
-            AuthRequest::Sasl(_) => {
-                let nonce = Nonce::random(&mut ChaCha20Rng::from_os_rng());
-                let client = ScramClient::new("", credentials.password.clone(), nonce)?;
-                pg::put_sasl_initial(&mut self.stream.output, client.first().as_bytes());
-                self.scram = Some(client);
-                Ok(())
-            }
-            AuthRequest::SaslContinue(data) => {
-                let client = self.scram.as_mut().ok_or_else(unexpected_auth)?;
-                let answer = client.on_continue(&text(&data)?)?;
-                pg::put_sasl_response(&mut self.stream.output, answer.as_bytes());
-                Ok(())
-            }
-            AuthRequest::SaslFinal(data) => {
-                let mut client = self.scram.take().ok_or_else(unexpected_auth)?;
-                Ok(client.on_final(&text(&data)?)?)
-            }
-            AuthRequest::Other => Err(unexpected_auth()),
-        }
-    }
-
     fn send_job(&mut self, cx: CX![]) {
         let Some(job) = self.next_job.take() else { return };
         let running = match job {
@@ -572,13 +418,3 @@
         stop!(cx);
     }
 }
-
-fn text(data: &Bytes) -> Result<CompactString, Error> {
-    let text = std::str::from_utf8(data);
-    let malformed = |_| Error::new(ErrorKind::BadMessage, "SASL message is not UTF-8");
-    text.map(CompactString::from).map_err(malformed)
-}
-
-fn unexpected_auth() -> Error {
-    Error::new(ErrorKind::BadMessage, "the endpoint asks for a login method that is not supported")
-}
