Send metrics to a statsd server

Change: metrics.rs counts released and failed requests and reports sessions and waiting requests once a second through cadence over UDP; tests/metrics.rs receives them.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod core;
 pub mod error;
 pub mod logs;
+pub mod metrics;
 pub mod net;
 pub mod tables;
 pub mod timeline;
--- a/src/net/host/callers.rs
+++ b/src/net/host/callers.rs
@@ -139,6 +139,7 @@
         outcome: Outcome,
     ) {
         self.batches.remove(&request);
+        self.metrics.request_ended(&outcome);
         let Some(caller) = self.caller(session) else { return };
         let (answer, token): (Answer, Option<CompactString>) = match outcome {
             Outcome::Release { token } => (Answer::Release, token),
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -27,6 +27,7 @@
 use crate::core::life::DrainTimes;
 use crate::core::rows::MonotonicRows;
 use crate::core::share::ShareSettings;
+use crate::metrics::Metrics;
 use crate::net::caller::{Caller, CallerOptions};
 use crate::net::endpoint::{Credentials, EndpointConnection};
 use crate::net::platform::{PlatformActor, PlatformSettings};
@@ -38,6 +39,8 @@
 
 /// Time between two ticks of the core. The promotion procedure needs at most 50 ms.
 const TICK: Duration = Duration::from_millis(20);
+/// Time between two reports of gauges.
+const REPORT: Duration = Duration::from_secs(1);
 /// Poll priority of the listener.
 const LISTENER_PRIORITY: u32 = 10;
 
@@ -79,6 +82,7 @@
     next_session: u64,
     rows: MonotonicRows,
     renewals: Renewals,
+    metrics: Metrics,
     leaving: bool,
     timeline: timeline::HostTimeline,
 }
@@ -93,6 +97,14 @@
         notify: Fwd<HostNotice>,
     ) -> Option<Self> {
         let HostParts { settings, tls, peer_socket, peer_address } = parts;
+        let metrics = match Metrics::new(settings.statsd) {
+            Ok(metrics) => metrics,
+            Err(error) => {
+                let detail = format!("cannot open a socket for metrics: {error}");
+                stakker::fwd!([notify], HostNotice::Failed(detail));
+                return None;
+            }
+        };
         let mut rng = ChaCha20Rng::from_os_rng();
         let spec = host_spec(&settings, incarnation, peer_address);
         let core_rng = rand_chacha::ChaCha8Rng::from_rng(&mut rng);
@@ -120,11 +132,13 @@
             next_session: 0,
             rows: MonotonicRows::default(),
             renewals: Renewals(0),
+            metrics,
             leaving: false,
             timeline,
             settings,
         };
         after!(Duration::ZERO, [cx], tick());
+        after!(REPORT, [cx], report());
         Some(host)
     }
 
@@ -143,6 +157,11 @@
         after!(TICK, [cx], tick());
     }
 
+    fn report(&mut self, cx: CX![]) {
+        self.metrics.report(self.core.broker());
+        after!(REPORT, [cx], report());
+    }
+
     fn now(&self, cx: CX![]) -> Timestamp {
         let passed = cx.now().saturating_duration_since(self.started).as_micros();
         Timestamp(u64::try_from(passed).unwrap_or(u64::MAX))
