--- a/src/charts.rs
+++ b/src/charts.rs
@@ -1,7 +1,7 @@
 //! Every state chart of the project, in one place.
 
 use crate::chart::{Chart, ChartError, Graph};
-use crate::core::{broker, cas, edit, life, link, promotion, share, view};
+use crate::core::{broker, cas, edit, life, link, promotion, proxy, share, view};
 use crate::error::{Error, ErrorKind};
 use crate::net::{caller, endpoint, peer};
 
@@ -25,10 +25,13 @@
     "caller": caller::chart,
     "edit": edit::chart,
     "endpoint": endpoint::chart,
+    "failover": proxy::failover::chart,
     "group": promotion::chart,
     "host": life::chart,
     "peer": peer::chart,
     "platform": link::chart,
+    "pooled_connection": proxy::connection::chart,
+    "proxy_request": proxy::request::chart,
     "request": broker::chart,
     "share": share::chart,
     "swap": cas::chart,
@@ -48,11 +51,14 @@
     "emulated_connection",
     "emulated_endpoint",
     "endpoint",
+    "failover",
     "group",
     "host",
     "load_connection",
     "peer",
     "platform",
+    "pooled_connection",
+    "proxy_request",
     "request",
     "share",
     "swap",
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -28,6 +28,8 @@
 pub enum Command {
     /// Runs one host of the proxy.
     Host(Box<HostArgs>),
+    /// Runs one host of the proxy on the platform of its users.
+    PlatformHost(commands::platform_host::PlatformHostArgs),
     /// Checks, shows, compares and edits the routes and pools tables.
     #[command(subcommand)]
     Tables(TablesCommand),
@@ -58,9 +60,10 @@
 ///
 /// The command failed; the kind of the error gives the exit code.
 pub fn run(cli: Cli) -> Result<(), Error> {
-    logs::start(&cli.log)?;
+    let _writer = logs::start(&cli.log)?;
     match cli.command {
         Command::Host(args) => commands::host::run(&args),
+        Command::PlatformHost(args) => commands::platform_host::run(&args),
         Command::Tables(command) => tables_file::run_tables(&command),
         Command::Key(command) => tables_file::run_key(&command),
         Command::Status(args) => fleet::status(&args),
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod edit;
 pub mod fleet;
 pub mod host;
+pub mod platform_host;
 pub mod tables;
 pub mod tables_file;
 pub mod terminal;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,6 +13,7 @@
 pub mod link;
 pub mod peer;
 pub mod promotion;
+pub mod proxy;
 pub mod queue;
 pub mod rows;
 pub mod share;
--- /dev/null
+++ b/src/core/proxy/dispatch.rs
@@ -0,0 +1,166 @@
+//! Which request runs next, and on which connection.
+
+use super::catalog::ReadRule;
+use super::connection::{Owner, PooledEvent, Task};
+use super::job::{Job, Setup, Work};
+use super::pick::Placement;
+use super::request::ProxyRequestEvent;
+use super::statement::Forward;
+use super::{Proxy, ProxyEffect, ProxyMoment};
+use crate::types::{ConnectionId, GroupId, RequestId, Timestamp};
+
+/// Requests that may wait outside of the fair queue for a connection of their account.
+const MAX_PARKED: usize = 64;
+
+impl Proxy {
+    /// Starts whatever can start in the groups that changed.
+    pub(super) fn settle(&mut self, now: Timestamp) {
+        while let Some(group) = self.dirty.pop_first() {
+            self.dispatch(now, &group);
+        }
+    }
+
+    fn dispatch(&mut self, now: Timestamp, group_id: &GroupId) {
+        self.send_orders(now);
+        let Some(group) = self.groups.get_mut(group_id) else { return };
+        let parked = std::mem::take(&mut group.parked);
+        for id in parked {
+            self.place_or_park(now, group_id, id);
+        }
+        loop {
+            let Some(group) = self.groups.get_mut(group_id) else { return };
+            if group.parked.len() >= MAX_PARKED {
+                return;
+            }
+            let Some(id) = group.queue.pop(now) else { return };
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.ticket = None;
+            }
+            self.place_or_park(now, group_id, id);
+        }
+    }
+
+    fn place_or_park(&mut self, now: Timestamp, group_id: &GroupId, id: RequestId) {
+        if !self.requests.contains_key(&id) || self.place(now, group_id, id) {
+            return;
+        }
+        if let Some(group) = self.groups.get_mut(group_id) {
+            group.parked.push(id);
+        }
+    }
+
+    /// Runs a request if a connection is free for it; opens one if not.
+    fn place(&mut self, now: Timestamp, group_id: &GroupId, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else { return true };
+        if now < request.rest_until {
+            return false;
+        }
+        if let Some(connection) = request.connection {
+            self.assign(now, id, connection);
+            return true;
+        }
+        let Some(group) = self.groups.get(group_id) else { return false };
+        let options = self.options(now, group, request);
+        let owner = Owner::Account(request.account.clone());
+        for option in &options {
+            let idle = self.idle_connection(group_id, &option.endpoint, Some(&owner));
+            if let Some(connection) = idle {
+                self.assign_at(now, id, connection, option);
+                return true;
+            }
+        }
+        self.open_for(now, group_id, id, &options, &owner);
+        false
+    }
+
+    /// Opens a connection at the best endpoint that allows one, unless enough are being opened.
+    fn open_for(
+        &mut self,
+        now: Timestamp,
+        group_id: &GroupId,
+        id: RequestId,
+        options: &[Placement],
+        owner: &Owner,
+    ) {
+        let before_it = |request: &RequestId| {
+            let same = self.requests.get(request).zip(self.requests.get(&id));
+            *request < id && same.is_some_and(|(one, other)| one.account == other.account)
+        };
+        let Some(group) = self.groups.get(group_id) else { return };
+        let ahead = group.parked.iter().filter(|other| before_it(other)).count();
+        let opening: usize =
+            options.iter().map(|option| self.connecting(group_id, &option.endpoint, owner)).sum();
+        if opening > ahead {
+            return;
+        }
+        for option in options {
+            if self.try_connect(now, group_id, &option.endpoint, owner, 0) {
+                return;
+            }
+        }
+    }
+
+    /// Lends a connection to a request whose transaction, if any, is not open anywhere yet.
+    fn assign_at(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        connection: ConnectionId,
+        option: &Placement,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let single = request.moment.is_single();
+        request.guarded = request.moment == ProxyMoment::SingleRead && option.at_primary;
+        request.starts = !single;
+        request.after = option.after;
+        request.at_primary = option.at_primary;
+        request.connection = Some(connection);
+        self.fire(now, id, ProxyRequestEvent::Assign);
+    }
+
+    /// Runs a statement on the connection of its transaction.
+    pub(super) fn assign(&mut self, now: Timestamp, id: RequestId, connection: ConnectionId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.connection = Some(connection);
+        request.starts = false;
+        request.after = None;
+        self.fire(now, id, ProxyRequestEvent::Assign);
+    }
+
+    /// Sends an assigned request.
+    pub(super) fn send(&mut self, now: Timestamp, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(connection_id) = request.connection else { return };
+        let Some(connection) = self.connections.get_mut(&connection_id) else { return };
+        let Some(session) = self.sessions.get_mut(&request.session) else { return };
+        request.sent = now;
+        let shape = match &request.forward {
+            Forward::Execute(shape, _) => Some(shape),
+            Forward::Text(_) => None,
+        };
+        let mut setup = connection.adapt(&session.values, shape);
+        if request.guarded || request.starts {
+            let read_only =
+                request.starts && !request.at_primary && request.route.rule != ReadRule::Primary;
+            let after = request.after.filter(|_| read_only);
+            setup.push(Setup::Begin { read_only, after });
+        }
+        connection.fire(PooledEvent::Run);
+        connection.task = Some(Task::Request(id));
+        (connection.started, connection.used) = (now, now);
+        if !request.moment.is_single() {
+            connection.session = Some(request.session);
+            if let Some(open) = &mut session.transaction {
+                open.connection = Some(connection_id);
+                open.wrote |= request.writes;
+                open.at_primary |= request.at_primary;
+            }
+        }
+        let after = request.after.filter(|_| request.moment == ProxyMoment::SingleRead);
+        let work =
+            Work::Statement { id: request.query.clone(), forward: request.forward.clone(), after };
+        let job = Job { setup, work, rollback: request.guarded };
+        self.note_asked(now, connection_id);
+        self.out.push(ProxyEffect::Run(connection_id, job));
+    }
+}
--- /dev/null
+++ b/src/core/proxy/events.rs
@@ -0,0 +1,435 @@
+//! What endpoints answer, and the loss of connections to them.
+
+use super::connection::{Owner, Pooled, PooledEvent, Task};
+use super::job::{JobAnswer, JobEnd, Refusal};
+use super::request::ProxyRequestEvent;
+use super::{Answer, Proxy, ProxyMoment};
+use crate::core::transaction::TransactionState;
+use crate::error::{Error, ErrorKind};
+use crate::types::{ConnectionId, DurationMs, Position, RequestId, Timestamp};
+
+/// Pause before a request that an endpoint had no slot for is tried again.
+const BUSY_REST: DurationMs = DurationMs(15);
+/// Pause before a request is tried again that met an endpoint which does not lead.
+const LEAD_REST: DurationMs = DurationMs(10);
+/// Pause before a connect to an endpoint that has too many connections is repeated, plus up to as
+/// much again at random, so that hosts do not meet again.
+const LIMIT_REST: DurationMs = DurationMs(150);
+/// Times that a read which failed at an endpoint is run again.
+const MAX_FAILED_RETURNS: u32 = 2;
+
+/// How a connection was lost.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LossReport {
+    /// Whether the statement of its job was sent.
+    pub sent: bool,
+    /// The endpoint's refusal of the connection.
+    pub refusal: Option<Refusal>,
+    /// What was seen.
+    pub cause: String,
+}
+
+impl Proxy {
+    /// A connection can be used.
+    pub fn on_opened(&mut self, now: Timestamp, id: ConnectionId) {
+        self.note_heard(now, id);
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.fire(PooledEvent::Opened);
+        connection.used = now;
+        self.dirty.insert(connection.group.clone());
+        self.settle(now);
+    }
+
+    /// A job ended.
+    pub fn on_job(&mut self, now: Timestamp, id: ConnectionId, end: JobEnd) {
+        self.note_heard(now, id);
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        self.dirty.insert(connection.group.clone());
+        match end {
+            JobEnd::Cleaned => connection.fire(PooledEvent::Answered),
+            JobEnd::SetupRefused(refusal) => self.on_setup_refused(now, id, refusal),
+            JobEnd::Answered(answer) => match connection.task.take() {
+                Some(Task::Order(order)) => {
+                    connection.fire(PooledEvent::Answered);
+                    self.on_order_answered(now, id, order, &answer);
+                }
+                Some(Task::Request(request)) => self.on_answered(now, id, request, answer),
+                None => tracing::warn!(connection = id.0, "pool: answer without a job"),
+            },
+        }
+        self.settle(now);
+    }
+
+    /// A step before the statement was refused. The statement was not sent.
+    fn on_setup_refused(&mut self, now: Timestamp, id: ConnectionId, refusal: Refusal) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let Some(Task::Request(request)) = connection.task.take() else {
+            return self.close_connection(now, id);
+        };
+        let endpoint = connection.endpoint.clone();
+        connection.session = None;
+        // After a refused BEGIN the connection is as before; other steps leave it in doubt.
+        if matches!(refusal, Refusal::Lagging | Refusal::ReadOnly) {
+            connection.fire(PooledEvent::Answered);
+        } else {
+            self.close_connection(now, id);
+        }
+        self.detach(request);
+        tracing::debug!(endpoint = endpoint.as_str(), ?refusal, "pool: set-up was refused");
+        self.not_run(now, request, id, &endpoint, refusal);
+    }
+
+    /// A request's transaction is open nowhere after all.
+    fn detach(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.connection = None;
+        let session = self.sessions.get_mut(&request.session);
+        if let Some(open) = session.and_then(|session| session.transaction.as_mut()) {
+            (open.connection, open.wrote, open.at_primary) = (None, false, false);
+        }
+    }
+
+    fn on_answered(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        request_id: RequestId,
+        answer: JobAnswer,
+    ) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let (endpoint, group_id) = (connection.endpoint.clone(), connection.group.clone());
+        let spent_us = now.0.saturating_sub(connection.started.0);
+        let Some(request) = self.requests.get(&request_id) else {
+            return self.release_orphan(now, id, answer.transaction);
+        };
+        let ok = answer.result.is_ok();
+        let lead = ok
+            && (request.guarded
+                || request.moment == ProxyMoment::SingleWrite
+                || (request.moment == ProxyMoment::Inside && request.at_primary));
+        let sent = request.sent;
+        if let Some(group) = self.groups.get_mut(&group_id) {
+            if let Some(position) = answer.position {
+                if lead {
+                    group.on_proof(now, &endpoint, position.term);
+                }
+                group.on_position(&endpoint, position, lead.then_some(sent));
+            }
+            if let Some(state) = group.endpoints.get_mut(&endpoint) {
+                state.on_latency(spent_us);
+            }
+        }
+        match answer.result.clone() {
+            Ok(signature) => {
+                self.settle_connection(now, id, request_id, answer.transaction);
+                self.note_commit(now, request_id, answer.position);
+                let (rows, position) = (answer.rows, answer.position);
+                let reply = Answer::Endpoint { rows, signature, position };
+                self.finish(now, request_id, reply);
+            }
+            Err((refusal, text)) => {
+                self.on_refused(now, id, request_id, refusal, text, answer.transaction);
+            }
+        }
+    }
+
+    /// Gives the connection back, or keeps it for the session's transaction.
+    fn settle_connection(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        request: RequestId,
+        transaction: TransactionState,
+    ) {
+        let guarded = self.requests.get(&request).is_some_and(|found| found.guarded);
+        let inside =
+            self.requests.get(&request).is_some_and(|found| found.moment == ProxyMoment::Inside);
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.used = now;
+        if guarded {
+            connection.fire(PooledEvent::Clean);
+            return self.note_asked(now, id);
+        }
+        if transaction == TransactionState::Idle {
+            connection.session = None;
+            connection.fire(PooledEvent::Answered);
+        } else if inside {
+            connection.fire(PooledEvent::Hold);
+        } else {
+            tracing::warn!(connection = id.0, "pool: a transaction is open that nobody started");
+            self.close_connection(now, id);
+        }
+    }
+
+    /// The caller of a request has gone; its connection is cleaned.
+    fn release_orphan(&mut self, now: Timestamp, id: ConnectionId, state: TransactionState) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.session = None;
+        if state == TransactionState::Idle {
+            connection.fire(PooledEvent::Answered);
+        } else {
+            connection.fire(PooledEvent::Hold);
+            self.clean(now, id);
+        }
+    }
+
+    /// Raises what the session's reads must see.
+    fn note_commit(&mut self, now: Timestamp, id: RequestId, position: Option<Position>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(session) = self.sessions.get_mut(&request.session) else { return };
+        let commits = match request.moment {
+            ProxyMoment::SingleWrite => true,
+            ProxyMoment::Commit => session.transaction.take().is_some_and(|open| open.wrote),
+            ProxyMoment::SingleRead => false,
+            ProxyMoment::Inside => {
+                if let Some(open) = &mut session.transaction {
+                    open.rested = now;
+                }
+                false
+            }
+        };
+        if commits {
+            session.committed = session.committed.max(position);
+        }
+    }
+
+    fn on_refused(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        request_id: RequestId,
+        refusal: Refusal,
+        text: compact_str::CompactString,
+        transaction: TransactionState,
+    ) {
+        let Some(request) = self.requests.get(&request_id) else { return };
+        let (moment, guarded, starts) = (request.moment, request.guarded, request.starts);
+        let again = request.returns < MAX_FAILED_RETURNS;
+        let endpoint = self.connections.get(&id).map(|found| found.endpoint.clone());
+        let Some(endpoint) = endpoint else { return };
+        let not_run = matches!(
+            refusal,
+            Refusal::Busy | Refusal::UnknownStatement | Refusal::Lagging | Refusal::ReadOnly
+        );
+        if refusal == Refusal::UnknownStatement {
+            if let Some(connection) = self.connections.get_mut(&id) {
+                connection.prepared.clear();
+            }
+        }
+        match moment {
+            ProxyMoment::SingleRead | ProxyMoment::SingleWrite => {
+                self.settle_connection(now, id, request_id, transaction);
+                let read = moment == ProxyMoment::SingleRead;
+                if not_run || (read && again && refusal == Refusal::Failed) {
+                    self.detach(request_id);
+                    return self.not_run(now, request_id, id, &endpoint, refusal);
+                }
+                debug_assert!(!guarded || read);
+                self.finish(now, request_id, Answer::EndpointRefused(refusal, text));
+            }
+            ProxyMoment::Inside
+                if refusal == Refusal::Busy && transaction == TransactionState::Open =>
+            {
+                if let Some(connection) = self.connections.get_mut(&id) {
+                    connection.fire(PooledEvent::Hold);
+                }
+                self.not_run(now, request_id, id, &endpoint, refusal);
+            }
+            ProxyMoment::Inside | ProxyMoment::Commit if starts && not_run => {
+                self.release_orphan(now, id, transaction);
+                self.detach(request_id);
+                self.not_run(now, request_id, id, &endpoint, refusal);
+            }
+            ProxyMoment::Inside => {
+                if refusal == Refusal::ReadOnly {
+                    self.deny(now, id);
+                }
+                self.release_orphan(now, id, transaction);
+                self.fail_transaction(request_id);
+                let reply = match refusal {
+                    Refusal::ReadOnly | Refusal::UnknownStatement => Answer::Refused(Error::new(
+                        ErrorKind::TransactionLost,
+                        "the endpoint of the transaction no longer leads",
+                    )),
+                    _ => Answer::EndpointRefused(refusal, text),
+                };
+                self.finish(now, request_id, reply);
+            }
+            ProxyMoment::Commit => {
+                self.on_commit_refused(now, id, request_id, refusal, text, transaction)
+            }
+        }
+    }
+
+    fn on_commit_refused(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        request: RequestId,
+        refusal: Refusal,
+        text: compact_str::CompactString,
+        transaction: TransactionState,
+    ) {
+        if refusal == Refusal::Busy && transaction == TransactionState::Open {
+            let endpoint = self.connections.get(&id).map(|found| found.endpoint.clone());
+            if let (Some(connection), Some(endpoint)) = (self.connections.get_mut(&id), endpoint) {
+                connection.fire(PooledEvent::Hold);
+                return self.not_run(now, request, id, &endpoint, refusal);
+            }
+        }
+        if refusal == Refusal::ReadOnly {
+            self.deny(now, id);
+        }
+        self.release_orphan(now, id, transaction);
+        let session = self.requests.get(&request).map(|found| found.session);
+        if let Some(session) = session.and_then(|session| self.sessions.get_mut(&session)) {
+            session.transaction = None;
+        }
+        let reply = match refusal {
+            Refusal::ReadOnly | Refusal::Busy => Answer::Refused(Error::new(
+                ErrorKind::TransactionLost,
+                "the endpoint did not commit the transaction",
+            )),
+            _ => Answer::EndpointRefused(refusal, text),
+        };
+        self.finish(now, request, reply);
+    }
+
+    /// The endpoint of a connection does not lead.
+    fn deny(&mut self, now: Timestamp, id: ConnectionId) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let endpoint = connection.endpoint.clone();
+        if let Some(group) = self.groups.get_mut(&connection.group) {
+            group.on_denied(now, &endpoint);
+        }
+    }
+
+    /// An endpoint promised that it did not run a request, which is tried again.
+    fn not_run(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        connection: ConnectionId,
+        endpoint: &crate::types::EndpointId,
+        refusal: Refusal,
+    ) {
+        if refusal == Refusal::ReadOnly {
+            self.deny(now, connection);
+            let group = self.requests.get(&id).map(|request| request.route.group.clone());
+            if let Some(group) = group.and_then(|group| self.groups.get_mut(&group)) {
+                group.on_denied(now, endpoint);
+            }
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.returns += 1;
+        if matches!(refusal, Refusal::Lagging | Refusal::Failed) {
+            request.tried.push(endpoint.clone());
+        }
+        let rest = match refusal {
+            Refusal::Busy => BUSY_REST,
+            Refusal::ReadOnly => LEAD_REST,
+            _ => DurationMs(0),
+        };
+        request.rest_until = now + rest;
+        self.fire(now, id, ProxyRequestEvent::NotRun);
+    }
+
+    fn fail_transaction(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let session = self.sessions.get_mut(&request.session);
+        if let Some(open) = session.and_then(|session| session.transaction.as_mut()) {
+            (open.failed, open.connection) = (true, None);
+        }
+    }
+
+    pub(super) fn finish(&mut self, now: Timestamp, id: RequestId, answer: Answer) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.answer = Some(answer);
+        }
+        self.fire(now, id, ProxyRequestEvent::Finish);
+    }
+
+    /// A connection was lost, or could not be opened.
+    pub fn on_lost(&mut self, now: Timestamp, id: ConnectionId, report: &LossReport) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let connecting = connection.is_connecting();
+        let delay_us = self.random_delay_us(LIMIT_REST.as_us());
+        let Some(connection) = self.remove_connection(now, id) else { return };
+        self.note_loss(now, &connection, connecting, delay_us, report);
+        match connection.task {
+            Some(Task::Request(request)) if self.requests.contains_key(&request) => {
+                self.request_lost(now, request, report.sent);
+            }
+            Some(Task::Request(_) | Task::Order(_)) => {}
+            None => {
+                let session = connection.session.and_then(|id| self.sessions.get_mut(&id));
+                if let Some(open) = session.and_then(|found| found.transaction.as_mut()) {
+                    (open.lost, open.connection) = (true, None);
+                }
+            }
+        }
+        self.settle(now);
+    }
+
+    fn note_loss(
+        &mut self,
+        now: Timestamp,
+        connection: &Pooled,
+        connecting: bool,
+        delay_us: u64,
+        report: &LossReport,
+    ) {
+        tracing::info!(
+            endpoint = connection.endpoint.as_str(),
+            group = connection.group.as_str(),
+            account = match &connection.owner {
+                Owner::Account(account) => account.as_str(),
+                Owner::Host => "-",
+            },
+            connecting, sent = report.sent, refusal = ?report.refusal,
+            cause = report.cause.as_str(), "pool: connection lost"
+        );
+        let Some(group) = self.groups.get_mut(&connection.group) else { return };
+        let Some(state) = group.endpoints.get_mut(&connection.endpoint) else { return };
+        match report.refusal {
+            Some(Refusal::ConnectionLimit) => {
+                state.on_heard(now);
+                state.connect_after = Timestamp(now.0 + LIMIT_REST.as_us() + delay_us);
+            }
+            _ => state.on_down(now, connecting),
+        }
+    }
+
+    /// The connection of a running request is gone.
+    pub(super) fn request_lost(&mut self, now: Timestamp, id: RequestId, sent: bool) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let wrote = self
+            .sessions
+            .get(&request.session)
+            .and_then(|session| session.transaction.as_ref())
+            .is_some_and(|open| open.wrote);
+        let again = !sent
+            || request.moment == ProxyMoment::SingleRead
+            || (request.moment == ProxyMoment::Inside && request.starts);
+        if again && (request.moment.is_single() || request.starts) {
+            request.returns += 1;
+            self.detach(id);
+            return self.fire(now, id, ProxyRequestEvent::NotRun);
+        }
+        let detail = "the connection to the endpoint was lost while the statement ran";
+        let unknown = sent
+            && (request.moment == ProxyMoment::SingleWrite
+                || (request.moment == ProxyMoment::Commit && wrote));
+        let kind = if unknown { ErrorKind::OutcomeUnknown } else { ErrorKind::TransactionLost };
+        let commit = request.moment == ProxyMoment::Commit;
+        let session = request.session;
+        if commit {
+            if let Some(session) = self.sessions.get_mut(&session) {
+                session.transaction = None;
+            }
+        } else {
+            self.fail_transaction(id);
+        }
+        self.refuse_request(now, id, Error::new(kind, detail));
+    }
+}
--- /dev/null
+++ b/src/core/proxy/order.rs
@@ -0,0 +1,195 @@
+//! Orders to endpoints and this host's part in failovers.
+
+use super::connection::{Owner, Task};
+use super::failover::{Claim, ClaimFault, FailoverEffect, PromoteAnswer, Surroundings};
+use super::group::GroupState;
+use super::job::{JobAnswer, Order};
+use super::{Proxy, ProxyEffect};
+use crate::core::group::Role;
+use crate::types::{ConnectionId, EndpointId, GroupId, RowVersion, Timestamp};
+
+impl Proxy {
+    /// Queues an order unless the same one waits already.
+    pub(super) fn order(&mut self, group: &GroupId, endpoint: &EndpointId, order: Order) {
+        let entry = (group.clone(), endpoint.clone(), order);
+        let running = self.connections.values().any(|connection| {
+            connection.task == Some(Task::Order(order)) && connection.endpoint == *endpoint
+        });
+        if !running && !self.orders.contains(&entry) {
+            self.orders.push(entry);
+        }
+    }
+
+    /// Sends the orders for which a connection is free; opens connections for the others.
+    pub(super) fn send_orders(&mut self, now: Timestamp) {
+        for (group, endpoint, order) in std::mem::take(&mut self.orders) {
+            let known =
+                self.groups.get(&group).is_some_and(|g| g.endpoints.contains_key(&endpoint));
+            if !known {
+                continue;
+            }
+            if let Some(id) = self.idle_connection(&group, &endpoint, None) {
+                self.run_order(now, id, order);
+                continue;
+            }
+            if self.connecting(&group, &endpoint, &Owner::Host) == 0 {
+                self.try_connect(now, &group, &endpoint, &Owner::Host, 1);
+            }
+            self.orders.push((group, endpoint, order));
+        }
+    }
+
+    pub(super) fn on_order_answered(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        order: Order,
+        answer: &JobAnswer,
+    ) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let (endpoint, group_id) = (connection.endpoint.clone(), connection.group.clone());
+        let sent = connection.started;
+        let Some(group) = self.groups.get_mut(&group_id) else { return };
+        if let Err((refusal, text)) = &answer.result {
+            tracing::info!(
+                endpoint = endpoint.as_str(),
+                ?order,
+                ?refusal,
+                text = text.as_str(),
+                "group: order was refused"
+            );
+            return;
+        }
+        let Some(status) = answer.status else { return };
+        let before = group.leader.clone();
+        match status.role {
+            Role::Primary => {
+                group.on_proof(now, &endpoint, status.term);
+                group.on_position(&endpoint, status.received, Some(sent));
+            }
+            Role::Replica => {
+                if let Some(position) = answer.position {
+                    group.on_position(&endpoint, position, None);
+                }
+                group.on_denied(now, &endpoint);
+            }
+        }
+        if before != group.leader {
+            log_leader(
+                &group_id,
+                group,
+                &endpoint,
+                "group: an endpoint's status changed the leader",
+            );
+        }
+        let effects = group.failover.on_status(now, &endpoint, status);
+        self.failover_effects(&group_id, effects);
+    }
+
+    pub(super) fn failover_effects(&mut self, group: &GroupId, effects: Vec<FailoverEffect>) {
+        for effect in effects {
+            match effect {
+                FailoverEffect::Claim(version, claim) => {
+                    self.out.push(ProxyEffect::Claim(group.clone(), version, claim));
+                }
+                FailoverEffect::Order(endpoint, order) => self.order(group, &endpoint, order),
+                FailoverEffect::Promote(endpoint, token) => {
+                    self.out.push(ProxyEffect::Promote(group.clone(), endpoint, token));
+                }
+            }
+        }
+        self.dirty.insert(group.clone());
+    }
+
+    /// Takes a group's row.
+    pub fn on_claim_row(
+        &mut self,
+        now: Timestamp,
+        group_id: &GroupId,
+        version: RowVersion,
+        claim: Option<&Claim>,
+    ) {
+        let Some(group) = self.groups.get_mut(group_id) else { return };
+        group.failover.on_row(now, version, claim);
+        if let Some(leader) = claim.and_then(|claim| claim.leader.clone()) {
+            if group.leader.as_ref() != Some(&leader) && group.endpoints.contains_key(&leader) {
+                // The row tells whom to ask; the endpoint's status decides.
+                self.order(group_id, &leader, Order::Status);
+            }
+        }
+        self.dirty.insert(group_id.clone());
+        self.settle(now);
+    }
+
+    /// Takes the outcome of writing a claim.
+    pub fn on_claimed(
+        &mut self,
+        now: Timestamp,
+        group_id: &GroupId,
+        result: Result<RowVersion, ClaimFault>,
+    ) {
+        let Some(group) = self.groups.get_mut(group_id) else { return };
+        let effects = group.failover.on_claimed(now, result);
+        self.failover_effects(group_id, effects);
+        self.check_failover(now, group_id);
+        self.settle(now);
+    }
+
+    /// Takes the platform's answer to a promotion.
+    pub fn on_promoted(&mut self, now: Timestamp, group_id: &GroupId, answer: PromoteAnswer) {
+        tracing::info!(group = group_id.as_str(), ?answer, "failover: the platform answered");
+        let Some(group) = self.groups.get_mut(group_id) else { return };
+        let effects = group.failover.on_promoted(now, answer);
+        self.failover_effects(group_id, effects);
+        self.settle(now);
+    }
+
+    /// Lets time pass for the failover of a group.
+    pub(super) fn check_failover(&mut self, now: Timestamp, group_id: &GroupId) {
+        let Some(group) = self.groups.get_mut(group_id) else { return };
+        let fault =
+            group.lead_fault(now, super::failover::SILENCE_LIMIT, super::failover::DOWN_LIMIT);
+        let around = surroundings(now, group);
+        let before = group.failover.state();
+        let effects = group.failover.tick(now, fault.is_some(), &around);
+        if before != group.failover.state() {
+            tracing::info!(group = group_id.as_str(), state = ?group.failover.state(), ?fault,
+                leader = group.leader.as_ref().map(EndpointId::as_str),
+                term = group.term.0, candidates = around.candidates.len(),
+                "failover: this host acts");
+        }
+        self.failover_effects(group_id, effects);
+    }
+}
+
+fn surroundings(now: Timestamp, group: &GroupState) -> Surroundings {
+    let leader = group.leader.as_ref();
+    let others = group.endpoints.iter().filter(|(id, _)| leader != Some(*id));
+    let candidates = others
+        .clone()
+        .filter(|(_, state)| !state.entry.leaving && state.lapsed.is_none())
+        .filter(|(_, state)| state.is_well(now))
+        .map(|(id, _)| id.clone())
+        .collect();
+    let leaving = leader.filter(|id| {
+        let state = group.endpoints.get(*id);
+        state.is_some_and(|state| state.entry.leaving && state.is_well(now))
+    });
+    Surroundings {
+        candidates,
+        leaving: leaving.cloned(),
+        sync_replicas: group.plan.sync_replicas,
+        replicas: others.count(),
+        term: group.term,
+    }
+}
+
+fn log_leader(id: &GroupId, group: &GroupState, endpoint: &EndpointId, message: &str) {
+    tracing::info!(
+        group = id.as_str(),
+        endpoint = endpoint.as_str(),
+        leader = group.leader.as_ref().map(EndpointId::as_str),
+        term = group.term.0,
+        "{message}"
+    );
+}
--- /dev/null
+++ b/src/core/proxy/pool.rs
@@ -0,0 +1,221 @@
+//! Opening, lending, cleaning and closing pooled connections.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::connection::{Owner, Pooled, PooledEvent, PooledState, CHART};
+use super::job::{Job, Order, Work};
+use super::{Proxy, ProxyEffect};
+use crate::types::{ConnectionId, EndpointId, GroupId, Timestamp};
+
+/// Connections that every host may open to an endpoint, however many hosts there are.
+const LEAST_SHARE: u64 = 1;
+
+impl Proxy {
+    /// An idle connection of `owner` to an endpoint, the one used last first.
+    pub(super) fn idle_connection(
+        &self,
+        group: &GroupId,
+        endpoint: &EndpointId,
+        owner: Option<&Owner>,
+    ) -> Option<ConnectionId> {
+        let state = self.groups.get(group)?.endpoints.get(endpoint)?;
+        let idle = state.connections.iter().filter_map(|id| {
+            let found = self.connections.get(id)?;
+            let fits = owner.is_none_or(|owner| found.owner == *owner);
+            (found.is_idle() && fits).then_some((found.used, *id))
+        });
+        idle.max().map(|(_, id)| id)
+    }
+
+    /// Connections of `owner` to an endpoint that are being opened.
+    pub(super) fn connecting(
+        &self,
+        group: &GroupId,
+        endpoint: &EndpointId,
+        owner: &Owner,
+    ) -> usize {
+        let Some(state) = self.groups.get(group).and_then(|group| group.endpoints.get(endpoint))
+        else {
+            return 0;
+        };
+        let opening = |id: &&ConnectionId| {
+            let found = self.connections.get(id);
+            found.is_some_and(|found| found.is_connecting() && found.owner == *owner)
+        };
+        state.connections.iter().filter(opening).count()
+    }
+
+    /// This host's part of an endpoint's connections.
+    fn share(&self, group: &GroupId) -> u64 {
+        let limit = self.groups.get(group).map_or(1, |group| u64::from(group.plan.connections.0));
+        (limit / self.hosts.max(1)).max(LEAST_SHARE)
+    }
+
+    /// Opens a connection for `owner` if the endpoint can be tried and this host's part allows it,
+    /// closing an idle connection of another owner if it must. `extra` connections go beyond the
+    /// part.
+    pub(super) fn try_connect(
+        &mut self,
+        now: Timestamp,
+        group_id: &GroupId,
+        endpoint: &EndpointId,
+        owner: &Owner,
+        extra: u64,
+    ) -> bool {
+        let allowed = self.share(group_id) + extra;
+        let Some(state) = self.groups.get(group_id).and_then(|group| group.endpoints.get(endpoint))
+        else {
+            return false;
+        };
+        if now < state.connect_after {
+            return false;
+        }
+        if state.connections.len() as u64 >= allowed {
+            let Some(victim) = self.least_used(group_id, endpoint, owner) else { return false };
+            self.close_connection(now, victim);
+        }
+        self.connect(now, group_id, endpoint, owner);
+        true
+    }
+
+    /// The idle connection of another owner that has not been used for the longest time.
+    fn least_used(
+        &self,
+        group: &GroupId,
+        endpoint: &EndpointId,
+        owner: &Owner,
+    ) -> Option<ConnectionId> {
+        let state = self.groups.get(group)?.endpoints.get(endpoint)?;
+        let idle = state.connections.iter().filter_map(|id| {
+            let found = self.connections.get(id)?;
+            (found.is_idle() && found.owner != *owner).then_some((found.used, *id))
+        });
+        idle.min().map(|(_, id)| id)
+    }
+
+    fn connect(&mut self, now: Timestamp, group_id: &GroupId, id: &EndpointId, owner: &Owner) {
+        let Some(group) = self.groups.get_mut(group_id) else { return };
+        let Some(state) = group.endpoints.get_mut(id) else { return };
+        self.next_connection += 1;
+        let connection = ConnectionId(self.next_connection);
+        state.connections.insert(connection);
+        state.running += 1;
+        state.asked.get_or_insert(now);
+        let pooled = Pooled {
+            group: group_id.clone(),
+            endpoint: id.clone(),
+            owner: owner.clone(),
+            machine: CHART.start(),
+            task: None,
+            session: None,
+            started: now,
+            used: now,
+            values: BTreeMap::new(),
+            prepared: BTreeSet::new(),
+        };
+        self.connections.insert(connection, pooled);
+        self.out.push(ProxyEffect::Connect {
+            connection,
+            group: group_id.clone(),
+            endpoint: id.clone(),
+            address: state.entry.address,
+            owner: owner.clone(),
+        });
+    }
+
+    /// Closes a connection by this host's own decision; that says nothing about the endpoint.
+    pub(super) fn close_connection(&mut self, now: Timestamp, id: ConnectionId) {
+        if self.remove_connection(now, id).is_some() {
+            self.out.push(ProxyEffect::Close(id));
+        }
+    }
+
+    /// Forgets a connection.
+    pub(super) fn remove_connection(&mut self, now: Timestamp, id: ConnectionId) -> Option<Pooled> {
+        let mut connection = self.connections.remove(&id)?;
+        let state = connection.machine.state();
+        let running =
+            matches!(state, PooledState::Connecting | PooledState::Busy | PooledState::Cleaning);
+        connection.fire(PooledEvent::Close);
+        if let Some(group) = self.groups.get_mut(&connection.group) {
+            if let Some(endpoint) = group.endpoints.get_mut(&connection.endpoint) {
+                endpoint.connections.remove(&id);
+                if running {
+                    endpoint.running = endpoint.running.saturating_sub(1);
+                }
+                if endpoint.running == 0 {
+                    endpoint.asked = None;
+                }
+            }
+            self.dirty.insert(connection.group.clone());
+        }
+        let _ = now;
+        Some(connection)
+    }
+
+    /// Rolls back the transaction that is open on a connection, which is free afterwards. One that
+    /// runs a statement is closed instead.
+    pub(super) fn clean(&mut self, now: Timestamp, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.session = None;
+        if connection.machine.state() != PooledState::Held {
+            return self.close_connection(now, id);
+        }
+        connection.fire(PooledEvent::Clean);
+        connection.started = now;
+        self.note_asked(now, id);
+        let job = Job { setup: Vec::new(), work: Work::Nothing, rollback: true };
+        self.out.push(ProxyEffect::Run(id, job));
+    }
+
+    /// Sends an order over an idle connection.
+    pub(super) fn run_order(&mut self, now: Timestamp, id: ConnectionId, order: Order) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.fire(PooledEvent::Run);
+        connection.task = Some(super::connection::Task::Order(order));
+        (connection.started, connection.used) = (now, now);
+        self.note_asked(now, id);
+        let job = Job { setup: Vec::new(), work: Work::Order(order), rollback: false };
+        self.out.push(ProxyEffect::Run(id, job));
+    }
+
+    /// Notes that the endpoint of a connection owes an answer.
+    pub(super) fn note_asked(&mut self, now: Timestamp, id: ConnectionId) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let group = self.groups.get_mut(&connection.group);
+        let state = group.and_then(|group| group.endpoints.get_mut(&connection.endpoint));
+        if let Some(state) = state {
+            state.asked.get_or_insert(now);
+            state.running += 1;
+        }
+    }
+
+    /// Notes an answer of the endpoint of a connection.
+    pub(super) fn note_heard(&mut self, now: Timestamp, id: ConnectionId) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let group = self.groups.get_mut(&connection.group);
+        let state = group.and_then(|group| group.endpoints.get_mut(&connection.endpoint));
+        if let Some(state) = state {
+            state.on_heard(now);
+            state.running = state.running.saturating_sub(1);
+            if state.running > 0 {
+                state.asked = Some(now);
+            }
+        }
+    }
+
+    /// Closes connections to endpoints that are no longer part of any group.
+    pub(super) fn drop_foreign_connections(&mut self) {
+        let known = |pooled: &Pooled| {
+            let group = self.groups.get(&pooled.group);
+            group.is_some_and(|group| group.endpoints.contains_key(&pooled.endpoint))
+        };
+        let foreign =
+            self.connections.iter().filter(|(_, pooled)| pooled.is_idle() && !known(pooled));
+        let ids: Vec<ConnectionId> = foreign.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.connections.remove(&id);
+            self.out.push(ProxyEffect::Close(id));
+        }
+    }
+}
--- /dev/null
+++ b/src/core/proxy/session.rs
@@ -0,0 +1,338 @@
+//! Sessions: what a caller has set up, its transaction, and how its statements are understood.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+
+use super::catalog::{CallerKey, Route};
+use super::statement::{Access, Forward, Query, Shape, Statement};
+use super::{Answer, Proxy, ProxyEffect, ProxyMoment};
+use crate::core::transaction::TransactionState;
+use crate::error::{Error, ErrorKind};
+use crate::types::{
+    AccountId, ConnectionId, DatabaseName, Position, RequestId, SessionId, Timestamp,
+};
+
+/// A transaction of a session.
+#[derive(Debug)]
+pub struct Transaction {
+    /// Whether it only reads.
+    pub read_only: bool,
+    /// When it began; commits acknowledged before are visible in it.
+    pub began: Timestamp,
+    /// Route at its beginning; later versions apply to the next transaction.
+    pub route: Rc<Route>,
+    /// Client account at its beginning.
+    pub account: AccountId,
+    /// Connection on which it is open.
+    pub connection: Option<ConnectionId>,
+    /// Whether it is open at an endpoint that proved its lead.
+    pub at_primary: bool,
+    /// Whether a write was sent in it.
+    pub wrote: bool,
+    /// Whether it has failed and can only be rolled back.
+    pub failed: bool,
+    /// Whether the connection on which it was open is gone; the next statement is told so.
+    pub lost: bool,
+    /// When its last statement was answered.
+    pub rested: Timestamp,
+}
+
+/// An open session.
+#[derive(Debug)]
+pub struct Session {
+    /// Database that the caller named.
+    pub database: DatabaseName,
+    /// The caller's key.
+    pub key: CallerKey,
+    /// Values that the caller has set.
+    pub values: BTreeMap<CompactString, CompactString>,
+    /// Shapes that the caller has named.
+    pub prepared: BTreeMap<CompactString, Shape>,
+    /// The open transaction.
+    pub transaction: Option<Transaction>,
+    /// Highest position of an acknowledged commit of the session.
+    pub committed: Option<Position>,
+    /// When that commit was acknowledged.
+    pub committed_at: Timestamp,
+    /// Statement under way.
+    pub request: Option<RequestId>,
+    /// Whether the session ends after the statement under way.
+    pub closing: bool,
+}
+
+impl Session {
+    /// Transaction state as the caller knows it.
+    pub fn state(&self) -> TransactionState {
+        match &self.transaction {
+            None => TransactionState::Idle,
+            Some(Transaction { failed: true, .. }) => TransactionState::Failed,
+            Some(_) => TransactionState::Open,
+        }
+    }
+}
+
+impl Proxy {
+    /// A caller asks for a session.
+    ///
+    /// # Errors
+    ///
+    /// `NoRoute` or `WrongKey`, and `HostDraining` while the host starts or stops.
+    pub fn open_session(
+        &mut self,
+        now: Timestamp,
+        id: SessionId,
+        database: &str,
+        key: &str,
+    ) -> Result<(), Error> {
+        let Ok(name) = database.parse::<DatabaseName>() else {
+            return Err(Error::new(ErrorKind::NoRoute, "the database name is malformed"));
+        };
+        let key = CallerKey::new(key);
+        self.resolve(&name, &key)?;
+        let session = Session {
+            database: name,
+            key,
+            values: BTreeMap::new(),
+            prepared: BTreeMap::new(),
+            transaction: None,
+            committed: None,
+            committed_at: now,
+            request: None,
+            closing: false,
+        };
+        self.sessions.insert(id, session);
+        Ok(())
+    }
+
+    /// Route and client account of a session under the present configuration.
+    pub(super) fn resolve(
+        &self,
+        database: &DatabaseName,
+        key: &CallerKey,
+    ) -> Result<(Rc<Route>, AccountId), Error> {
+        let Some(catalog) = &self.catalog else {
+            return Err(Error::new(ErrorKind::ViewExpired, "no configuration has been read"));
+        };
+        let route = catalog.routes.get(database).ok_or_else(|| {
+            Error::new(ErrorKind::NoRoute, format!("database {database} at {}", catalog.version))
+        })?;
+        match catalog.keys.get(key) {
+            Some(account) => Ok((Rc::clone(route), account.clone())),
+            None if route.open => Ok((Rc::clone(route), AccountId::OPEN)),
+            None => Err(Error::new(ErrorKind::WrongKey, "the key is not in the configuration")),
+        }
+    }
+
+    /// Answers a statement that could not be read.
+    pub fn refuse_unread(&mut self, id: SessionId, error: Error) {
+        self.answer(id, Answer::Refused(error));
+    }
+
+    /// Takes a statement of a session, which has none under way.
+    pub fn submit(&mut self, now: Timestamp, id: SessionId, query: Query) {
+        self.run_statement(now, id, query);
+        self.settle(now);
+    }
+
+    /// Tells the first statement after the loss of a transaction's connection. Nothing of the
+    /// transaction is kept, because its end was never sent.
+    fn lost_transaction(&mut self, id: SessionId, statement: &Statement) -> Option<Error> {
+        let session = self.sessions.get_mut(&id)?;
+        let open = session.transaction.as_mut().filter(|open| open.lost)?;
+        (open.lost, open.failed) = (false, true);
+        match statement {
+            Statement::Rollback => return None,
+            Statement::Commit => session.transaction = None,
+            _ => {}
+        }
+        Some(Error::new(ErrorKind::TransactionLost, "the connection of the transaction is gone"))
+    }
+
+    fn run_statement(&mut self, now: Timestamp, id: SessionId, query: Query) {
+        if let Some(error) = self.lost_transaction(id, &query.statement) {
+            return self.answer(id, Answer::Refused(error));
+        }
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let ended = matches!(query.statement, Statement::Rollback | Statement::Commit);
+        if session.state() == TransactionState::Failed && !ended {
+            let error = Error::new(ErrorKind::BadMessage, "the transaction has failed");
+            return self.answer(id, Answer::Refused(error));
+        }
+        match query.statement {
+            Statement::Begin { read_only } => self.begin(now, id, read_only),
+            Statement::Rollback => self.roll_back(now, id),
+            Statement::Set { name, value } => {
+                session.values.insert(name, value);
+                self.answer(id, Answer::Done);
+            }
+            Statement::Prepare { name, shape } => {
+                session.prepared.insert(name, shape);
+                self.answer(id, Answer::Done);
+            }
+            Statement::Close { name } => {
+                session.prepared.remove(&name);
+                self.answer(id, Answer::Done);
+            }
+            Statement::Commit => self.commit(now, id, query.id, query.text),
+            Statement::Data(access) => {
+                self.data(now, id, query.id, access, Forward::Text(query.text));
+            }
+            Statement::Execute { name, arguments } => match session.prepared.get(&name) {
+                Some(shape) => {
+                    let shape = shape.clone();
+                    let access = shape.access;
+                    self.data(now, id, query.id, access, Forward::Execute(shape, arguments));
+                }
+                None => {
+                    let error = Error::new(ErrorKind::UnknownStatement, name);
+                    self.answer(id, Answer::Refused(error));
+                }
+            },
+        }
+    }
+
+    fn begin(&mut self, now: Timestamp, id: SessionId, read_only: bool) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        if session.transaction.is_some() {
+            let error = Error::new(ErrorKind::BadMessage, "a transaction is open");
+            return self.answer(id, Answer::Refused(error));
+        }
+        let (route, account) = match self.start_operation(now, id) {
+            Ok(found) => found,
+            Err(error) => return self.answer(id, Answer::Refused(error)),
+        };
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.transaction = Some(Transaction {
+                read_only,
+                began: now,
+                route,
+                account,
+                connection: None,
+                at_primary: false,
+                wrote: false,
+                failed: false,
+                lost: false,
+                rested: now,
+            });
+        }
+        self.answer(id, Answer::Done);
+    }
+
+    /// Resolves the route and takes a token for a new operation.
+    fn start_operation(
+        &mut self,
+        now: Timestamp,
+        id: SessionId,
+    ) -> Result<(Rc<Route>, AccountId), Error> {
+        let Some(session) = self.sessions.get(&id) else {
+            return Err(Error::new(ErrorKind::Internal, "the session is unknown"));
+        };
+        let (route, account) = self.resolve(&session.database, &session.key)?;
+        if !self.quota.admit(now, &account) {
+            let detail = "the client account has no tokens left on this host";
+            return Err(Error::new(ErrorKind::RateExceeded, detail));
+        }
+        Ok((route, account))
+    }
+
+    fn roll_back(&mut self, now: Timestamp, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let open = session.transaction.take().and_then(|open| open.connection);
+        if let Some(connection) = open {
+            self.clean(now, connection);
+        }
+        self.answer(id, Answer::Done);
+    }
+
+    fn commit(&mut self, now: Timestamp, id: SessionId, query: CompactString, text: Bytes) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        match session.state() {
+            TransactionState::Idle => {
+                let error = Error::new(ErrorKind::BadMessage, "no transaction is open");
+                self.answer(id, Answer::Refused(error));
+            }
+            TransactionState::Failed => {
+                let open = self.sessions.get_mut(&id).and_then(|found| found.transaction.take());
+                if let Some(connection) = open.and_then(|open| open.connection) {
+                    self.clean(now, connection);
+                }
+                let error = Error::new(ErrorKind::TransactionLost, "the transaction has failed");
+                self.answer(id, Answer::Refused(error));
+            }
+            TransactionState::Open => {
+                let moment = ProxyMoment::Commit;
+                self.enqueue_statement(now, id, query, moment, Access::Read, Forward::Text(text));
+            }
+        }
+    }
+
+    fn data(
+        &mut self,
+        now: Timestamp,
+        id: SessionId,
+        query: CompactString,
+        access: Access,
+        forward: Forward,
+    ) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let read_only = session.transaction.as_ref().is_some_and(|open| open.read_only);
+        if read_only && access == Access::Write {
+            let error = Error::new(ErrorKind::BadMessage, "the transaction only reads");
+            return self.answer(id, Answer::Refused(error));
+        }
+        let moment = match (session.transaction.is_some(), access) {
+            (true, _) => ProxyMoment::Inside,
+            (false, Access::Read) => ProxyMoment::SingleRead,
+            (false, Access::Write) => ProxyMoment::SingleWrite,
+        };
+        self.enqueue_statement(now, id, query, moment, access, forward);
+    }
+
+    /// Route and account under which a statement runs: the transaction's, or the present ones.
+    pub(super) fn standing(
+        &mut self,
+        now: Timestamp,
+        id: SessionId,
+    ) -> Result<(Rc<Route>, AccountId), Error> {
+        let session = self.sessions.get(&id);
+        let Some((session, open)) =
+            session.and_then(|found| Some((found, found.transaction.as_ref()?)))
+        else {
+            return self.start_operation(now, id);
+        };
+        // The route applies from the next transaction on, a withdrawn key at once.
+        let keys = self.catalog.as_ref().map(|catalog| &catalog.keys);
+        if !open.route.open && !keys.is_some_and(|keys| keys.contains_key(&session.key)) {
+            return Err(Error::new(ErrorKind::WrongKey, "the key was withdrawn"));
+        }
+        Ok((Rc::clone(&open.route), open.account.clone()))
+    }
+
+    /// The caller has gone. What waits is dropped; an open transaction is rolled back.
+    pub fn close_session(&mut self, now: Timestamp, id: SessionId) {
+        let Some(mut session) = self.sessions.remove(&id) else { return };
+        if let Some(request) = session.request {
+            self.abandon(now, request);
+        }
+        let open = session.transaction.take().and_then(|open| open.connection);
+        if let Some(connection) = open {
+            self.clean(now, connection);
+        }
+        self.settle(now);
+    }
+
+    /// Answers the statement under way, or the one that was just submitted.
+    pub(super) fn answer(&mut self, id: SessionId, answer: Answer) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.request = None;
+        let state = session.state();
+        let closing = session.closing && state == TransactionState::Idle;
+        self.out.push(ProxyEffect::Answer { session: id, answer, state });
+        if closing {
+            self.out.push(ProxyEffect::CloseSession(id));
+        }
+    }
+}
--- /dev/null
+++ b/src/core/proxy/tick.rs
@@ -0,0 +1,256 @@
+//! What becomes due as time passes.
+
+use super::connection::{PooledState, Task};
+use super::group::SUSPECT_AFTER;
+use super::job::Order;
+use super::{Proxy, ProxyEffect, ProxyMoment};
+use crate::error::{Error, ErrorKind};
+use crate::types::{
+    ConnectionId, DurationMs, EndpointId, GroupId, RequestId, SessionId, Timestamp,
+};
+
+/// Time without news of a primary after which it is asked for its status.
+const LEADER_QUIET: DurationMs = DurationMs(400);
+/// Time between two questions to all endpoints of a group without a known primary.
+const SEARCH_INTERVAL: DurationMs = DurationMs(150);
+/// Longest time for a connect; a healthy endpoint accepts within a few of its slot times.
+const CONNECT_LIMIT: DurationMs = DurationMs(1_000);
+/// Time after which a job on a silent endpoint is given up together with its connection; the
+/// endpoint drops connections with a dark far end after as long.
+const JOB_LIMIT: DurationMs = DurationMs(3_000);
+/// Time after which an idle connection beyond those in use is closed.
+const IDLE_LIMIT: DurationMs = DurationMs(20_000);
+/// Ticks between two decays of the answer times of endpoints without work.
+const DECAY_TICKS: u64 = 10;
+
+impl Proxy {
+    /// Lets time pass; to be called at least every 25 ms.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.ticks += 1;
+        if let Some(demand) = self.quota.tick(now) {
+            self.out.push(ProxyEffect::ReportDemand(demand));
+        }
+        self.expire_requests(now);
+        self.end_resting_transactions(now);
+        self.close_overdue(now);
+        let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
+        for group in &groups {
+            self.drop_gone(now, group);
+            self.ask_leader(now, group);
+            self.check_failover(now, group);
+        }
+        let waiting = |id: &&GroupId| self.groups.get(*id).is_some_and(|group| group.waiting() > 0);
+        let waiting: Vec<GroupId> = groups.iter().filter(waiting).cloned().collect();
+        self.dirty.extend(waiting);
+        self.send_orders(now);
+        self.settle(now);
+        self.check_life(now);
+    }
+
+    fn drop_gone(&mut self, now: Timestamp, group_id: &GroupId) {
+        let Some(group) = self.groups.get_mut(group_id) else { return };
+        for endpoint in group.gone(now) {
+            tracing::info!(
+                endpoint = endpoint.as_str(),
+                group = group_id.as_str(),
+                "discovery: endpoint is gone"
+            );
+            let Some(state) = group.endpoints.remove(&endpoint) else { continue };
+            if group.leader.as_ref() == Some(&endpoint) {
+                group.set_leader(now, None);
+                group.choose_leader(now);
+            }
+            for id in state.connections {
+                if self.connections.get(&id).is_some_and(super::Pooled::is_idle) {
+                    self.connections.remove(&id);
+                    self.out.push(ProxyEffect::Close(id));
+                }
+            }
+        }
+        if self.ticks % DECAY_TICKS == 0 {
+            let Some(group) = self.groups.get_mut(group_id) else { return };
+            for state in group.endpoints.values_mut().filter(|state| state.running == 0) {
+                state.latency_us -= state.latency_us / 8;
+            }
+        }
+    }
+
+    /// Asks the primary for its status when nothing else brings news of it, and every endpoint
+    /// when no primary is known.
+    fn ask_leader(&mut self, now: Timestamp, group_id: &GroupId) {
+        let Some(group) = self.groups.get(group_id) else { return };
+        let asked: Vec<EndpointId> = match &group.leader {
+            Some(leader) => {
+                let Some(state) = group.endpoints.get(leader) else { return };
+                let quiet = now >= state.heard + LEADER_QUIET
+                    || group.sampled_at().is_none_or(|at| now >= at + LEADER_QUIET);
+                let ask = quiet && state.asked.is_none() || state.down_since.is_some();
+                ask.then(|| leader.clone()).into_iter().collect()
+            }
+            None => {
+                let due = |id: &&EndpointId| {
+                    let state = group.endpoints.get(*id);
+                    state.is_some_and(|state| now >= state.heard + SEARCH_INTERVAL)
+                };
+                group.endpoints.keys().filter(due).cloned().collect()
+            }
+        };
+        for endpoint in asked {
+            self.order(group_id, &endpoint, Order::Status);
+        }
+    }
+
+    /// Gives up requests at their time limit, and moves reads away from silent endpoints.
+    fn expire_requests(&mut self, now: Timestamp) {
+        let mut late = Vec::new();
+        let mut stuck = Vec::new();
+        for (id, request) in &self.requests {
+            if now >= request.deadline {
+                late.push(*id);
+            } else if request.is_running() && self.is_stuck(now, *id) {
+                stuck.push(*id);
+            }
+        }
+        for id in late {
+            self.expire_request(now, id);
+        }
+        for id in stuck {
+            self.leave_endpoint(now, id);
+        }
+    }
+
+    /// Whether a request could end earlier elsewhere because its endpoint is silent.
+    fn is_stuck(&self, now: Timestamp, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let read = request.moment == ProxyMoment::SingleRead
+            || (request.moment == ProxyMoment::Inside && !request.at_primary);
+        if !read || now < request.sent + SUSPECT_AFTER {
+            return false;
+        }
+        let connection = request.connection.and_then(|id| self.connections.get(&id));
+        let Some(connection) = connection else { return false };
+        let Some(group) = self.groups.get(&connection.group) else { return false };
+        let well =
+            |id: &EndpointId| group.endpoints.get(id).is_some_and(|state| state.is_well(now));
+        let other = group.endpoints.keys().any(|id| *id != connection.endpoint && well(id));
+        !well(&connection.endpoint) && other
+    }
+
+    /// Takes a read away from a silent endpoint.
+    fn leave_endpoint(&mut self, now: Timestamp, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(connection) = request.connection else { return };
+        let endpoint = self.connections.get(&connection).map(|found| found.endpoint.clone());
+        tracing::info!(
+            request = request.query.as_str(),
+            returns = request.returns,
+            endpoint = endpoint.as_ref().map(EndpointId::as_str),
+            "request: leaves an endpoint that does not answer"
+        );
+        request.tried.extend(endpoint);
+        self.close_connection(now, connection);
+        self.request_lost(now, id, true);
+    }
+
+    fn expire_request(&mut self, now: Timestamp, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if !request.is_running() {
+            let error = self.missing(id);
+            let inside = !request.moment.is_single();
+            if inside {
+                self.end_waiting_transaction(now, id);
+            }
+            return self.refuse_request(now, id, error);
+        }
+        let (connection, single_read) =
+            (request.connection, request.moment == ProxyMoment::SingleRead);
+        if single_read {
+            // The endpoint may still answer; the connection is free again then.
+            let error = Error::new(ErrorKind::DeadlineExceeded, "the endpoint has not answered");
+            return self.refuse_request(now, id, error);
+        }
+        if let Some(connection) = connection {
+            self.close_connection(now, connection);
+        }
+        self.request_lost(now, id, true);
+    }
+
+    /// The transaction of a request that has waited in vain is over; nothing of it is kept.
+    fn end_waiting_transaction(&mut self, now: Timestamp, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let commit = request.moment == ProxyMoment::Commit;
+        let Some(session) = self.sessions.get_mut(&request.session) else { return };
+        let Some(open) = &mut session.transaction else { return };
+        open.failed = true;
+        let connection = open.connection.take();
+        if commit {
+            session.transaction = None;
+        }
+        if let Some(connection) = connection {
+            self.clean(now, connection);
+        }
+    }
+
+    /// Ends transactions that have rested for longer than the configuration allows, while others
+    /// wait for a connection.
+    fn end_resting_transactions(&mut self, now: Timestamp) {
+        let Some(limit) = self.catalog.as_ref().map(|catalog| catalog.transaction_idle_ms) else {
+            return;
+        };
+        if limit.0 == 0 {
+            return;
+        }
+        let resting = self.sessions.iter().filter_map(|(id, session)| {
+            let open = session.transaction.as_ref()?;
+            let rests = session.request.is_none() && now >= open.rested + limit;
+            (rests && open.connection.is_some()).then_some(*id)
+        });
+        let ids: Vec<SessionId> = resting.collect();
+        for id in ids {
+            let open = self.sessions.get_mut(&id).and_then(|found| found.transaction.as_mut());
+            let Some(open) = open else { continue };
+            open.lost = true;
+            tracing::info!(
+                session = id.0,
+                limit_ms = limit.0,
+                "session: a transaction that rested too long was rolled back"
+            );
+            if let Some(connection) = open.connection.take() {
+                self.clean(now, connection);
+            }
+        }
+    }
+
+    /// Closes connections whose connect or job takes too long, and those that nobody uses.
+    fn close_overdue(&mut self, now: Timestamp) {
+        let overdue = |connection: &super::Pooled| match connection.machine.state() {
+            PooledState::Connecting => now >= connection.started + CONNECT_LIMIT,
+            PooledState::Cleaning => now >= connection.started + CONNECT_LIMIT,
+            PooledState::Busy => {
+                let owned = matches!(&connection.task, Some(Task::Request(id)) if self.requests.contains_key(id));
+                !owned && now >= connection.started + JOB_LIMIT
+            }
+            PooledState::Idle => now >= connection.used + IDLE_LIMIT,
+            PooledState::Held | PooledState::Closed => false,
+        };
+        let found = self.connections.iter().filter(|(_, connection)| overdue(connection));
+        let ids: Vec<ConnectionId> = found.map(|(id, _)| *id).collect();
+        for id in ids {
+            let connecting = self.connections.get(&id).is_some_and(super::Pooled::is_connecting);
+            let busy = self.connections.get(&id).is_some_and(|found| !found.is_idle());
+            let Some(connection) = self.remove_connection(now, id) else { continue };
+            self.out.push(ProxyEffect::Close(id));
+            let group = self.groups.get_mut(&connection.group);
+            let state = group.and_then(|group| group.endpoints.get_mut(&connection.endpoint));
+            if let (true, Some(state)) = (busy, state) {
+                tracing::info!(
+                    endpoint = connection.endpoint.as_str(),
+                    connecting,
+                    started_ms = now.ms_since(connection.started).0,
+                    "pool: closed a connection that does not answer"
+                );
+                state.on_down(now, connecting);
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod net;
+pub mod platform;
 pub mod tables;
 pub mod timeline;
 pub mod types;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod host;
 pub mod peer;
 pub mod platform;
+pub mod proxy;
 pub mod reactor;
 pub mod stream;
 pub mod tool;
--- /dev/null
+++ b/src/net/proxy/caller.rs
@@ -0,0 +1,172 @@
+//! Actor of one caller's connection: it owns the socket and passes one statement on at a time.
+
+use std::net::Shutdown;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use stakker::{after, fwd, fwd_to, stop, Fwd, CX};
+use stakker_mio::mio::net::TcpStream;
+use stakker_mio::{MioPoll, Ready};
+
+use crate::core::proxy::statement::Query;
+use crate::core::proxy::Answer;
+use crate::core::transaction::TransactionState;
+use crate::error::Error;
+use crate::net::stream::{Stream, StreamState};
+use crate::platform::line::{self, CallerMessage, LineError};
+
+/// Bytes read ahead while a statement is under way.
+const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Longest time from the connection to the start-up message.
+const STARTUP_LIMIT: Duration = Duration::from_secs(10);
+/// Time for which a connection that this host ends waits for the caller's end, so that the last
+/// answer is not lost to a reset.
+const LINGER: Duration = Duration::from_millis(400);
+
+/// What a caller does.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallerEvent {
+    /// It asks for a session.
+    Startup(CompactString, CompactString),
+    /// It sends a statement.
+    Query(Query),
+    /// It sends a statement that cannot be read.
+    Malformed(LineError),
+    /// It has gone.
+    Gone,
+}
+
+/// Progress of a caller's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Starting,
+    Idle,
+    Busy,
+    Ending,
+}
+
+/// A caller's connection.
+pub struct LineCaller {
+    hub: Fwd<CallerEvent>,
+    stream: Stream,
+    phase: Phase,
+}
+
+impl LineCaller {
+    /// Takes over an accepted socket. Events go to `hub`.
+    pub fn init(cx: CX![], socket: TcpStream, hub: Fwd<CallerEvent>) -> Option<Self> {
+        let miopoll = cx.anymap_get::<MioPoll>();
+        let ready = fwd_to!([cx], ready() as (Ready));
+        match Stream::new(&miopoll, socket, true, ready) {
+            Ok(stream) => {
+                after!(STARTUP_LIMIT, [cx], check_startup());
+                Some(Self { hub, stream, phase: Phase::Starting })
+            }
+            Err(error) => {
+                tracing::debug!(%error, "caller: connection could not be registered");
+                fwd!([hub], CallerEvent::Gone);
+                stop!(cx);
+                None
+            }
+        }
+    }
+
+    fn check_startup(&mut self, cx: CX![]) {
+        if self.phase == Phase::Starting {
+            self.end(cx);
+        }
+    }
+
+    fn ready(&mut self, cx: CX![], _: Ready) {
+        let filled = self.stream.fill(READ_AHEAD_BYTES);
+        if self.phase != Phase::Ending {
+            self.take_lines(cx);
+        }
+        match filled {
+            StreamState::Open => self.flush(cx),
+            StreamState::Closed(_) => self.gone(cx),
+        }
+    }
+
+    /// Passes on the next message if none is under way.
+    fn take_lines(&mut self, cx: CX![]) {
+        while matches!(self.phase, Phase::Starting | Phase::Idle) {
+            let line = match line::next_line(&mut self.stream.input) {
+                Ok(Some(line)) => line,
+                Ok(None) => return,
+                Err(error) => return self.refuse_bytes(cx, &error),
+            };
+            match (line::read_caller(&line), self.phase) {
+                (Ok(CallerMessage::Startup { database, key }), Phase::Starting) => {
+                    self.phase = Phase::Busy;
+                    fwd!([self.hub], CallerEvent::Startup(database, key));
+                }
+                (Ok(CallerMessage::Query(query)), Phase::Idle) => {
+                    self.phase = Phase::Busy;
+                    fwd!([self.hub], query.map_or_else(CallerEvent::Malformed, CallerEvent::Query));
+                }
+                (Ok(CallerMessage::Terminate), _) => return self.gone(cx),
+                (Err(error), _) => return self.refuse_bytes(cx, &error),
+                (Ok(_), _) => {
+                    return self.refuse_bytes(cx, &LineError::Word("out of place".into()));
+                }
+            }
+        }
+    }
+
+    fn refuse_bytes(&mut self, cx: CX![], error: &LineError) {
+        tracing::info!(%error, "caller: message cannot be read");
+        let error = Error::new(crate::error::ErrorKind::BadMessage, error.to_string());
+        line::write_error(&mut self.stream.output, &error);
+        self.end(cx);
+    }
+
+    /// The session is open.
+    pub fn started(&mut self, cx: CX![]) {
+        line::write_ready(&mut self.stream.output, TransactionState::Idle, None);
+        self.phase = Phase::Idle;
+        self.take_lines(cx);
+        self.flush(cx);
+    }
+
+    /// The session is refused.
+    pub fn refused(&mut self, cx: CX![], error: Error) {
+        line::write_error(&mut self.stream.output, &error);
+        self.end(cx);
+    }
+
+    /// Answers the statement under way.
+    pub fn answer(&mut self, cx: CX![], answer: Answer, state: TransactionState) {
+        if self.phase == Phase::Ending {
+            return;
+        }
+        line::write_answer(&mut self.stream.output, &answer, state);
+        self.phase = Phase::Idle;
+        self.flush(cx);
+        if self.phase == Phase::Idle {
+            self.take_lines(cx);
+        }
+    }
+
+    /// Ends the connection after what is to be sent.
+    pub fn end(&mut self, cx: CX![]) {
+        if self.phase == Phase::Ending {
+            return;
+        }
+        self.phase = Phase::Ending;
+        after!(LINGER, [cx], gone());
+        self.flush(cx);
+        self.stream.finish_output(Shutdown::Write);
+    }
+
+    fn flush(&mut self, cx: CX![]) {
+        if let StreamState::Closed(_) = self.stream.flush() {
+            self.gone(cx);
+        }
+    }
+
+    fn gone(&mut self, cx: CX![]) {
+        fwd!([self.hub], CallerEvent::Gone);
+        stop!(cx);
+    }
+}
--- /dev/null
+++ b/src/net/proxy/endpoint.rs
@@ -0,0 +1,287 @@
+//! Actor of one connection to an endpoint: it owns the socket and runs one job at a time.
+
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
+use stakker::{fwd, fwd_to, stop, Fwd, CX};
+use stakker_mio::mio::net::TcpStream;
+use stakker_mio::{MioPoll, Ready};
+
+use crate::core::proxy::connection::Owner;
+use crate::core::proxy::job::{Job, JobAnswer, JobEnd, Refusal, Work};
+use crate::core::proxy::LossReport;
+use crate::core::transaction::TransactionState;
+use crate::net::stream::{Stream, StreamState};
+use crate::platform::line::{self, EndpointMessage};
+use crate::types::{EndpointId, GroupId, HostId, Position};
+
+/// Bytes read ahead; an answer holds at most a few messages of 1 MiB.
+const READ_AHEAD_BYTES: usize = 4 * 1024 * 1024;
+
+/// Where a connection leads.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Address.
+    pub address: SocketAddr,
+    /// Group of the endpoint.
+    pub group: GroupId,
+    /// The endpoint that is expected there.
+    pub endpoint: EndpointId,
+    /// Who the connection is opened for.
+    pub owner: Owner,
+    /// This host.
+    pub host: HostId,
+}
+
+/// What happens on a connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EndpointEvent {
+    /// It can be used.
+    Opened,
+    /// A job ended.
+    Job(JobEnd),
+    /// It is gone.
+    Lost(LossReport),
+}
+
+/// What the next answer belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Expecting {
+    Startup,
+    Nothing,
+    Setup(usize),
+    Work,
+    Rollback,
+}
+
+/// A connection to an endpoint.
+pub struct LineEndpoint {
+    target: Target,
+    hub: Fwd<EndpointEvent>,
+    stream: Stream,
+    expecting: Expecting,
+    greeted: bool,
+    sent: bool,
+    job: Option<Job>,
+    rows: Vec<Bytes>,
+    result: Option<Result<CompactString, (Refusal, CompactString)>>,
+    setup_refusal: Option<Refusal>,
+}
+
+impl LineEndpoint {
+    /// Starts to connect. Events go to `hub`.
+    pub fn init(cx: CX![], target: Target, hub: Fwd<EndpointEvent>) -> Option<Self> {
+        let socket = TcpStream::connect(target.address).and_then(|socket| {
+            let miopoll = cx.anymap_get::<MioPoll>();
+            Stream::new(&miopoll, socket, false, fwd_to!([cx], ready() as (Ready)))
+        });
+        match socket {
+            Ok(stream) => Some(Self {
+                target,
+                hub,
+                stream,
+                expecting: Expecting::Startup,
+                greeted: false,
+                sent: false,
+                job: None,
+                rows: Vec::new(),
+                result: None,
+                setup_refusal: None,
+            }),
+            Err(error) => {
+                let cause = error.to_string();
+                fwd!([hub], EndpointEvent::Lost(LossReport { sent: false, refusal: None, cause }));
+                stop!(cx);
+                None
+            }
+        }
+    }
+
+    /// Runs a job; the connection must be idle.
+    pub fn run(&mut self, cx: CX![], job: Job) {
+        self.sent = false;
+        self.setup_refusal = None;
+        let steps = job.setup.len();
+        for step in &job.setup {
+            line::write_setup(&mut self.stream.output, step);
+        }
+        self.job = Some(job);
+        if steps > 0 {
+            self.expecting = Expecting::Setup(steps);
+        } else {
+            self.send_work();
+        }
+        self.flush(cx);
+    }
+
+    /// Ends the connection.
+    pub fn close(&mut self, cx: CX![]) {
+        line::write_terminate(&mut self.stream.output);
+        if let StreamState::Closed(cause) = self.stream.flush() {
+            tracing::debug!(cause, "endpoint: connection was gone before it was ended");
+        }
+        stop!(cx);
+    }
+
+    fn send_work(&mut self) {
+        let Some(job) = &self.job else { return };
+        line::write_work(&mut self.stream.output, job);
+        self.expecting =
+            if job.work == Work::Nothing { Expecting::Rollback } else { Expecting::Work };
+        self.sent = true;
+    }
+
+    fn ready(&mut self, cx: CX![], _: Ready) {
+        if !self.greeted {
+            match self.stream.finish_connect() {
+                Ok(true) => self.greet(),
+                Ok(false) => return,
+                Err(error) => return self.lost(cx, None, error.to_string()),
+            }
+        }
+        let filled = self.stream.fill(READ_AHEAD_BYTES);
+        if !self.take_lines(cx) {
+            return;
+        }
+        match filled {
+            StreamState::Open => self.flush(cx),
+            StreamState::Closed(cause) => self.lost(cx, None, cause),
+        }
+    }
+
+    fn greet(&mut self) {
+        let Target { group, owner, host, endpoint, .. } = &self.target;
+        line::write_startup(&mut self.stream.output, group, owner, host, endpoint);
+        self.greeted = true;
+    }
+
+    /// Takes all messages that have arrived; false once the connection is gone.
+    fn take_lines(&mut self, cx: CX![]) -> bool {
+        loop {
+            let line = match line::next_line(&mut self.stream.input) {
+                Ok(Some(line)) => line,
+                Ok(None) => return true,
+                Err(error) => {
+                    self.lost(cx, None, error.to_string());
+                    return false;
+                }
+            };
+            let message = match line::read_endpoint(&line) {
+                Ok(message) => message,
+                Err(error) => {
+                    self.lost(cx, None, error.to_string());
+                    return false;
+                }
+            };
+            if !self.take_message(cx, message) {
+                return false;
+            }
+        }
+    }
+
+    fn take_message(&mut self, cx: CX![], message: EndpointMessage) -> bool {
+        if self.expecting == Expecting::Nothing {
+            self.lost(cx, None, "a message arrived that nothing was asked for".into());
+            return false;
+        }
+        match message {
+            EndpointMessage::Row(row) => self.rows.push(row),
+            EndpointMessage::Complete(signature) => self.result = Some(Ok(signature)),
+            EndpointMessage::Error(refusal, text) if self.expecting == Expecting::Startup => {
+                self.lost(cx, Some(refusal), format!("start-up was refused: {text}"));
+                return false;
+            }
+            EndpointMessage::Error(refusal, text) => self.result = Some(Err((refusal, text))),
+            EndpointMessage::Ready(state, position) => self.answered(cx, state, position),
+        }
+        true
+    }
+
+    fn answered(&mut self, cx: CX![], transaction: TransactionState, position: Option<Position>) {
+        let rows = std::mem::take(&mut self.rows);
+        let result = self.result.take();
+        match self.expecting {
+            Expecting::Nothing => {}
+            Expecting::Startup => {
+                self.expecting = Expecting::Nothing;
+                fwd!([self.hub], EndpointEvent::Opened);
+            }
+            Expecting::Setup(left) => self.setup_answered(cx, left, result),
+            Expecting::Work => {
+                let Some(result) = result else {
+                    return self.lost(cx, None, "an answer has no result".into());
+                };
+                let status = self.read_status(&rows, &result);
+                let rollback = self.job.as_ref().is_some_and(|job| job.rollback);
+                self.expecting = if rollback { Expecting::Rollback } else { Expecting::Nothing };
+                let answer = JobAnswer { rows, result, transaction, position, status };
+                fwd!([self.hub], EndpointEvent::Job(JobEnd::Answered(answer)));
+            }
+            Expecting::Rollback if transaction == TransactionState::Idle => {
+                self.expecting = Expecting::Nothing;
+                fwd!([self.hub], EndpointEvent::Job(JobEnd::Cleaned));
+            }
+            Expecting::Rollback => self.lost(cx, None, "a roll-back failed".into()),
+        }
+    }
+
+    fn setup_answered(
+        &mut self,
+        cx: CX![],
+        left: usize,
+        result: Option<Result<CompactString, (Refusal, CompactString)>>,
+    ) {
+        match result {
+            Some(Ok(_)) => {}
+            Some(Err((refusal, _))) => {
+                self.setup_refusal.get_or_insert(refusal);
+            }
+            None => return self.lost(cx, None, "an answer has no result".into()),
+        }
+        if left > 1 {
+            self.expecting = Expecting::Setup(left - 1);
+            return;
+        }
+        match self.setup_refusal.take() {
+            None => {
+                self.send_work();
+                self.flush(cx);
+            }
+            Some(refusal) => {
+                self.expecting = Expecting::Nothing;
+                fwd!([self.hub], EndpointEvent::Job(JobEnd::SetupRefused(refusal)));
+            }
+        }
+    }
+
+    fn read_status(
+        &self,
+        rows: &[Bytes],
+        result: &Result<CompactString, (Refusal, CompactString)>,
+    ) -> Option<crate::core::proxy::job::StatusReport> {
+        let order = matches!(self.job.as_ref()?.work, Work::Order(_));
+        let row = rows.first().filter(|_| order && result.is_ok())?;
+        match line::read_status(row) {
+            Ok(status) => Some(status),
+            Err(error) => {
+                tracing::warn!(endpoint = self.target.endpoint.as_str(), %error,
+                    "endpoint: status cannot be read");
+                None
+            }
+        }
+    }
+
+    fn flush(&mut self, cx: CX![]) {
+        if let StreamState::Closed(cause) = self.stream.flush() {
+            self.lost(cx, None, cause);
+        }
+    }
+
+    fn lost(&mut self, cx: CX![], refusal: Option<Refusal>, cause: String) {
+        self.stream.input = BytesMut::new();
+        let report = LossReport { sent: self.sent, refusal, cause };
+        fwd!([self.hub], EndpointEvent::Lost(report));
+        stop!(cx);
+    }
+}
--- /dev/null
+++ b/src/net/proxy/feed.rs
@@ -0,0 +1,162 @@
+//! Actor that follows one table of the store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use stakker::{actor, after, call, fwd, ret_nop, ret_some_to, ActorOwn, Fwd, CX};
+
+use super::http::{CallResult, HttpClient};
+use crate::platform::store::{self, RowsAnswer, StoreRow, StoreRows};
+use crate::types::{DurationMs, RowVersion};
+
+/// Time for an answer beyond the time that the store may wait for a change.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
+/// Pause after a call that failed; the store may be down for seconds, and every call has a price.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// How a table is followed.
+#[derive(Debug, Clone, Copy)]
+pub struct FeedPlan {
+    /// The table.
+    pub table: &'static str,
+    /// Longest time for which the store waits for a change.
+    pub wait_ms: DurationMs,
+    /// Pause after a change, in which further changes gather.
+    pub pause_ms: DurationMs,
+}
+
+/// Rows of a table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FeedRows {
+    /// The table.
+    pub table: &'static str,
+    /// Whether these are all rows; else the changed ones.
+    pub whole: bool,
+    /// The rows.
+    pub rows: Vec<StoreRow>,
+}
+
+/// What a feed tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FeedEvent {
+    /// Rows were read.
+    Rows(FeedRows),
+    /// The store answers, or does not answer, after it was the other way.
+    Reachable(&'static str, bool),
+}
+
+/// Follows one table.
+pub struct TableFeed {
+    plan: FeedPlan,
+    hub: Fwd<FeedEvent>,
+    client: ActorOwn<HttpClient>,
+    known: Option<RowVersion>,
+    newest: RowVersion,
+    page: Vec<StoreRow>,
+    reachable: bool,
+}
+
+impl TableFeed {
+    /// Follows `plan.table` of the store at `address`.
+    pub fn init(
+        cx: CX![],
+        address: SocketAddr,
+        plan: FeedPlan,
+        hub: Fwd<FeedEvent>,
+    ) -> Option<Self> {
+        let client = actor!(cx, HttpClient::init(address), ret_nop!());
+        call!([cx], read_all(None));
+        let (known, newest) = (None, RowVersion(0));
+        Some(Self { plan, hub, client, known, newest, page: Vec::new(), reachable: true })
+    }
+
+    /// Reads the rows behind the key `after`, or all.
+    fn read_all(&mut self, cx: CX![], after: Option<CompactString>) {
+        let request = store::get_rows(self.plan.table, after.as_deref());
+        let ret = ret_some_to!([cx], all_read() as (CallResult));
+        call!([self.client], call(request, ANSWER_LIMIT, ret));
+    }
+
+    fn all_read(&mut self, cx: CX![], result: CallResult) {
+        let Some(rows) = self.take(cx, result) else { return };
+        let last = rows.rows.last().map(|row| row.key.clone());
+        let StoreRows { rows, version, has_more } = rows;
+        self.page.extend(rows);
+        match last.filter(|_| has_more) {
+            Some(last) => self.read_all(cx, Some(last)),
+            None => {
+                let rows = std::mem::take(&mut self.page);
+                // An answer that shows less than an earlier one says nothing new.
+                if version >= self.newest {
+                    self.pass_on(rows, true);
+                    self.known = Some(version);
+                    self.newest = version;
+                }
+                self.follow_later(cx, self.plan.pause_ms.to_std());
+            }
+        }
+    }
+
+    fn follow_later(&mut self, cx: CX![], pause: Duration) {
+        after!(pause, [cx], follow());
+    }
+
+    fn follow(&mut self, cx: CX![]) {
+        let Some(known) = self.known else { return self.read_all(cx, None) };
+        let request = store::get_changes(self.plan.table, known, self.plan.wait_ms);
+        let ret = ret_some_to!([cx], changes_read() as (CallResult));
+        let limit = self.plan.wait_ms.to_std() + ANSWER_LIMIT;
+        call!([self.client], call(request, limit, ret));
+    }
+
+    fn changes_read(&mut self, cx: CX![], result: CallResult) {
+        let Some(rows) = self.take(cx, result) else { return };
+        let changed = !rows.rows.is_empty();
+        let newest = rows.rows.iter().map(|row| row.version).max().unwrap_or_default();
+        self.known = self.known.max(Some(rows.version.max(newest)));
+        self.newest = self.newest.max(rows.version);
+        if changed {
+            self.pass_on(rows.rows, false);
+        }
+        let pause = if changed { self.plan.pause_ms } else { DurationMs(0) };
+        self.follow_later(cx, pause.to_std());
+    }
+
+    /// The rows of an answer; after a fault the next call is planned.
+    fn take(&mut self, cx: CX![], result: CallResult) -> Option<StoreRows> {
+        let answer =
+            result.map_err(|fault| fault.to_string()).map(|found| store::read_rows(&found));
+        let table = self.plan.table;
+        match answer {
+            Ok(RowsAnswer::Rows(rows)) => {
+                if !std::mem::replace(&mut self.reachable, true) {
+                    tracing::info!(table, "store: answers again");
+                    fwd!([self.hub], FeedEvent::Reachable(table, true));
+                }
+                return Some(rows);
+            }
+            Ok(RowsAnswer::HistoryGone) => {
+                tracing::info!(table, known = ?self.known, "store: history is gone, reading all rows");
+                self.known = None;
+                self.page.clear();
+                self.follow_later(cx, Duration::ZERO);
+                return None;
+            }
+            Ok(RowsAnswer::Refused(detail)) | Err(detail) => {
+                if std::mem::replace(&mut self.reachable, false) {
+                    tracing::warn!(table, detail, "store: does not answer");
+                    fwd!([self.hub], FeedEvent::Reachable(table, false));
+                }
+            }
+        }
+        self.page.clear();
+        self.follow_later(cx, RETRY_PAUSE);
+        None
+    }
+
+    fn pass_on(&mut self, rows: Vec<StoreRow>, whole: bool) {
+        let rows = FeedRows { table: self.plan.table, whole, rows };
+        fwd!([self.hub], FeedEvent::Rows(rows));
+    }
+}
--- /dev/null
+++ b/src/net/proxy/http.rs
@@ -0,0 +1,295 @@
+//! HTTP/1.1 over one connection: a client for the platform and a server for probes.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf, BytesMut};
+use derive_more::Display;
+use stakker::{actor, after, fwd_to, ret, stop, ActorOwn, FixedTimerKey, Ret, CX};
+use stakker_mio::mio::net::{TcpListener, TcpStream};
+use stakker_mio::mio::Interest;
+use stakker_mio::{MioPoll, MioSource, Ready};
+
+use crate::net::stream::{Stream, StreamState};
+use crate::platform::store::{HttpAnswer, HttpRequest};
+
+/// Largest answer of the platform; it sends at most 1 MB of rows in base64 within JSON.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Largest request of a probe.
+const MAX_PROBE_BYTES: usize = 16 * 1024;
+/// Most headers of a message.
+const MAX_HEADERS: usize = 64;
+/// Longest life of a probe's connection without a request.
+const PROBE_LIMIT: Duration = Duration::from_secs(30);
+/// Poll priority of the listener.
+const LISTENER_PRIORITY: u32 = 10;
+
+/// Why a call has no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum CallFault {
+    /// The call was never sent.
+    #[display("not sent: {_0}")]
+    NotSent(String),
+    /// It was sent; it may have been carried out, or may be later.
+    #[display("no answer: {_0}")]
+    NoAnswer(String),
+}
+
+/// How a call ended.
+pub type CallResult = Result<HttpAnswer, CallFault>;
+
+struct Pending {
+    ret: Ret<CallResult>,
+    request: HttpRequest,
+    sent: bool,
+    timer: FixedTimerKey,
+}
+
+/// A client that runs one call at a time over a connection that it keeps.
+pub struct HttpClient {
+    address: SocketAddr,
+    stream: Option<Stream>,
+    pending: Option<Pending>,
+}
+
+impl HttpClient {
+    /// A client of the server at `address`.
+    pub fn init(_: CX![], address: SocketAddr) -> Option<Self> {
+        Some(Self { address, stream: None, pending: None })
+    }
+
+    /// Sends a request; the answer, or the fault after `limit`, goes to `ret`.
+    pub fn call(&mut self, cx: CX![], request: HttpRequest, limit: Duration, ret: Ret<CallResult>) {
+        if self.pending.is_some() {
+            ret!([ret], Err(CallFault::NotSent("another call is under way".into())));
+            return;
+        }
+        let timer = after!(limit, [cx], overdue());
+        self.pending = Some(Pending { ret, request, sent: false, timer });
+        if self.stream.is_none() {
+            if let Err(error) = self.connect(cx) {
+                return self.fail(cx, &error.to_string());
+            }
+        }
+        self.progress(cx);
+    }
+
+    fn connect(&mut self, cx: CX![]) -> std::io::Result<()> {
+        let socket = TcpStream::connect(self.address)?;
+        let miopoll = cx.anymap_get::<MioPoll>();
+        let ready = fwd_to!([cx], ready() as (Ready));
+        self.stream = Some(Stream::new(&miopoll, socket, false, ready)?);
+        Ok(())
+    }
+
+    fn overdue(&mut self, cx: CX![]) {
+        self.fail(cx, "time limit");
+    }
+
+    fn ready(&mut self, cx: CX![], _: Ready) {
+        self.progress(cx);
+    }
+
+    fn progress(&mut self, cx: CX![]) {
+        let Some(stream) = &mut self.stream else { return };
+        match stream.finish_connect() {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(error) => return self.fail(cx, &error.to_string()),
+        }
+        if let Some(pending) = self.pending.as_mut().filter(|pending| !pending.sent) {
+            write_request(&mut stream.output, self.address, &pending.request);
+            pending.sent = true;
+        }
+        if let StreamState::Closed(cause) = stream.flush() {
+            return self.fail(cx, &cause);
+        }
+        let filled = stream.fill(MAX_ANSWER_BYTES);
+        match read_answer(&mut stream.input) {
+            Ok(Some(answer)) => self.answered(cx, answer),
+            Ok(None) => {
+                if let StreamState::Closed(cause) = filled {
+                    self.fail(cx, &cause);
+                }
+            }
+            Err(detail) => self.fail(cx, &detail),
+        }
+    }
+
+    fn answered(&mut self, cx: CX![], answer: HttpAnswer) {
+        let Some(pending) = self.pending.take() else {
+            // An answer to nothing: the connection cannot be trusted.
+            self.stream = None;
+            return;
+        };
+        cx.timer_del(pending.timer);
+        ret!([pending.ret], Ok(answer));
+    }
+
+    fn fail(&mut self, cx: CX![], cause: &str) {
+        self.stream = None;
+        if let Some(pending) = self.pending.take() {
+            cx.timer_del(pending.timer);
+            let fault = if pending.sent {
+                CallFault::NoAnswer(cause.into())
+            } else {
+                CallFault::NotSent(cause.into())
+            };
+            ret!([pending.ret], Err(fault));
+        }
+    }
+}
+
+fn write_request(out: &mut BytesMut, host: SocketAddr, request: &HttpRequest) {
+    let mut head = format!("{} {} HTTP/1.1\r\nHost: {host}\r\n", request.method, request.path);
+    for (name, value) in &request.headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str(&format!("Content-Length: {}\r\n\r\n", request.body.len()));
+    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(&request.body);
+}
+
+/// Takes an answer out of `input` once it is whole.
+fn read_answer(input: &mut BytesMut) -> Result<Option<HttpAnswer>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Response::new(&mut headers);
+    let head = match parsed.parse(input) {
+        Ok(httparse::Status::Complete(head)) => head,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(error) => return Err(error.to_string()),
+    };
+    let status = parsed.code.ok_or("an answer has no status")?;
+    let length = content_length(parsed.headers)?;
+    if head + length > MAX_ANSWER_BYTES {
+        return Err(format!("the answer has {length} bytes"));
+    }
+    if input.len() < head + length {
+        return Ok(None);
+    }
+    input.advance(head);
+    Ok(Some(HttpAnswer { status, body: input.split_to(length).to_vec() }))
+}
+
+fn content_length(headers: &[httparse::Header<'_>]) -> Result<usize, String> {
+    let found = headers.iter().find(|header| header.name.eq_ignore_ascii_case("content-length"));
+    let Some(header) = found else { return Ok(0) };
+    let text = std::str::from_utf8(header.value).map_err(|error| error.to_string())?;
+    text.trim().parse().map_err(|_| format!("content length {text:?} is not a number"))
+}
+
+/// Answers a probe: status and body for a path.
+pub type Respond = Rc<RefCell<dyn FnMut(&str) -> (u16, String)>>;
+
+/// A server for probes and metrics.
+pub struct HttpServer {
+    listener: MioSource<TcpListener>,
+    respond: Respond,
+    probes: BTreeMap<u64, ActorOwn<Probe>>,
+    next: u64,
+}
+
+impl HttpServer {
+    /// Listens at `address`; the actor fails if it can't.
+    pub fn init(cx: CX![], address: SocketAddr, respond: Respond) -> Option<Self> {
+        let miopoll = cx.anymap_get::<MioPoll>();
+        let ready = fwd_to!([cx], accept() as (Ready));
+        let listener = TcpListener::bind(address).and_then(|listener| {
+            miopoll.add(listener, Interest::READABLE, LISTENER_PRIORITY, ready)
+        });
+        match listener {
+            Ok(listener) => Some(Self { listener, respond, probes: BTreeMap::new(), next: 0 }),
+            Err(error) => {
+                cx.fail_string(format!("cannot listen at {address}: {error}"));
+                None
+            }
+        }
+    }
+
+    fn accept(&mut self, cx: CX![], _: Ready) {
+        loop {
+            match self.listener.accept() {
+                Ok((socket, _)) => {
+                    self.next += 1;
+                    let id = self.next;
+                    let respond = Rc::clone(&self.respond);
+                    let ended = stakker::ret_some_to!([cx], ended(id) as (stakker::StopCause));
+                    let probe = actor!(cx, Probe::init(socket, respond), ended);
+                    self.probes.insert(id, probe);
+                }
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    tracing::warn!(%error, "probe: accept failed");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn ended(&mut self, _: CX![], id: u64, _: stakker::StopCause) {
+        self.probes.remove(&id);
+    }
+}
+
+/// One connection of a probe.
+struct Probe {
+    stream: Stream,
+    respond: Respond,
+}
+
+impl Probe {
+    fn init(cx: CX![], socket: TcpStream, respond: Respond) -> Option<Self> {
+        let miopoll = cx.anymap_get::<MioPoll>();
+        match Stream::new(&miopoll, socket, true, fwd_to!([cx], ready() as (Ready))) {
+            Ok(stream) => {
+                after!(PROBE_LIMIT, [cx], end());
+                Some(Self { stream, respond })
+            }
+            Err(error) => {
+                tracing::debug!(%error, "probe: connection could not be registered");
+                stop!(cx);
+                None
+            }
+        }
+    }
+
+    fn ready(&mut self, cx: CX![], _: Ready) {
+        let filled = self.stream.fill(MAX_PROBE_BYTES);
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+            let mut parsed = httparse::Request::new(&mut headers);
+            let head = match parsed.parse(&self.stream.input) {
+                Ok(httparse::Status::Complete(head)) => head,
+                Ok(httparse::Status::Partial) => break,
+                Err(error) => {
+                    tracing::info!(%error, "probe: request cannot be read");
+                    return self.end(cx);
+                }
+            };
+            let path = parsed.path.unwrap_or("/").to_owned();
+            self.stream.input.advance(head);
+            let (status, body) = (self.respond.borrow_mut())(&path);
+            write_answer(&mut self.stream.output, status, &body);
+        }
+        if filled != StreamState::Open || self.stream.flush() != StreamState::Open {
+            self.end(cx);
+        }
+    }
+
+    fn end(&mut self, cx: CX![]) {
+        stop!(cx);
+    }
+}
+
+fn write_answer(out: &mut BytesMut, status: u16, body: &str) {
+    let reason = if status == 200 { "OK" } else { "Unavailable" };
+    let head = format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(body.as_bytes());
+}
--- /dev/null
+++ b/src/net/proxy/mod.rs
@@ -0,0 +1,8 @@
+//! Actors of a host that serves sessions over pooled connections.
+
+pub mod caller;
+pub mod endpoint;
+mod feed;
+pub mod host;
+pub mod http;
+mod store;
--- /dev/null
+++ b/src/net/proxy/store.rs
@@ -0,0 +1,98 @@
+//! Writes to the store and promotions, one after the other.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use stakker::{actor, call, fwd, ret_nop, ret_some_to, ActorOwn, Fwd, CX};
+
+use super::http::{CallFault, CallResult, HttpClient};
+use crate::core::proxy::failover::PromoteAnswer;
+use crate::platform::store::{self, HttpRequest, WriteAnswer};
+use crate::types::GroupId;
+
+/// Longest wait for an answer; the store answers within tens of milliseconds.
+const CALL_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// What a call was for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallPurpose {
+    /// The row of this host.
+    Register,
+    /// A row that all hosts agree on.
+    Agree,
+    /// A group's row.
+    Claim(GroupId),
+    /// A promotion.
+    Promote(GroupId),
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallEnd {
+    /// A write of the store; none if no answer arrived.
+    Written(CallPurpose, Option<WriteAnswer>),
+    /// A promotion.
+    Promoted(GroupId, PromoteAnswer),
+}
+
+/// Runs calls in their order over one connection.
+pub struct Calls {
+    client: ActorOwn<HttpClient>,
+    hub: Fwd<CallEnd>,
+    queue: VecDeque<(CallPurpose, HttpRequest)>,
+    running: Option<CallPurpose>,
+}
+
+impl Calls {
+    /// Calls to the server at `address`.
+    pub fn init(cx: CX![], address: SocketAddr, hub: Fwd<CallEnd>) -> Option<Self> {
+        let client = actor!(cx, HttpClient::init(address), ret_nop!());
+        Some(Self { client, hub, queue: VecDeque::new(), running: None })
+    }
+
+    /// Adds a call.
+    pub fn call(&mut self, cx: CX![], purpose: CallPurpose, request: HttpRequest) {
+        self.queue.push_back((purpose, request));
+        self.next(cx);
+    }
+
+    fn next(&mut self, cx: CX![]) {
+        if self.running.is_some() {
+            return;
+        }
+        let Some((purpose, request)) = self.queue.pop_front() else { return };
+        self.running = Some(purpose);
+        let ret = ret_some_to!([cx], ended() as (CallResult));
+        call!([self.client], call(request, CALL_LIMIT, ret));
+    }
+
+    fn ended(&mut self, cx: CX![], result: CallResult) {
+        let Some(purpose) = self.running.take() else { return };
+        if let Err(fault) = &result {
+            tracing::warn!(?purpose, %fault, "store: call failed");
+        }
+        let end = match purpose {
+            CallPurpose::Promote(group) => CallEnd::Promoted(group, promoted(&result)),
+            purpose => CallEnd::Written(purpose, written(result)),
+        };
+        fwd!([self.hub], end);
+        self.next(cx);
+    }
+}
+
+fn written(result: CallResult) -> Option<WriteAnswer> {
+    match result {
+        Ok(answer) => Some(store::read_write(&answer)),
+        Err(CallFault::NotSent(cause)) => Some(WriteAnswer::Refused(cause)),
+        Err(CallFault::NoAnswer(_)) => None,
+    }
+}
+
+fn promoted(result: &CallResult) -> PromoteAnswer {
+    match result {
+        Ok(answer) => store::read_promotion(answer),
+        Err(CallFault::NotSent(_)) => PromoteAnswer::Unavailable,
+        Err(CallFault::NoAnswer(_)) => PromoteAnswer::Unknown,
+    }
+}
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -21,6 +21,8 @@
 use stakker_mio::mio::{Events, Interest, Poll};
 use stakker_mio::{FdSource, MioPoll, MioSource};
 
+use crate::types::Timestamp;
+
 /// Events fetched in one call.
 const EVENTS: usize = 1_024;
 /// Longest wait without an event or a timer.
@@ -114,6 +116,15 @@
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()
 }
 
+/// Time since the machine started, the time in which it was suspended included. Ages of data are
+/// measured with it, because the runtime's clock stands still while the machine is suspended.
+pub fn suspend_aware_clock() -> Timestamp {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(now.tv_nsec).unwrap_or(0);
+    Timestamp(seconds * 1_000_000 + nanos / 1_000)
+}
+
 fn clock() -> Instant {
     Instant::now()
 }
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -188,6 +188,13 @@
         }
     }
 
+    /// Tells the peer that nothing more is sent, if all output has gone.
+    pub fn finish_output(&mut self, how: std::net::Shutdown) {
+        if let (true, Err(error)) = (self.output.is_empty(), self.source.shutdown(how)) {
+            tracing::debug!(%error, "stream: the peer has closed the connection already");
+        }
+    }
+
     /// Closes the stream once all output has been sent.
     pub fn close_after_output(&mut self) {
         self.close_after_output = true;
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,128 @@
+//! The operator's configuration.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+
+use crate::core::proxy::catalog::{AccountPlan, CallerKey, Catalog, GroupPlan, ReadRule, Route};
+use crate::types::{Burst, ConnectionCount, DurationMs, GroupId, RatePerS, TableVersion};
+
+/// Bound on the age of data where a route names none.
+const DEFAULT_AGE: DurationMs = DurationMs(1_000);
+
+#[derive(Deserialize)]
+struct File {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<FileRoute>,
+    #[serde(default)]
+    services: Vec<FileService>,
+    #[serde(default)]
+    tenants: Vec<FileTenant>,
+    #[serde(default)]
+    limits: FileLimits,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct FileRoute {
+    database: Option<CompactString>,
+    #[serde(rename = "type")]
+    rule: Option<CompactString>,
+    service: CompactString,
+    timeout_ms: u64,
+    target_latency_ms: Option<u64>,
+    max_staleness_ms: Option<u64>,
+    #[serde(default)]
+    public: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct FileService {
+    name: CompactString,
+    max_connections: u32,
+    #[serde(default)]
+    sync_replicas: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct FileTenant {
+    name: CompactString,
+    #[serde(default)]
+    api_keys: Vec<CompactString>,
+    rate_per_s: Option<f64>,
+    burst: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase")]
+struct FileLimits {
+    #[serde(default)]
+    tx_idle_ms: u64,
+}
+
+/// Reads a version of the configuration.
+///
+/// # Errors
+///
+/// What is wrong with the text.
+pub fn read(bytes: &[u8]) -> Result<Catalog, String> {
+    let file: File = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
+    let mut catalog = Catalog {
+        version: TableVersion(file.version),
+        transaction_idle_ms: DurationMs(file.limits.tx_idle_ms),
+        ..Catalog::default()
+    };
+    for service in file.services {
+        let group: GroupId = service.name.parse().map_err(|error| format!("service: {error}"))?;
+        let connections = ConnectionCount(service.max_connections);
+        let plan = GroupPlan { connections, sync_replicas: service.sync_replicas };
+        catalog.groups.insert(group, plan);
+    }
+    for route in file.routes {
+        // A route without a database is for another kind of traffic.
+        let Some(database) = &route.database else { continue };
+        let database = database.parse().map_err(|error| format!("database: {error}"))?;
+        catalog.routes.insert(database, Rc::new(read_route(&route)?));
+    }
+    for tenant in file.tenants {
+        read_tenant(&mut catalog, &tenant)?;
+    }
+    Ok(catalog)
+}
+
+fn read_route(route: &FileRoute) -> Result<Route, String> {
+    let age = route.max_staleness_ms.map_or(DEFAULT_AGE, DurationMs);
+    let rule = match route.rule.as_deref() {
+        Some("primary") => ReadRule::Primary,
+        Some("bounded_staleness") => ReadRule::MaxAge(age),
+        Some("read_your_writes") => ReadRule::OwnWrites(age),
+        other => return Err(format!("route type {other:?} is not known")),
+    };
+    Ok(Route {
+        group: route.service.parse().map_err(|error| format!("service: {error}"))?,
+        rule,
+        statement_limit_ms: DurationMs(route.timeout_ms),
+        target_latency_ms: DurationMs(route.target_latency_ms.unwrap_or(route.timeout_ms)),
+        open: route.public,
+    })
+}
+
+fn read_tenant(catalog: &mut Catalog, tenant: &FileTenant) -> Result<(), String> {
+    let account: crate::types::AccountId =
+        tenant.name.parse().map_err(|error| format!("tenant: {error}"))?;
+    if let Some(rate) = tenant.rate_per_s {
+        let whole = |value: f64| value.max(0.0) as u64;
+        let burst = Burst(whole(tenant.burst.unwrap_or(rate)));
+        let plan = AccountPlan { rate_per_s: RatePerS(whole(rate)), burst };
+        catalog.accounts.insert(account.clone(), plan);
+    }
+    let keys: BTreeMap<CallerKey, _> =
+        tenant.api_keys.iter().map(|key| (CallerKey::new(key), account.clone())).collect();
+    catalog.keys.extend(keys);
+    Ok(())
+}
--- /dev/null
+++ b/src/platform/discovery.rs
@@ -0,0 +1,52 @@
+//! The entries with which endpoints register themselves.
+
+use compact_str::CompactString;
+use serde::Deserialize;
+
+use crate::core::proxy::group::EndpointEntry;
+use crate::types::RowVersion;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct File {
+    service: CompactString,
+    address: std::net::SocketAddr,
+    zone: CompactString,
+    state: State,
+    db_role: DbRole,
+    #[serde(default)]
+    born: u64,
+}
+
+#[derive(Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    Ready,
+    Draining,
+}
+
+#[derive(Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+enum DbRole {
+    Primary,
+    Replica,
+}
+
+/// Reads the entry of the endpoint `id`.
+///
+/// # Errors
+///
+/// What is wrong with the entry; it then names no endpoint to use.
+pub fn read(id: &str, version: RowVersion, bytes: &[u8]) -> Result<EndpointEntry, String> {
+    let file: File = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
+    Ok(EndpointEntry {
+        endpoint: id.parse().map_err(|error| format!("id: {error}"))?,
+        group: file.service.parse().map_err(|error| format!("service: {error}"))?,
+        address: file.address,
+        failure_domain: file.zone.parse().map_err(|error| format!("zone: {error}"))?,
+        leaving: file.state == State::Draining,
+        claims_lead: file.db_role == DbRole::Primary,
+        started_ms: file.born,
+        version,
+    })
+}
--- /dev/null
+++ b/src/platform/line.rs
@@ -0,0 +1,421 @@
+//! The line protocol that callers and endpoints speak.
+
+use bytes::{Buf, Bytes, BytesMut};
+use compact_str::CompactString;
+use displaydoc::Display;
+
+use crate::core::group::Role;
+use crate::core::proxy::connection::Owner;
+use crate::core::proxy::job::{Job, Order, Refusal, Setup, StatusReport, Work};
+use crate::core::proxy::statement::{Access, Forward, Query, Shape, Statement};
+use crate::core::proxy::Answer;
+use crate::core::transaction::TransactionState;
+use crate::error::{Error, ErrorKind};
+use crate::types::{DurationMs, EndpointId, GroupId, HostId, Position, Term};
+
+/// Largest message, its end included.
+pub const MAX_LINE_BYTES: usize = 1024 * 1024;
+/// Id of the statements that the proxy issues itself.
+const OWN_ID: &str = "-";
+
+/// Why bytes are not a message.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum LineError {
+    /// message is larger than 1 MiB
+    TooLong,
+    /// message {0:?} is not known
+    Word(CompactString),
+    /// message {0} lacks a field
+    Missing(&'static str),
+    /// field {0:?} cannot be read
+    Field(CompactString),
+    /// message is not UTF-8 text
+    Text,
+}
+
+impl std::error::Error for LineError {}
+
+/// What a caller sends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallerMessage {
+    /// Asks for a session.
+    Startup {
+        /// Name of the database.
+        database: CompactString,
+        /// The caller's key.
+        key: CompactString,
+    },
+    /// Sends a statement. One that cannot be read keeps its id for the answer.
+    Query(Result<Query, LineError>),
+    /// Ends the session.
+    Terminate,
+}
+
+/// What an endpoint sends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EndpointMessage {
+    /// One row.
+    Row(Bytes),
+    /// The statement succeeded, with this signature.
+    Complete(CompactString),
+    /// The statement failed.
+    Error(Refusal, CompactString),
+    /// The next statement may be sent.
+    Ready(TransactionState, Option<Position>),
+}
+
+/// Takes the next line, without its end, out of `input`.
+///
+/// # Errors
+///
+/// The line is too long.
+pub fn next_line(input: &mut BytesMut) -> Result<Option<Bytes>, LineError> {
+    let Some(end) = input.iter().position(|byte| *byte == b'\n') else {
+        return if input.len() > MAX_LINE_BYTES { Err(LineError::TooLong) } else { Ok(None) };
+    };
+    if end >= MAX_LINE_BYTES {
+        return Err(LineError::TooLong);
+    }
+    let mut line = input.split_to(end).freeze();
+    input.advance(1);
+    if line.last() == Some(&b'\r') {
+        line.truncate(line.len() - 1);
+    }
+    Ok(Some(line))
+}
+
+/// Splits a word off the front of a line.
+fn split(line: &Bytes) -> (Bytes, Option<Bytes>) {
+    match line.iter().position(|byte| *byte == b' ') {
+        Some(at) => (line.slice(..at), Some(line.slice(at + 1..))),
+        None => (line.clone(), None),
+    }
+}
+
+fn text(bytes: &Bytes) -> Result<CompactString, LineError> {
+    CompactString::from_utf8(bytes).map_err(|_| LineError::Text)
+}
+
+/// Takes a field that must be there.
+fn field(rest: &mut Option<Bytes>, of: &'static str) -> Result<CompactString, LineError> {
+    let line = rest.take().filter(|line| !line.is_empty()).ok_or(LineError::Missing(of))?;
+    let (found, left) = split(&line);
+    *rest = left;
+    text(&found)
+}
+
+/// Reads a message of a caller.
+///
+/// # Errors
+///
+/// The message is not known or lacks a field.
+pub fn read_caller(line: &Bytes) -> Result<CallerMessage, LineError> {
+    let (word, mut rest) = split(line);
+    match &word[..] {
+        b"STARTUP" => Ok(CallerMessage::Startup {
+            database: field(&mut rest, "STARTUP")?,
+            key: field(&mut rest, "STARTUP")?,
+        }),
+        b"QUERY" => {
+            let id = field(&mut rest, "QUERY")?;
+            let query = rest.ok_or(LineError::Missing("QUERY"));
+            Ok(CallerMessage::Query(query.and_then(|query| read_query(id, query))))
+        }
+        b"TERMINATE" => Ok(CallerMessage::Terminate),
+        _ => Err(LineError::Word(text(&word)?)),
+    }
+}
+
+fn read_query(id: CompactString, query: Bytes) -> Result<Query, LineError> {
+    let (word, mut rest) = split(&query);
+    let statement = match &word[..] {
+        b"BEGIN" => match rest.as_deref() {
+            None | Some(b"") => Statement::Begin { read_only: false },
+            Some(b"READ") => Statement::Begin { read_only: true },
+            Some(_) => return Err(LineError::Field(text(&query)?)),
+        },
+        b"COMMIT" => Statement::Commit,
+        b"ROLLBACK" => Statement::Rollback,
+        b"READ" => Statement::Data(Access::Read),
+        b"WRITE" => Statement::Data(Access::Write),
+        b"SET" => Statement::Set {
+            name: field(&mut rest, "SET")?,
+            value: rest.as_ref().map(text).transpose()?.unwrap_or_default(),
+        },
+        b"PREPARE" => {
+            Statement::Prepare { name: field(&mut rest, "PREPARE")?, shape: read_shape(rest)? }
+        }
+        b"EXECUTE" => Statement::Execute {
+            name: field(&mut rest, "EXECUTE")?,
+            arguments: rest.unwrap_or_default(),
+        },
+        b"CLOSE" => Statement::Close { name: field(&mut rest, "CLOSE")? },
+        _ => return Err(LineError::Word(text(&word)?)),
+    };
+    Ok(Query { id, statement, text: query })
+}
+
+fn read_shape(mut rest: Option<Bytes>) -> Result<Shape, LineError> {
+    let access = field(&mut rest, "PREPARE")?;
+    let access = match access.as_str() {
+        "READ" => Access::Read,
+        "WRITE" => Access::Write,
+        _ => return Err(LineError::Field(access)),
+    };
+    let shape = rest.ok_or(LineError::Missing("PREPARE"))?;
+    Ok(Shape { access, text: text(&shape)? })
+}
+
+/// Reads a message of an endpoint.
+///
+/// # Errors
+///
+/// The message is not known or lacks a field.
+pub fn read_endpoint(line: &Bytes) -> Result<EndpointMessage, LineError> {
+    let (word, mut rest) = split(line);
+    match &word[..] {
+        b"ROW" => Ok(EndpointMessage::Row(rest.unwrap_or_default())),
+        b"COMPLETE" => {
+            let signature = rest.as_ref().ok_or(LineError::Missing("COMPLETE"))?;
+            Ok(EndpointMessage::Complete(text(signature)?))
+        }
+        b"ERROR" => {
+            let code = field(&mut rest, "ERROR")?;
+            let detail = rest.as_ref().map(text).transpose()?.unwrap_or_default();
+            Ok(EndpointMessage::Error(read_refusal(&code), detail))
+        }
+        b"READY" => {
+            let state = field(&mut rest, "READY")?;
+            let state = match state.as_str() {
+                "I" => TransactionState::Idle,
+                "T" => TransactionState::Open,
+                "E" => TransactionState::Failed,
+                _ => return Err(LineError::Field(state)),
+            };
+            Ok(EndpointMessage::Ready(state, read_position(&field(&mut rest, "READY")?)?))
+        }
+        _ => Err(LineError::Word(text(&word)?)),
+    }
+}
+
+fn read_position(text: &str) -> Result<Option<Position>, LineError> {
+    if text == "-" {
+        return Ok(None);
+    }
+    let position = text.split_once('.').and_then(|(term, number)| {
+        Some(Position::new(Term(term.parse().ok()?), number.parse().ok()?))
+    });
+    position.map(Some).ok_or_else(|| LineError::Field(text.into()))
+}
+
+/// Reads the row that answers an order: role, term, position received, term held, lag in
+/// milliseconds, busy slots, connections.
+///
+/// # Errors
+///
+/// A field is missing or cannot be read.
+pub fn read_status(row: &Bytes) -> Result<StatusReport, LineError> {
+    let line = text(row)?;
+    let fields: Vec<&str> = line.split(' ').collect();
+    let [role, term, received, _held, lag, ..] = fields[..] else {
+        return Err(LineError::Missing("STATUS"));
+    };
+    let role: Role = role.parse().map_err(|_| LineError::Field(role.into()))?;
+    let number = |text: &str| text.parse::<f64>().map_err(|_| LineError::Field(text.into()));
+    Ok(StatusReport {
+        role,
+        term: Term(term.parse().map_err(|_| LineError::Field(term.into()))?),
+        received: read_position(received)?.unwrap_or_default(),
+        lag_ms: DurationMs(number(lag)?.max(0.0) as u64),
+    })
+}
+
+const REFUSALS: [(&str, Refusal); 8] = [
+    ("BUSY", Refusal::Busy),
+    ("NOSTMT", Refusal::UnknownStatement),
+    ("LAGGING", Refusal::Lagging),
+    ("READONLY", Refusal::ReadOnly),
+    ("WRONGNODE", Refusal::WrongInstance),
+    ("CONNLIMIT", Refusal::ConnectionLimit),
+    ("FAILED", Refusal::Failed),
+    ("TIMEOUT", Refusal::TimedOut),
+];
+
+fn read_refusal(code: &str) -> Refusal {
+    REFUSALS.iter().find(|(known, _)| *known == code).map_or(Refusal::Other, |(_, kind)| *kind)
+}
+
+fn refusal_code(refusal: Refusal) -> &'static str {
+    REFUSALS.iter().find(|(_, known)| *known == refusal).map_or("FAILED", |(code, _)| *code)
+}
+
+/// The code that tells a caller about an error of this host. `BUSY`, `ABORTED` and `LAGGING`
+/// promise that nothing of the attempt is kept.
+fn error_code(kind: ErrorKind) -> &'static str {
+    match kind {
+        ErrorKind::NoRoute => "NODB",
+        ErrorKind::WrongKey | ErrorKind::KeyWithdrawn => "UNAUTH",
+        ErrorKind::BadStartup | ErrorKind::BadMessage | ErrorKind::MessageTooLarge => "MALFORMED",
+        ErrorKind::UnknownStatement => "NOSTMT",
+        ErrorKind::Stale => "LAGGING",
+        ErrorKind::TransactionLost | ErrorKind::DeadlineExceeded | ErrorKind::Canceled => "ABORTED",
+        ErrorKind::OutcomeUnknown | ErrorKind::Internal => "INDOUBT",
+        _ => "BUSY",
+    }
+}
+
+/// Writes an error that ends a start-up, or answers a statement.
+pub fn write_error(out: &mut BytesMut, error: &Error) {
+    let code = error_code(error.kind);
+    put(out, &["ERROR", code, &error.kind.to_string()]);
+}
+
+/// Writes the message after which a caller may send a statement.
+pub fn write_ready(out: &mut BytesMut, state: TransactionState, position: Option<Position>) {
+    let state = match state {
+        TransactionState::Idle => "I",
+        TransactionState::Open => "T",
+        TransactionState::Failed => "E",
+    };
+    match position {
+        Some(position) => put(out, &["READY", state, &write_position(position)]),
+        None => put(out, &["READY", state, "-"]),
+    }
+}
+
+/// Writes the answer to a caller's statement.
+pub fn write_answer(out: &mut BytesMut, answer: &Answer, state: TransactionState) {
+    let mut at = None;
+    match answer {
+        Answer::Done => put(out, &["COMPLETE", "-"]),
+        Answer::Endpoint { rows, signature, position } => {
+            for row in rows {
+                out.extend_from_slice(b"ROW ");
+                out.extend_from_slice(row);
+                out.extend_from_slice(b"\r\n");
+            }
+            put(out, &["COMPLETE", signature]);
+            at = *position;
+        }
+        Answer::EndpointRefused(refusal, text) => {
+            put(out, &["ERROR", refusal_code(*refusal), text]);
+        }
+        Answer::Refused(error) => write_error(out, error),
+    }
+    write_ready(out, state, at);
+}
+
+/// Writes the message that opens a connection to an endpoint.
+pub fn write_startup(
+    out: &mut BytesMut,
+    group: &GroupId,
+    owner: &Owner,
+    host: &HostId,
+    endpoint: &EndpointId,
+) {
+    let owner = match owner {
+        Owner::Account(account) if !account.is_open() => account.as_str(),
+        Owner::Account(_) => OWN_ID,
+        Owner::Host => host.as_str(),
+    };
+    put(out, &["STARTUP", group.as_str(), owner, endpoint.as_str()]);
+}
+
+/// Writes a step before a statement.
+pub fn write_setup(out: &mut BytesMut, step: &Setup) {
+    match step {
+        Setup::Reset => own(out, &["RESET"]),
+        Setup::Set(name, value) => own(out, &["SET", name, value]),
+        Setup::Prepare(shape) => {
+            let access = access_word(shape.access);
+            own(out, &["PREPARE", &shape_name(shape), access, &shape.text]);
+        }
+        Setup::Begin { read_only, after } => {
+            let after = after.map(write_position);
+            let mut words = Vec::new();
+            if let Some(after) = &after {
+                words.extend(["AFTER", after.as_str()]);
+            }
+            words.push("BEGIN");
+            if *read_only {
+                words.push("READ");
+            }
+            own(out, &words);
+        }
+    }
+}
+
+/// Writes the statement of a job and its roll-back; returns the number of answers to expect.
+pub fn write_work(out: &mut BytesMut, job: &Job) -> usize {
+    let mut answers = 0;
+    match &job.work {
+        Work::Statement { id, forward, after } => {
+            answers += 1;
+            out.extend_from_slice(b"QUERY ");
+            out.extend_from_slice(id.as_bytes());
+            out.extend_from_slice(b" ");
+            if let Some(after) = after {
+                out.extend_from_slice(format!("AFTER {} ", write_position(*after)).as_bytes());
+            }
+            match forward {
+                Forward::Text(text) => out.extend_from_slice(text),
+                Forward::Execute(shape, arguments) => {
+                    out.extend_from_slice(format!("EXECUTE {} ", shape_name(shape)).as_bytes());
+                    out.extend_from_slice(arguments);
+                }
+            }
+            out.extend_from_slice(b"\r\n");
+        }
+        Work::Order(order) => {
+            answers += 1;
+            match order {
+                Order::Status => own(out, &["STATUS"]),
+                Order::Pause(term) => own(out, &["PAUSE", &term.to_string()]),
+                Order::Resume => own(out, &["RESUME"]),
+                Order::Demote(term) => own(out, &["DEMOTE", &term.to_string()]),
+            }
+        }
+        Work::Nothing => {}
+    }
+    if job.rollback {
+        answers += 1;
+        own(out, &["ROLLBACK"]);
+    }
+    answers
+}
+
+/// Writes the message that ends a connection.
+pub fn write_terminate(out: &mut BytesMut) {
+    put(out, &["TERMINATE"]);
+}
+
+/// Name of a shape on a connection; the same for all callers.
+fn shape_name(shape: &Shape) -> String {
+    format!("{}.{}", access_word(shape.access).to_ascii_lowercase(), shape.text)
+}
+
+fn access_word(access: Access) -> &'static str {
+    match access {
+        Access::Read => "READ",
+        Access::Write => "WRITE",
+    }
+}
+
+fn write_position(position: Position) -> String {
+    format!("{}.{}", position.term, position.index)
+}
+
+fn own(out: &mut BytesMut, words: &[&str]) {
+    out.extend_from_slice(b"QUERY - ");
+    put(out, words);
+}
+
+fn put(out: &mut BytesMut, words: &[&str]) {
+    for (place, word) in words.iter().enumerate() {
+        if place > 0 {
+            out.extend_from_slice(b" ");
+        }
+        out.extend_from_slice(word.as_bytes());
+    }
+    out.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,114 @@
+//! The settings file that the platform writes for each process.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+
+use crate::error::{Error, ErrorKind};
+use crate::types::{DurationMs, FailureDomain, HostId};
+
+/// Variable that holds the path of the settings file.
+pub const FILE_VARIABLE: &str = "MEDLARSTILE_NODE_FILE";
+
+/// What a host is told by its settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// Name of the host.
+    pub host: HostId,
+    /// Failure domain of the host.
+    pub failure_domain: FailureDomain,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address of the readiness probe.
+    pub readiness: SocketAddr,
+    /// Address for other hosts and, one port higher, for metrics.
+    pub peers: SocketAddr,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Address that takes promotions.
+    pub promotions: SocketAddr,
+    /// Time from the request to stop until the process is killed.
+    pub stop_limit_ms: DurationMs,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct File {
+    node_name: CompactString,
+    ip: IpAddr,
+    zone: CompactString,
+    bind_addrs: BindAddrs,
+    internal_port_range: (u16, u16),
+    bounds: Bounds,
+    platform: StoreService,
+    cloud_api: ControlService,
+}
+
+#[derive(Deserialize)]
+struct BindAddrs {
+    frontend: SocketAddr,
+    readiness: SocketAddr,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Bounds {
+    grace_s: f64,
+}
+
+#[derive(Deserialize)]
+struct StoreService {
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct ControlService {
+    address: SocketAddr,
+}
+
+impl PlatformSettings {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// `bad_setting` with the file and what is wrong with it.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let fault = |detail: String| {
+            Error::new(ErrorKind::BadSetting, format!("{}: {detail}", path.display()))
+        };
+        let text = std::fs::read_to_string(path).map_err(|error| fault(error.to_string()))?;
+        Self::parse(&text).map_err(fault)
+    }
+
+    /// Reads and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the text.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let file: File = serde_json::from_str(text).map_err(|error| error.to_string())?;
+        let (first, last) = file.internal_port_range;
+        if first >= last {
+            return Err(format!("internalPortRange is {first} to {last}, two ports are needed"));
+        }
+        let seconds = file.bounds.grace_s;
+        if !(seconds > 0.0) {
+            return Err(format!("graceS is {seconds}, more than 0 is needed"));
+        }
+        Ok(Self {
+            host: file.node_name.parse().map_err(|error| format!("nodeName: {error}"))?,
+            failure_domain: file.zone.parse().map_err(|error| format!("zone: {error}"))?,
+            listen: file.bind_addrs.frontend,
+            readiness: file.bind_addrs.readiness,
+            peers: SocketAddr::new(file.ip, first),
+            metrics: SocketAddr::new(file.ip, first + 1),
+            store: file.platform.address,
+            promotions: file.cloud_api.address,
+            stop_limit_ms: DurationMs((seconds * 1_000.0) as u64),
+        })
+    }
+}
