--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -4,6 +4,7 @@
 
 use super::limit::{TokenRequest, Transfer};
 use super::promotion::GroupRecord;
+use super::proxy::quota::Demand;
 use super::view::{Snapshot, Statement};
 use crate::auth::PeerProof;
 use crate::types::{DurationMs, FailureDomain, GroupId, HostId, Incarnation, TableVersion};
@@ -56,6 +57,8 @@
     TokensGrant(Transfer),
     /// Group records that are new to the sender.
     Records(Vec<(GroupId, GroupRecord)>),
+    /// Operations a second that callers of the sender ask for.
+    Demand(Demand),
 }
 
 /// A message with its number.
--- a/src/core/proxy/connection.rs
+++ b/src/core/proxy/connection.rs
@@ -76,6 +76,8 @@
     pub machine: Machine<PooledState, PooledEvent, NoGuard, PooledAction>,
     /// What it runs.
     pub task: Option<Task>,
+    /// Whether the job that it runs ends with a roll-back.
+    pub rolls_back: bool,
     /// Session whose transaction is open on it.
     pub session: Option<SessionId>,
     /// When its job was sent, or when the connect began.
--- a/src/core/proxy/dispatch.rs
+++ b/src/core/proxy/dispatch.rs
@@ -147,6 +147,7 @@
         }
         connection.fire(PooledEvent::Run);
         connection.task = Some(Task::Request(id));
+        connection.rolls_back = request.guarded;
         (connection.started, connection.used) = (now, now);
         if !request.moment.is_single() {
             connection.session = Some(request.session);
--- a/src/core/proxy/events.rs
+++ b/src/core/proxy/events.rs
@@ -141,14 +141,12 @@
         request: RequestId,
         transaction: TransactionState,
     ) {
-        let guarded = self.requests.get(&request).is_some_and(|found| found.guarded);
         let inside =
             self.requests.get(&request).is_some_and(|found| found.moment == ProxyMoment::Inside);
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.used = now;
-        if guarded {
-            connection.fire(PooledEvent::Clean);
-            return self.note_asked(now, id);
+        if connection.rolls_back {
+            return self.await_roll_back(now, id);
         }
         if transaction == TransactionState::Idle {
             connection.session = None;
@@ -161,10 +159,21 @@
         }
     }
 
+    /// The roll-back that ends a connection's job is under way.
+    fn await_roll_back(&mut self, now: Timestamp, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.fire(PooledEvent::Clean);
+        connection.started = now;
+        self.note_asked(now, id);
+    }
+
     /// The caller of a request has gone; its connection is cleaned.
     fn release_orphan(&mut self, now: Timestamp, id: ConnectionId, state: TransactionState) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.session = None;
+        if connection.rolls_back {
+            return self.await_roll_back(now, id);
+        }
         if state == TransactionState::Idle {
             connection.fire(PooledEvent::Answered);
         } else {
@@ -203,7 +212,7 @@
         transaction: TransactionState,
     ) {
         let Some(request) = self.requests.get(&request_id) else { return };
-        let (moment, guarded, starts) = (request.moment, request.guarded, request.starts);
+        let (moment, starts) = (request.moment, request.starts);
         let again = request.returns < MAX_FAILED_RETURNS;
         let endpoint = self.connections.get(&id).map(|found| found.endpoint.clone());
         let Some(endpoint) = endpoint else { return };
@@ -224,7 +233,6 @@
                     self.detach(request_id);
                     return self.not_run(now, request_id, id, &endpoint, refusal);
                 }
-                debug_assert!(!guarded || read);
                 self.finish(now, request_id, Answer::EndpointRefused(refusal, text));
             }
             ProxyMoment::Inside
--- a/src/core/proxy/pool.rs
+++ b/src/core/proxy/pool.rs
@@ -107,6 +107,7 @@
             owner: owner.clone(),
             machine: CHART.start(),
             task: None,
+            rolls_back: false,
             session: None,
             started: now,
             used: now,
@@ -173,6 +174,7 @@
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.fire(PooledEvent::Run);
         connection.task = Some(super::connection::Task::Order(order));
+        connection.rolls_back = false;
         (connection.started, connection.used) = (now, now);
         self.note_asked(now, id);
         let job = Job { setup: Vec::new(), work: Work::Order(order), rollback: false };
--- a/src/core/proxy/quota.rs
+++ b/src/core/proxy/quota.rs
@@ -119,16 +119,17 @@
             let equal = rate / hosts;
             let floor = equal * FLOOR_PERMILLE / 1_000;
             let wanted = |demand: u64| demand.max(floor);
-            let others: u64 = self
-                .others
-                .iter()
-                .map(|host| match self.reports.get(host) {
+            let (mut known, mut asked, mut reserved) = (1, 0, 0);
+            for host in &self.others {
+                match self.reports.get(host) {
                     Some(report) if now < report.at + REPORT_LIFE => {
-                        wanted(report.demand.get(account).map_or(0, |demand| demand.0))
+                        known += 1;
+                        asked += wanted(report.demand.get(account).map_or(0, |demand| demand.0));
                     }
-                    _ => equal,
-                })
-                .sum();
+                    _ => reserved += equal,
+                }
+            }
+            let free = rate.saturating_sub(reserved).max(equal);
             let bucket = self.buckets.entry(account.clone()).or_insert_with(|| Bucket {
                 level: equal * FIRST_LEVEL.0 / 1_000 + MilliTokens::ONE.0,
                 settled: now,
@@ -139,12 +140,12 @@
             });
             bucket.settle(now);
             let own = wanted(bucket.demand);
-            let total = own + others;
-            bucket.rate = if total <= rate {
-                own + (rate - total) / hosts
+            let total = own + asked;
+            bucket.rate = if total <= free {
+                own + (free - total) / known
             } else {
-                u64::try_from(u128::from(rate) * u128::from(own) / u128::from(total.max(1)))
-                    .unwrap_or(rate)
+                u64::try_from(u128::from(free) * u128::from(own) / u128::from(total.max(1)))
+                    .unwrap_or(free)
             };
             let burst = u128::from(plan.burst.0 * MilliTokens::ONE.0);
             let part = burst * u128::from(bucket.rate) / u128::from(rate.max(1));
--- a/src/core/proxy/request.rs
+++ b/src/core/proxy/request.rs
@@ -178,7 +178,9 @@
     }
 
     /// Refuses a statement that did not become a request. In a transaction nothing is kept.
-    fn refuse_statement(&mut self, id: SessionId, error: Error) {
+    pub(super) fn refuse_statement(&mut self, id: SessionId, error: Error) {
+        tracing::info!(session = id.0, kind = ?error.kind, ran = "NotRun",
+            detail = error.detail.as_str(), "request: refused");
         if let Some(open) = self.sessions.get_mut(&id).and_then(|found| found.transaction.as_mut())
         {
             open.failed = true;
--- a/src/core/proxy/session.rs
+++ b/src/core/proxy/session.rs
@@ -202,7 +202,7 @@
         }
         let (route, account) = match self.start_operation(now, id) {
             Ok(found) => found,
-            Err(error) => return self.answer(id, Answer::Refused(error)),
+            Err(error) => return self.refuse_statement(id, error),
         };
         if let Some(session) = self.sessions.get_mut(&id) {
             session.transaction = Some(Transaction {
--- a/src/net/proxy/endpoint.rs
+++ b/src/net/proxy/endpoint.rs
@@ -100,6 +100,11 @@
 
     /// Runs a job; the connection must be idle.
     pub fn run(&mut self, cx: CX![], job: Job) {
+        if self.expecting != Expecting::Nothing {
+            // Answers could be taken for those of another statement.
+            tracing::error!(expecting = ?self.expecting, "endpoint: a job came before the last ended");
+            return self.lost(cx, None, "a job came before the last one ended".into());
+        }
         self.sent = false;
         self.setup_refusal = None;
         let steps = job.setup.len();
@@ -126,10 +131,19 @@
 
     fn send_work(&mut self) {
         let Some(job) = &self.job else { return };
-        line::write_work(&mut self.stream.output, job);
-        self.expecting =
-            if job.work == Work::Nothing { Expecting::Rollback } else { Expecting::Work };
         self.sent = true;
+        if job.work == Work::Nothing {
+            return self.send_rollback();
+        }
+        line::write_work(&mut self.stream.output, &job.work);
+        self.expecting = Expecting::Work;
+    }
+
+    /// Sent only after the statement was answered: an endpoint runs a roll-back at once, ahead of a
+    /// statement that waits for a slot.
+    fn send_rollback(&mut self) {
+        line::write_rollback(&mut self.stream.output);
+        self.expecting = Expecting::Rollback;
     }
 
     fn ready(&mut self, cx: CX![], _: Ready) {
@@ -214,7 +228,11 @@
                 };
                 let status = self.read_status(&rows, &result);
                 let rollback = self.job.as_ref().is_some_and(|job| job.rollback);
-                self.expecting = if rollback { Expecting::Rollback } else { Expecting::Nothing };
+                self.expecting = Expecting::Nothing;
+                if rollback {
+                    self.send_rollback();
+                    self.flush(cx);
+                }
                 let answer = JobAnswer { rows, result, transaction, position, status };
                 fwd!([self.hub], EndpointEvent::Job(JobEnd::Answered(answer)));
             }
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -21,6 +21,7 @@
 use super::endpoint::{EndpointEvent, LineEndpoint, Target};
 use super::feed::{FeedEvent, FeedPlan, FeedRows, TableFeed};
 use super::http::{HttpServer, Respond};
+use super::peers::Peers;
 use super::store::{CallEnd, CallPurpose, Calls};
 use crate::core::life::DrainTimes;
 use crate::core::proxy::failover::{Claim, ClaimFault};
@@ -33,14 +34,16 @@
 use crate::platform::settings::PlatformSettings;
 use crate::platform::store::{self, StoreRow, WriteAnswer};
 use crate::platform::{configuration, discovery};
-use crate::types::{ConnectionId, DurationMs, GroupId, HostId, RowVersion, SessionId};
+use crate::types::{ConnectionId, DurationMs, GroupId, HostId, Incarnation, RowVersion, SessionId};
 
 /// Time between two ticks of the core.
 const TICK: Duration = Duration::from_millis(20);
 /// Table with the rows that the hosts write.
-const OWN_TABLE: &str = "medlarstile";
+pub(super) const OWN_TABLE: &str = "medlarstile";
 /// Beginning of the keys of the hosts' rows.
 const HOST_KEY: &str = "host.";
+/// Key of the row with the secret that all hosts share.
+pub(super) const SECRET_KEY: &str = "fleet.secret";
 /// Beginning of the keys of the groups' rows.
 const GROUP_KEY: &str = "group.";
 /// Pause before a row that was not written is written again.
@@ -66,27 +69,28 @@
 
 /// A host's row.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct HostRow {
-    address: SocketAddr,
-    incarnation: u64,
+pub(super) struct HostRow {
+    pub(super) address: SocketAddr,
+    pub(super) incarnation: Incarnation,
 }
 
 /// A host that serves sessions over pooled connections.
 pub struct ProxyHost {
-    settings: PlatformSettings,
-    core: Proxy,
+    pub(super) settings: PlatformSettings,
+    pub(super) core: Proxy,
     notify: Fwd<HostNotice>,
     listener: Option<MioSource<TcpListener>>,
     ready: Rc<Cell<bool>>,
     _readiness: ActorOwn<HttpServer>,
     _feeds: Vec<ActorOwn<TableFeed>>,
-    calls: ActorOwn<Calls>,
+    pub(super) calls: ActorOwn<Calls>,
     promotions: ActorOwn<Calls>,
     callers: BTreeMap<SessionId, ActorOwn<LineCaller>>,
     endpoints: BTreeMap<ConnectionId, ActorOwn<LineEndpoint>>,
     entries: BTreeMap<CompactString, EndpointEntry>,
-    hosts: BTreeMap<HostId, HostRow>,
-    incarnation: u64,
+    pub(super) hosts: BTreeMap<HostId, HostRow>,
+    pub(super) peers: Option<Peers>,
+    pub(super) incarnation: Incarnation,
     next_session: u64,
 }
 
@@ -136,7 +140,8 @@
             endpoints: BTreeMap::new(),
             entries: BTreeMap::new(),
             hosts: BTreeMap::new(),
-            incarnation: rand::random::<u32>().into(),
+            peers: None,
+            incarnation: Incarnation(rand::random()),
             next_session: 0,
         })
     }
@@ -158,7 +163,7 @@
     }
 
     /// Carries out what the core has decided.
-    fn carry_out(&mut self, cx: CX![]) {
+    pub(super) fn carry_out(&mut self, cx: CX![]) {
         loop {
             let effects = self.core.drain();
             if effects.is_empty() {
@@ -201,7 +206,7 @@
                 let request = store::promote(&group, &endpoint, &self.settings.host, token);
                 call!([self.promotions], call(CallPurpose::Promote(group), request));
             }
-            ProxyEffect::ReportDemand(_) => {}
+            ProxyEffect::ReportDemand(demand) => self.report_demand(&demand),
             ProxyEffect::Listen => self.listen(cx),
             ProxyEffect::Leave => self.ready.set(false),
             ProxyEffect::StopListening => self.listener = None,
@@ -346,6 +351,8 @@
                 tracing::info!(group = group.as_str(), ?result, "failover: claim was answered");
                 self.core.on_claimed(now, &group, result);
             }
+            // Another host's secret was first; the feed brings it.
+            CallEnd::Written(CallPurpose::Agree, _) => {}
             CallEnd::Written(purpose, answer) => {
                 if !matches!(answer, Some(WriteAnswer::Done(_))) {
                     tracing::warn!(?purpose, ?answer, "store: row was not written");
@@ -365,7 +372,7 @@
             FeedEvent::Rows(rows) if rows.table == store::ENDPOINT_TABLE => {
                 self.take_entries(&rows);
             }
-            FeedEvent::Rows(rows) => self.take_own_rows(&rows),
+            FeedEvent::Rows(rows) => self.take_own_rows(cx, &rows),
             FeedEvent::Reachable(..) => {}
         }
         self.carry_out(cx);
@@ -403,7 +410,7 @@
         self.core.set_entries(suspend_aware_clock(), entries);
     }
 
-    fn take_own_rows(&mut self, rows: &FeedRows) {
+    fn take_own_rows(&mut self, cx: CX![], rows: &FeedRows) {
         let now = suspend_aware_clock();
         if rows.whole {
             self.hosts.clear();
@@ -411,16 +418,19 @@
         for row in &rows.rows {
             if let Some(host) = row.key.strip_prefix(HOST_KEY) {
                 self.take_host(host, row);
+            } else if row.key == SECRET_KEY {
+                self.take_secret(cx, row);
             } else if let Some(group) = row.key.strip_prefix(GROUP_KEY) {
                 if let Ok(group) = group.parse::<GroupId>() {
                     self.core.on_claim_row(now, &group, row.version, read_claim(row).as_ref());
                 }
             }
         }
-        let others = self.hosts.keys().filter(|host| **host != self.settings.host);
-        let others: Vec<HostId> = others.cloned().collect();
-        let count = others.len();
-        self.core.set_hosts(now, others, count);
+        if rows.whole && self.peers.is_none() && !rows.rows.iter().any(|row| row.key == SECRET_KEY)
+        {
+            self.propose_secret();
+        }
+        self.set_peer_targets();
     }
 
     fn take_host(&mut self, host: &str, row: &StoreRow) {
--- a/src/net/proxy/mod.rs
+++ b/src/net/proxy/mod.rs
@@ -5,4 +5,5 @@
 mod feed;
 pub mod host;
 pub mod http;
+mod peers;
 mod store;
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -6,7 +6,7 @@
 
 use crate::core::group::Role;
 use crate::core::proxy::connection::Owner;
-use crate::core::proxy::job::{Job, Order, Refusal, Setup, StatusReport, Work};
+use crate::core::proxy::job::{Order, Refusal, Setup, StatusReport, Work};
 use crate::core::proxy::statement::{Access, Forward, Query, Shape, Statement};
 use crate::core::proxy::Answer;
 use crate::core::transaction::TransactionState;
@@ -345,12 +345,10 @@
     }
 }
 
-/// Writes the statement of a job and its roll-back; returns the number of answers to expect.
-pub fn write_work(out: &mut BytesMut, job: &Job) -> usize {
-    let mut answers = 0;
-    match &job.work {
+/// Writes the statement of a job.
+pub fn write_work(out: &mut BytesMut, work: &Work) {
+    match work {
         Work::Statement { id, forward, after } => {
-            answers += 1;
             out.extend_from_slice(b"QUERY ");
             out.extend_from_slice(id.as_bytes());
             out.extend_from_slice(b" ");
@@ -366,22 +364,19 @@
             }
             out.extend_from_slice(b"\r\n");
         }
-        Work::Order(order) => {
-            answers += 1;
-            match order {
-                Order::Status => own(out, &["STATUS"]),
-                Order::Pause(term) => own(out, &["PAUSE", &term.to_string()]),
-                Order::Resume => own(out, &["RESUME"]),
-                Order::Demote(term) => own(out, &["DEMOTE", &term.to_string()]),
-            }
-        }
+        Work::Order(order) => match order {
+            Order::Status => own(out, &["STATUS"]),
+            Order::Pause(term) => own(out, &["PAUSE", &term.to_string()]),
+            Order::Resume => own(out, &["RESUME"]),
+            Order::Demote(term) => own(out, &["DEMOTE", &term.to_string()]),
+        },
         Work::Nothing => {}
     }
-    if job.rollback {
-        answers += 1;
-        own(out, &["ROLLBACK"]);
-    }
-    answers
+}
+
+/// Writes the end of a transaction that keeps nothing.
+pub fn write_rollback(out: &mut BytesMut) {
+    own(out, &["ROLLBACK"]);
 }
 
 /// Writes the message that ends a connection.
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -80,6 +80,8 @@
     TokensGrant(WireTokensGrant),
     /// See [`PeerMessage::Records`].
     Records(Vec<WireRecord>),
+    /// See [`PeerMessage::Demand`].
+    Demand(Vec<(CompactString, u64)>),
 }
 
 /// Who a host is, with its proof.
@@ -249,6 +251,12 @@
             PeerMessage::Records(records) => {
                 Self::Records(records.iter().map(WireRecord::from).collect())
             }
+            PeerMessage::Demand(demand) => {
+                let entry = |(account, rate): (&AccountId, &MilliTokens)| {
+                    (CompactString::from(account.as_str()), rate.0)
+                };
+                Self::Demand(demand.iter().map(entry).collect())
+            }
         }
     }
 }
@@ -273,6 +281,13 @@
                 let records: Result<_, _> = records.into_iter().map(TryInto::try_into).collect();
                 Self::Records(records?)
             }
+            WireMessage::Demand(demand) => {
+                let entry = |(account, rate): (CompactString, u64)| {
+                    Ok((account.parse::<AccountId>()?, MilliTokens(rate)))
+                };
+                let demand: Result<_, PeerFault> = demand.into_iter().map(entry).collect();
+                Self::Demand(demand?)
+            }
         })
     }
 }
