Give leaving endpoints no work and end idle sessions without losing a statement

DRAIN: a leaving replica kept its open connections in the pool and got reads through them until it was gone. LOST: an idle session was closed while its caller's statement was on the way from the caller's actor to the core. STALE: an endpoint that had missed a promotion was promoted later, which brought rolled-back commits to life; the group's row now names the last term.

--- a/src/core/proxy/failover.rs
+++ b/src/core/proxy/failover.rs
@@ -86,6 +86,9 @@
     pub attempt: AttemptId,
     /// Endpoint that leads, once that is certain.
     pub leader: Option<EndpointId>,
+    /// Term of the last finished promotion. An endpoint of a lower term has missed it, and with it
+    /// the commits since; promoting it would bring rolled-back commits to life again.
+    pub term: Term,
 }
 
 /// What the owner is to do.
@@ -148,6 +151,7 @@
     row_seen: Timestamp,
     row_open: bool,
     row_mine: bool,
+    row_term: Term,
     unsure: bool,
     needed_since: Option<Timestamp>,
     quiet_until: Timestamp,
@@ -170,6 +174,7 @@
             row_seen: Timestamp(0),
             row_open: false,
             row_mine: false,
+            row_term: Term(0),
             unsure: false,
             needed_since: None,
             quiet_until: Timestamp(0),
@@ -206,6 +211,7 @@
         (self.row, self.row_seen) = (version, now);
         self.row_open = claim.is_some_and(|claim| claim.leader.is_none());
         self.row_mine = claim.is_some_and(|claim| claim.holder == self.host);
+        self.row_term = self.row_term.max(claim.map_or(Term(0), |claim| claim.term));
         let mine = self.row_mine && claim.is_some_and(|claim| claim.attempt == self.attempt);
         if mine && self.row_open && self.state() == FailoverState::Claiming {
             self.fire(now, FailoverEvent::Claimed, &mut Vec::new());
@@ -297,7 +303,7 @@
     fn choice(&self, now: Timestamp, around: &Surroundings) -> Option<EndpointId> {
         let answers = around.candidates.iter().filter_map(|id| {
             let status = self.statuses.get(id)?;
-            Some((status.received, id))
+            (status.term >= self.row_term).then_some((status.received, id))
         });
         let count = answers.clone().count();
         let (received, best) = answers.max_by_key(|(received, id)| (*received, (*id).clone()))?;
@@ -350,6 +356,7 @@
             FailoverState::Settling
                 if self.chosen.as_ref() == Some(endpoint) && status.role == Role::Primary =>
             {
+                self.row_term = self.row_term.max(status.term);
                 self.fire(now, FailoverEvent::Leads, &mut out);
             }
             _ => {}
@@ -461,6 +468,6 @@
     }
 
     fn claim(&self, leader: Option<EndpointId>) -> Claim {
-        Claim { holder: self.host.clone(), attempt: self.attempt, leader }
+        Claim { holder: self.host.clone(), attempt: self.attempt, leader, term: self.row_term }
     }
 }
--- a/src/core/proxy/group.rs
+++ b/src/core/proxy/group.rs
@@ -52,6 +52,8 @@
 pub struct EndpointState {
     /// Its latest entry.
     pub entry: EndpointEntry,
+    /// When it was first seen to leave.
+    pub leaving_since: Option<Timestamp>,
     /// When the entry vanished.
     pub lapsed: Option<Timestamp>,
     /// Row version with which it first claimed the lead that it claims now.
@@ -82,6 +84,7 @@
     fn new(now: Timestamp, entry: EndpointEntry) -> Self {
         Self {
             claimed_at: entry.claims_lead.then_some(entry.version),
+            leaving_since: entry.leaving.then_some(now),
             entry,
             lapsed: None,
             connections: BTreeSet::new(),
@@ -214,6 +217,8 @@
                     } else if !entry.claims_lead {
                         state.claimed_at = None;
                     }
+                    state.leaving_since =
+                        state.leaving_since.or(Some(now)).filter(|_| entry.leaving);
                     state.entry = entry.clone();
                     state.lapsed = None;
                 }
--- a/src/core/proxy/order.rs
+++ b/src/core/proxy/order.rs
@@ -62,6 +62,12 @@
         }
         let Some(status) = answer.status else { return };
         let before = group.leader.clone();
+        if group.failover.under_way(now) {
+            tracing::info!(endpoint = endpoint.as_str(), group = group_id.as_str(), ?order,
+                role = %status.role, term = status.term.0, received = %status.received,
+                lag_ms = status.lag_ms.0, applied = answer.position.as_ref().map(ToString::to_string),
+                age_ms = now.ms_since(sent).0, "failover: status");
+        }
         match status.role {
             Role::Primary => {
                 group.on_proof(now, &endpoint, status.term);
--- a/src/core/proxy/pick.rs
+++ b/src/core/proxy/pick.rs
@@ -13,7 +13,8 @@
 const EQUAL_LATENCY_US: u64 = 16_000;
 /// Part of the target latency after which a read that could run on a replica may use the primary.
 const PRIMARY_PATIENCE_DIVISOR: u64 = 4;
-/// Time for which an endpoint that leaves still gets reads if no other one can run them.
+/// Time for which an endpoint that leaves still gets work if no other one can do it; well below the
+/// time after which the platform forbids it.
 const LEAVING_REACH: DurationMs = DurationMs(3_000);
 
 /// How a request is to run on an endpoint.
@@ -37,12 +38,10 @@
     ) -> Vec<Placement> {
         let Some(session) = self.sessions.get(&request.session) else { return Vec::new() };
         let read_only = session.transaction.as_ref().is_some_and(|open| open.read_only);
-        let primary = group.leader.as_ref().filter(|id| {
-            group
-                .endpoints
-                .get(*id)
-                .is_some_and(|state| !state.entry.leaving || request.returns == 0)
-        });
+        let usable = |id: &&EndpointId| {
+            group.endpoints.get(*id).is_some_and(|state| takes_work(now, state))
+        };
+        let primary = group.leader.as_ref().filter(usable);
         let primary =
             primary.map(|id| Placement { endpoint: id.clone(), after: None, at_primary: true });
         if request.needs_primary(read_only) {
@@ -77,12 +76,14 @@
     request: &Request,
     floor: Position,
 ) -> Vec<Placement> {
+    let others = group.endpoints.iter().filter(|(id, _)| group.leader.as_ref() != Some(*id));
+    let staying = others.clone().any(|(_, state)| !state.entry.leaving && state.is_well(now));
     let usable = |id: &EndpointId, state: &EndpointState| {
-        group.leader.as_ref() != Some(id) && !request.tried.contains(id) && takes_reads(now, state)
+        let reachable = state.connect_after <= now || !state.connections.is_empty();
+        let leaves = state.entry.leaving && staying;
+        !request.tried.contains(id) && reachable && !leaves && takes_work(now, state)
     };
-    let mut found: Vec<_> = group
-        .endpoints
-        .iter()
+    let mut found: Vec<_> = others
         .filter(|(id, state)| usable(id, state))
         .map(|(id, state)| {
             let latency = (state.latency_us / EQUAL_LATENCY_US).min(64).max(1).ilog2();
@@ -96,9 +97,9 @@
     found.into_iter().map(|(_, _, endpoint)| option(endpoint)).collect()
 }
 
-fn takes_reads(now: Timestamp, state: &EndpointState) -> bool {
-    let leaving = state.entry.leaving && now >= state.heard + LEAVING_REACH;
-    !leaving && state.connect_after <= now || !state.connections.is_empty()
+/// Whether an endpoint may get new work at all.
+fn takes_work(now: Timestamp, state: &EndpointState) -> bool {
+    state.leaving_since.is_none_or(|since| now < since + LEAVING_REACH)
 }
 
 /// Spreads the client accounts over the replicas, so that each keeps its connections.
--- a/src/net/proxy/caller.rs
+++ b/src/net/proxy/caller.rs
@@ -50,6 +50,7 @@
     hub: Fwd<CallerEvent>,
     stream: Stream,
     phase: Phase,
+    end_wanted: bool,
 }
 
 impl LineCaller {
@@ -60,7 +61,7 @@
         match Stream::new(&miopoll, socket, true, ready) {
             Ok(stream) => {
                 after!(STARTUP_LIMIT, [cx], check_startup());
-                Some(Self { hub, stream, phase: Phase::Starting })
+                Some(Self { hub, stream, phase: Phase::Starting, end_wanted: false })
             }
             Err(error) => {
                 tracing::debug!(%error, "caller: connection could not be registered");
@@ -146,10 +147,29 @@
         if self.phase == Phase::Idle {
             self.take_lines(cx);
         }
+        if self.end_wanted && self.phase == Phase::Idle && state == TransactionState::Idle {
+            self.end(cx);
+        }
+    }
+
+    /// Ends the connection once no statement is under way, those included that have arrived and
+    /// were not read yet.
+    pub fn end_when_idle(&mut self, cx: CX![]) {
+        self.end_wanted = true;
+        if self.phase == Phase::Idle {
+            let filled = self.stream.fill(READ_AHEAD_BYTES);
+            self.take_lines(cx);
+            if let StreamState::Closed(_) = filled {
+                return self.gone(cx);
+            }
+        }
+        if self.phase == Phase::Idle {
+            self.end(cx);
+        }
     }
 
     /// Ends the connection after what is to be sent.
-    pub fn end(&mut self, cx: CX![]) {
+    fn end(&mut self, cx: CX![]) {
         if self.phase == Phase::Ending {
             return;
         }
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -196,7 +196,7 @@
             }
             ProxyEffect::CloseSession(session) => {
                 if let Some(caller) = self.callers.get(&session) {
-                    call!([caller], end());
+                    call!([caller], end_when_idle());
                 }
             }
             ProxyEffect::Claim(group, version, claim) => self.claim(&group, version, &claim),
