Sample positions from begins and open fewer connections

Cause: with replicas behind, every read went to the primary of its group, and half of that primary's slots ran handshakes, because a request without a connection of its account closed another account's at once. Statuses, which take a slot, were refused there, so no sample was young enough and replicas that could serve were passed over. Begins prove the lead without a slot. Ruled out: local processor time (0.02 of a core at most).

--- a/src/core/proxy/dispatch.rs
+++ b/src/core/proxy/dispatch.rs
@@ -7,11 +7,17 @@
 use super::request::ProxyRequestEvent;
 use super::statement::Forward;
 use super::{Proxy, ProxyEffect, ProxyMoment};
-use crate::types::{ConnectionId, GroupId, RequestId, Timestamp};
+use crate::types::{ConnectionId, DurationMs, GroupId, RequestId, Timestamp};
 
 /// Requests that may wait outside of the fair queue for a connection of their account.
 const MAX_PARKED: usize = 64;
 
+/// Time that a request waits before a connection of another account is closed for it. Opening one
+/// takes as long as a statement and occupies a slot.
+const REPLACE_PATIENCE: DurationMs = DurationMs(10);
+/// The same for an account whose connections are busy; one of them is free soon.
+const BUSY_PATIENCE: DurationMs = DurationMs(60);
+
 impl Proxy {
     /// Starts whatever can start in the groups that changed.
     pub(super) fn settle(&mut self, now: Timestamp) {
@@ -98,6 +104,17 @@
                 return;
             }
         }
+        let owned: usize =
+            options.iter().map(|option| self.owned(group_id, &option.endpoint, owner)).sum();
+        let patience = if owned > 0 { BUSY_PATIENCE } else { REPLACE_PATIENCE };
+        let waited = self.requests.get(&id).map(|request| now.ms_since(request.queued));
+        if waited.is_some_and(|waited| waited >= patience) {
+            for option in options {
+                if self.replace_idle(now, group_id, &option.endpoint, owner) {
+                    return;
+                }
+            }
+        }
     }
 
     /// Lends a connection to a request whose transaction, if any, is not open anywhere yet.
--- a/src/core/proxy/events.rs
+++ b/src/core/proxy/events.rs
@@ -40,13 +40,25 @@
         self.settle(now);
     }
 
+    /// A transaction that may write has begun: the endpoint leads, and its log holds every commit
+    /// acknowledged before the job was sent.
+    pub fn on_began(&mut self, now: Timestamp, id: ConnectionId, position: Position) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let Some(group) = self.groups.get_mut(&connection.group) else { return };
+        group.on_proof(now, &connection.endpoint, position.term);
+        group.on_position(&connection.endpoint, position, Some(connection.started));
+    }
+
     /// A job ended.
     pub fn on_job(&mut self, now: Timestamp, id: ConnectionId, end: JobEnd) {
         self.note_heard(now, id);
         let Some(connection) = self.connections.get_mut(&id) else { return };
         self.dirty.insert(connection.group.clone());
         match end {
-            JobEnd::Cleaned => connection.fire(PooledEvent::Answered),
+            JobEnd::Cleaned => {
+                connection.task = None;
+                connection.fire(PooledEvent::Answered);
+            }
             JobEnd::SetupRefused(refusal) => self.on_setup_refused(now, id, refusal),
             JobEnd::Answered(answer) => match connection.task.take() {
                 Some(Task::Order(order)) => {
@@ -63,9 +75,17 @@
     /// A step before the statement was refused. The statement was not sent.
     fn on_setup_refused(&mut self, now: Timestamp, id: ConnectionId, refusal: Refusal) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        let Some(Task::Request(request)) = connection.task.take() else {
-            return self.close_connection(now, id);
+        let request = match connection.task.take() {
+            Some(Task::Request(request)) => request,
+            _ => {
+                if refusal != Refusal::ReadOnly {
+                    return self.close_connection(now, id);
+                }
+                connection.fire(PooledEvent::Answered);
+                return self.deny(now, id);
+            }
         };
+        let Some(connection) = self.connections.get_mut(&id) else { return };
         let endpoint = connection.endpoint.clone();
         connection.session = None;
         // After a refused BEGIN the connection is as before; other steps leave it in doubt.
--- a/src/core/proxy/job.rs
+++ b/src/core/proxy/job.rs
@@ -29,8 +29,10 @@
 /// An order to an endpoint of a group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Order {
-    /// Report the status.
+    /// Report the status; takes a slot.
     Status,
+    /// Begin and roll back a transaction that may write, which only a primary does; takes no slot.
+    Prove,
     /// Stop receiving, below this term.
     Pause(Term),
     /// Receive again.
--- a/src/core/proxy/pick.rs
+++ b/src/core/proxy/pick.rs
@@ -38,9 +38,8 @@
     ) -> Vec<Placement> {
         let Some(session) = self.sessions.get(&request.session) else { return Vec::new() };
         let read_only = session.transaction.as_ref().is_some_and(|open| open.read_only);
-        let usable = |id: &&EndpointId| {
-            group.endpoints.get(*id).is_some_and(|state| takes_work(now, state))
-        };
+        let usable =
+            |id: &&EndpointId| group.endpoints.get(*id).is_some_and(|state| takes_work(now, state));
         let primary = group.leader.as_ref().filter(usable);
         let primary =
             primary.map(|id| Placement { endpoint: id.clone(), after: None, at_primary: true });
--- a/src/core/proxy/pool.rs
+++ b/src/core/proxy/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::connection::{Owner, Pooled, PooledEvent, PooledState, CHART};
-use super::job::{Job, Order, Work};
+use super::job::{Job, Order, Setup, Work};
 use super::{Proxy, ProxyEffect};
 use crate::types::{ConnectionId, EndpointId, GroupId, Timestamp};
 
@@ -51,9 +51,8 @@
         (limit / self.hosts.max(1)).max(LEAST_SHARE)
     }
 
-    /// Opens a connection for `owner` if the endpoint can be tried and this host's part allows it,
-    /// closing an idle connection of another owner if it must. `extra` connections go beyond the
-    /// part.
+    /// Opens a connection for `owner` if the endpoint can be tried and this host's part allows it.
+    /// `extra` connections go beyond the part.
     pub(super) fn try_connect(
         &mut self,
         now: Timestamp,
@@ -67,10 +66,25 @@
         else {
             return false;
         };
-        if now < state.connect_after {
+        if now < state.connect_after || state.connections.len() as u64 >= allowed {
             return false;
         }
-        if state.connections.len() as u64 >= allowed {
+        self.connect(now, group_id, endpoint, owner);
+        true
+    }
+
+    /// Opens a connection for `owner` in place of an idle one of another owner.
+    pub(super) fn replace_idle(
+        &mut self,
+        now: Timestamp,
+        group_id: &GroupId,
+        endpoint: &EndpointId,
+        owner: &Owner,
+    ) -> bool {
+        let group = self.groups.get(group_id);
+        let state = group.and_then(|group| group.endpoints.get(endpoint));
+        let Some(state) = state.filter(|state| now >= state.connect_after) else { return false };
+        if state.connections.len() as u64 >= self.share(group_id) {
             let Some(victim) = self.least_used(group_id, endpoint, owner) else { return false };
             self.close_connection(now, victim);
         }
@@ -78,6 +92,16 @@
         true
     }
 
+    /// Connections of `owner` to an endpoint, in any state.
+    pub(super) fn owned(&self, group: &GroupId, endpoint: &EndpointId, owner: &Owner) -> usize {
+        let state = self.groups.get(group).and_then(|group| group.endpoints.get(endpoint));
+        let ids = state.map(|state| state.connections.iter()).into_iter().flatten();
+        let mine = |id: &&ConnectionId| {
+            self.connections.get(id).is_some_and(|found| found.owner == *owner)
+        };
+        ids.filter(mine).count()
+    }
+
     /// The idle connection of another owner that has not been used for the longest time.
     fn least_used(
         &self,
@@ -177,7 +201,14 @@
         connection.rolls_back = false;
         (connection.started, connection.used) = (now, now);
         self.note_asked(now, id);
-        let job = Job { setup: Vec::new(), work: Work::Order(order), rollback: false };
+        let job = match order {
+            Order::Prove => Job {
+                setup: vec![Setup::Begin { read_only: false, after: None }],
+                work: Work::Nothing,
+                rollback: true,
+            },
+            _ => Job { setup: Vec::new(), work: Work::Order(order), rollback: false },
+        };
         self.out.push(ProxyEffect::Run(id, job));
     }
 
--- a/src/core/proxy/request.rs
+++ b/src/core/proxy/request.rs
@@ -80,6 +80,8 @@
     pub forward: Forward,
     /// When it arrived.
     pub arrived: Timestamp,
+    /// When it last began to wait for an endpoint.
+    pub queued: Timestamp,
     /// When it, or its transaction, began: commits acknowledged before must be visible.
     pub began: Timestamp,
     /// When it is given up.
@@ -156,6 +158,7 @@
             query,
             forward,
             arrived: now,
+            queued: now,
             began: open.map_or(now, |open| open.began),
             deadline: now + route.statement_limit_ms,
             machine: CHART.start(),
@@ -192,6 +195,7 @@
     /// there at once.
     pub(super) fn queue_request(&mut self, now: Timestamp, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
+        request.queued = now;
         let group_id = request.route.group.clone();
         if let Some(connection) = request.connection {
             if now >= request.rest_until {
--- a/src/core/proxy/tick.rs
+++ b/src/core/proxy/tick.rs
@@ -84,7 +84,7 @@
                 let Some(state) = group.endpoints.get(leader) else { return };
                 let quiet = now >= state.heard + LEADER_QUIET
                     || group.sampled_at().is_none_or(|at| now >= at + LEADER_QUIET);
-                let ask = quiet && state.asked.is_none() || state.down_since.is_some();
+                let ask = quiet || state.down_since.is_some();
                 ask.then(|| leader.clone()).into_iter().collect()
             }
             None => {
@@ -96,7 +96,7 @@
             }
         };
         for endpoint in asked {
-            self.order(group_id, &endpoint, Order::Status);
+            self.order(group_id, &endpoint, Order::Prove);
         }
     }
 
--- a/src/net/proxy/endpoint.rs
+++ b/src/net/proxy/endpoint.rs
@@ -9,7 +9,7 @@
 use stakker_mio::{MioPoll, Ready};
 
 use crate::core::proxy::connection::Owner;
-use crate::core::proxy::job::{Job, JobAnswer, JobEnd, Refusal, Work};
+use crate::core::proxy::job::{Job, JobAnswer, JobEnd, Refusal, Setup, Work};
 use crate::core::proxy::LossReport;
 use crate::core::transaction::TransactionState;
 use crate::net::stream::{Stream, StreamState};
@@ -39,6 +39,8 @@
 pub enum EndpointEvent {
     /// It can be used.
     Opened,
+    /// The transaction of a job has begun at an endpoint that leads, whose log stands here.
+    Began(Position),
     /// A job ended.
     Job(JobEnd),
     /// It is gone.
@@ -221,7 +223,7 @@
                 self.expecting = Expecting::Nothing;
                 fwd!([self.hub], EndpointEvent::Opened);
             }
-            Expecting::Setup(left) => self.setup_answered(cx, left, result),
+            Expecting::Setup(left) => self.setup_answered(cx, left, result, position),
             Expecting::Work => {
                 let Some(result) = result else {
                     return self.lost(cx, None, "an answer has no result".into());
@@ -249,9 +251,10 @@
         cx: CX![],
         left: usize,
         result: Option<Result<CompactString, (Refusal, CompactString)>>,
+        position: Option<Position>,
     ) {
         match result {
-            Some(Ok(_)) => {}
+            Some(Ok(_)) => self.note_begin(left, position),
             Some(Err((refusal, _))) => {
                 self.setup_refusal.get_or_insert(refusal);
             }
@@ -273,6 +276,15 @@
         }
     }
 
+    /// Only an endpoint that leads begins a transaction that may write.
+    fn note_begin(&self, left: usize, position: Option<Position>) {
+        let Some(job) = &self.job else { return };
+        let step = job.setup.len().checked_sub(left).and_then(|place| job.setup.get(place));
+        if let (Some(Setup::Begin { read_only: false, .. }), Some(position)) = (step, position) {
+            fwd!([self.hub], EndpointEvent::Began(position));
+        }
+    }
+
     fn read_status(
         &self,
         rows: &[Bytes],
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -233,6 +233,7 @@
         let now = suspend_aware_clock();
         match event {
             EndpointEvent::Opened => self.core.on_opened(now, id),
+            EndpointEvent::Began(position) => self.core.on_began(now, id, position),
             EndpointEvent::Job(end) => self.core.on_job(now, id, end),
             EndpointEvent::Lost(report) => self.core.on_lost(now, id, &report),
         }
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -365,6 +365,8 @@
             out.extend_from_slice(b"\r\n");
         }
         Work::Order(order) => match order {
+            // A proof is the begin in the job's set-up.
+            Order::Prove => {}
             Order::Status => own(out, &["STATUS"]),
             Order::Pause(term) => own(out, &["PAUSE", &term.to_string()]),
             Order::Resume => own(out, &["RESUME"]),
