Refuse a request that finds no free connection within 60% of its target latency

Cause: with both replicas of a group behind, its primary got more reads than its slots run. Requests waited a second each and then failed, and those that ran were late. Ruled out: new connections (10 a second at a primary, 0.27 of 3 slots). The callers try again at once after a promise that nothing ran. Requests wait on while the group has no healthy primary.

--- a/src/core/proxy/pool.rs
+++ b/src/core/proxy/pool.rs
@@ -139,6 +139,7 @@
             prepared: BTreeSet::new(),
         };
         self.connections.insert(connection, pooled);
+        tracing::info!(connection = connection.0, endpoint = id.as_str(), owner = ?owner, held = state.connections.len(), "pool: connection is opened");
         self.out.push(ProxyEffect::Connect {
             connection,
             group: group_id.clone(),
--- a/src/core/proxy/tick.rs
+++ b/src/core/proxy/tick.rs
@@ -3,6 +3,7 @@
 use super::connection::{PooledState, Task};
 use super::group::SUSPECT_AFTER;
 use super::job::Order;
+use super::request::Request;
 use super::{Proxy, ProxyEffect, ProxyMoment};
 use crate::error::{Error, ErrorKind};
 use crate::types::{
@@ -20,6 +21,8 @@
 const JOB_LIMIT: DurationMs = DurationMs(3_000);
 /// Time after which an idle connection beyond those in use is closed.
 const IDLE_LIMIT: DurationMs = DurationMs(20_000);
+/// Part of the target latency, in percent, for which a request waits for a free connection.
+const WAIT_PERCENT: u64 = 60;
 /// Ticks between two decays of the answer times of endpoints without work.
 const DECAY_TICKS: u64 = 10;
 
@@ -105,7 +108,7 @@
         let mut late = Vec::new();
         let mut stuck = Vec::new();
         for (id, request) in &self.requests {
-            if now >= request.deadline {
+            if now >= request.deadline || self.is_hopeless(now, request) {
                 late.push(*id);
             } else if request.is_running() && self.is_stuck(now, *id) {
                 stuck.push(*id);
@@ -119,6 +122,18 @@
         }
     }
 
+    /// Whether a request has waited so long for a free connection to a healthy endpoint that its
+    /// caller is served better by trying again, on this host or another one.
+    fn is_hopeless(&self, now: Timestamp, request: &Request) -> bool {
+        if request.is_running() || request.connection.is_some() {
+            return false;
+        }
+        let Some(group) = self.groups.get(&request.route.group) else { return false };
+        let patience = DurationMs(request.route.target_latency_ms.0 * WAIT_PERCENT / 100);
+        let leader = group.leader.as_ref().and_then(|id| group.endpoints.get(id));
+        leader.is_some_and(|leader| leader.is_well(now)) && now >= request.arrived + patience
+    }
+
     /// Whether a request could end earlier elsewhere because its endpoint is silent.
     fn is_stuck(&self, now: Timestamp, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
