--- a/src/core/proxy/pool.rs
+++ b/src/core/proxy/pool.rs
@@ -66,9 +66,15 @@
         else {
             return false;
         };
-        if now < state.connect_after || state.connections.len() as u64 >= allowed {
+        if now < state.connect_after {
             return false;
         }
+        if state.connections.len() as u64 >= allowed {
+            // A connection for orders serves no caller; the next order opens another one.
+            let spare = self.idle_connection(group_id, endpoint, Some(&Owner::Host));
+            let Some(spare) = spare.filter(|_| *owner != Owner::Host) else { return false };
+            self.close_connection(now, spare);
+        }
         self.connect(now, group_id, endpoint, owner);
         true
     }
@@ -139,7 +145,6 @@
             prepared: BTreeSet::new(),
         };
         self.connections.insert(connection, pooled);
-        tracing::info!(connection = connection.0, endpoint = id.as_str(), owner = ?owner, held = state.connections.len(), "pool: connection is opened");
         self.out.push(ProxyEffect::Connect {
             connection,
             group: group_id.clone(),
--- a/src/core/proxy/quota.rs
+++ b/src/core/proxy/quota.rs
@@ -5,7 +5,7 @@
 //! is not heard keeps its last part reserved, so that the parts of hosts that are cut off from
 //! each other do not add up to more than the rate.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::catalog::AccountPlan;
 use crate::types::{AccountId, DurationMs, HostId, MilliTokens, Timestamp};
@@ -30,7 +30,13 @@
     level: u64,
     settled: Timestamp,
     asked: u64,
+    /// Demand that was reported last.
     demand: u64,
+    /// Demand that the own part is computed from: it rises only one report later, when the other
+    /// hosts have made room for it.
+    granted: u64,
+    /// What the other hosts report, a floor for each included.
+    others: u64,
     rate: u64,
     burst: u64,
 }
@@ -49,6 +55,8 @@
     reports: BTreeMap<HostId, Report>,
     /// Other hosts that are listed.
     others: Vec<HostId>,
+    /// Hosts whose reports count, this one included.
+    known: u64,
     measured: Timestamp,
 }
 
@@ -69,7 +77,25 @@
 
     /// Takes the demand at another host.
     pub fn on_report(&mut self, now: Timestamp, host: HostId, demand: Demand) {
-        self.reports.insert(host, Report { at: now, demand });
+        if !self.others.contains(&host) {
+            return;
+        }
+        let old = self.reports.insert(host, Report { at: now, demand: demand.clone() });
+        let Some(old) = old.filter(|old| now < old.at + REPORT_LIFE) else {
+            return self.divide(now);
+        };
+        let hosts = self.others.len() as u64 + 1;
+        let accounts: BTreeSet<&AccountId> = old.demand.keys().chain(demand.keys()).collect();
+        for account in accounts {
+            let Some(plan) = self.plans.get(account) else { continue };
+            let Some(bucket) = self.buckets.get_mut(account) else { continue };
+            let parts = Parts::new(plan, hosts, self.known);
+            let before = parts.wanted(old.demand.get(account).map_or(0, |demand| demand.0));
+            let after = parts.wanted(demand.get(account).map_or(0, |demand| demand.0));
+            bucket.others = bucket.others.saturating_sub(before) + after;
+            bucket.settle(now);
+            bucket.set_rate(plan, &parts);
+        }
     }
 
     /// Takes one operation's token; false if there is none left.
@@ -99,7 +125,9 @@
         self.measured = now;
         for bucket in self.buckets.values_mut() {
             let rate = bucket.asked * MilliTokens::ONE.0 * 1_000 / spent;
-            bucket.demand = (bucket.demand + rate) / 2;
+            let before = bucket.demand;
+            bucket.demand = (before + rate) / 2;
+            bucket.granted = bucket.demand.min(before);
             bucket.asked = 0;
         }
         self.divide(now);
@@ -112,50 +140,80 @@
         busy.map(|(account, bucket)| (account.clone(), MilliTokens(bucket.demand))).collect()
     }
 
+    /// Computes all parts anew from the reports that count.
     fn divide(&mut self, now: Timestamp) {
         let hosts = self.others.len() as u64 + 1;
+        let young: Vec<&Demand> = self
+            .others
+            .iter()
+            .filter_map(|host| self.reports.get(host))
+            .filter(|report| now < report.at + REPORT_LIFE)
+            .map(|report| &report.demand)
+            .collect();
+        self.known = young.len() as u64 + 1;
         for (account, plan) in &self.plans {
-            let rate = plan.rate_per_s.0 * MilliTokens::ONE.0;
-            let equal = rate / hosts;
-            let floor = equal * FLOOR_PERMILLE / 1_000;
-            let wanted = |demand: u64| demand.max(floor);
-            let (mut known, mut asked, mut reserved) = (1, 0, 0);
-            for host in &self.others {
-                match self.reports.get(host) {
-                    Some(report) if now < report.at + REPORT_LIFE => {
-                        known += 1;
-                        asked += wanted(report.demand.get(account).map_or(0, |demand| demand.0));
-                    }
-                    _ => reserved += equal,
-                }
-            }
-            let free = rate.saturating_sub(reserved).max(equal);
+            let parts = Parts::new(plan, hosts, self.known);
+            let asked = |demand: &&Demand| demand.get(account).map_or(0, |demand| demand.0);
+            let others = young.iter().map(|demand| parts.wanted(asked(demand))).sum();
             let bucket = self.buckets.entry(account.clone()).or_insert_with(|| Bucket {
-                level: equal * FIRST_LEVEL.0 / 1_000 + MilliTokens::ONE.0,
+                level: parts.equal * FIRST_LEVEL.0 / 1_000 + MilliTokens::ONE.0,
                 settled: now,
                 asked: 0,
                 demand: 0,
-                rate: equal,
+                granted: 0,
+                others: 0,
+                rate: parts.equal,
                 burst: 0,
             });
             bucket.settle(now);
-            let own = wanted(bucket.demand);
-            let total = own + asked;
-            bucket.rate = if total <= free {
-                own + (free - total) / known
-            } else {
-                u64::try_from(u128::from(free) * u128::from(own) / u128::from(total.max(1)))
-                    .unwrap_or(free)
-            };
-            let burst = u128::from(plan.burst.0 * MilliTokens::ONE.0);
-            let part = burst * u128::from(bucket.rate) / u128::from(rate.max(1));
-            bucket.burst = u64::try_from(part).unwrap_or(0).max(MilliTokens::ONE.0);
-            bucket.level = bucket.level.min(bucket.burst);
+            bucket.others = others;
+            bucket.set_rate(plan, &parts);
         }
     }
 }
 
+/// How an account's rate is divided, in thousandths of an operation a second.
+struct Parts {
+    rate: u64,
+    /// An equal part.
+    equal: u64,
+    /// Least part of a host.
+    floor: u64,
+    /// What the hosts that report may use.
+    free: u64,
+    /// Hosts that report, this one included.
+    known: u64,
+}
+
+impl Parts {
+    fn new(plan: &AccountPlan, hosts: u64, known: u64) -> Self {
+        let rate = plan.rate_per_s.0 * MilliTokens::ONE.0;
+        let equal = rate / hosts;
+        let reserved = equal * hosts.saturating_sub(known);
+        let free = rate.saturating_sub(reserved).max(equal);
+        Self { rate, equal, floor: equal * FLOOR_PERMILLE / 1_000, free, known }
+    }
+
+    fn wanted(&self, demand: u64) -> u64 {
+        demand.max(self.floor)
+    }
+}
+
 impl Bucket {
+    /// Sets the own part of the rate and of the burst.
+    fn set_rate(&mut self, plan: &AccountPlan, parts: &Parts) {
+        let own = parts.wanted(self.granted);
+        let total = own + self.others;
+        self.rate = if total <= parts.free {
+            own + (parts.free - total) / parts.known
+        } else {
+            scale(parts.free, own, total)
+        };
+        let burst = scale(plan.burst.0 * MilliTokens::ONE.0, self.rate, parts.rate);
+        self.burst = burst.max(MilliTokens::ONE.0);
+        self.level = self.level.min(self.burst);
+    }
+
     fn settle(&mut self, now: Timestamp) {
         let spent_us = now.0.saturating_sub(self.settled.0);
         let gained = u128::from(self.rate) * u128::from(spent_us) / 1_000_000;
@@ -166,3 +224,9 @@
         }
     }
 }
+
+/// `amount * part / whole`.
+fn scale(amount: u64, part: u64, whole: u64) -> u64 {
+    let scaled = u128::from(amount) * u128::from(part) / u128::from(whole.max(1));
+    u64::try_from(scaled).unwrap_or(u64::MAX)
+}
--- a/src/core/proxy/tick.rs
+++ b/src/core/proxy/tick.rs
@@ -22,7 +22,9 @@
 /// Time after which an idle connection beyond those in use is closed.
 const IDLE_LIMIT: DurationMs = DurationMs(20_000);
 /// Part of the target latency, in percent, for which a request waits for a free connection.
-const WAIT_PERCENT: u64 = 60;
+const WAIT_PERCENT: u64 = 30;
+/// Shortest such wait; time for a few statements and a new connection.
+const LEAST_WAIT: DurationMs = DurationMs(60);
 /// Ticks between two decays of the answer times of endpoints without work.
 const DECAY_TICKS: u64 = 10;
 
@@ -129,7 +131,8 @@
             return false;
         }
         let Some(group) = self.groups.get(&request.route.group) else { return false };
-        let patience = DurationMs(request.route.target_latency_ms.0 * WAIT_PERCENT / 100);
+        let part = DurationMs(request.route.target_latency_ms.0 * WAIT_PERCENT / 100);
+        let patience = part.max(LEAST_WAIT);
         let leader = group.leader.as_ref().and_then(|id| group.endpoints.get(id));
         leader.is_some_and(|leader| leader.is_well(now)) && now >= request.arrived + patience
     }
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -10,7 +10,7 @@
 use crate::core::proxy::statement::{Access, Forward, Query, Shape, Statement};
 use crate::core::proxy::Answer;
 use crate::core::transaction::TransactionState;
-use crate::error::{Error, ErrorKind};
+use crate::error::{Error, ErrorKind, Ran};
 use crate::types::{DurationMs, EndpointId, GroupId, HostId, Position, Term};
 
 /// Largest message, its end included.
@@ -259,8 +259,8 @@
         ErrorKind::UnknownStatement => "NOSTMT",
         ErrorKind::Stale => "LAGGING",
         ErrorKind::TransactionLost | ErrorKind::DeadlineExceeded | ErrorKind::Canceled => "ABORTED",
-        ErrorKind::OutcomeUnknown | ErrorKind::Internal => "INDOUBT",
-        _ => "BUSY",
+        _ if kind.answer().ran == Ran::NotRun => "BUSY",
+        _ => "INDOUBT",
     }
 }
 
--- /dev/null
+++ b/tests/platform_codec.rs
@@ -0,0 +1,228 @@
+//! The platform's lines, settings, configuration, entries and store calls.
+
+use bytes::{Bytes, BytesMut};
+use medlarstile::core::proxy::catalog::{CallerKey, ReadRule};
+use medlarstile::core::proxy::connection::Owner;
+use medlarstile::core::proxy::job::{Refusal, Setup, Work};
+use medlarstile::core::proxy::statement::{Access, Forward, Shape, Statement};
+use medlarstile::core::proxy::Answer;
+use medlarstile::core::transaction::TransactionState;
+use medlarstile::error::{Error, ErrorKind, Ran};
+use medlarstile::platform::line::{self, CallerMessage, EndpointMessage, LineError};
+use medlarstile::platform::settings::PlatformSettings;
+use medlarstile::platform::store::{self, HttpAnswer, RowsAnswer, WriteAnswer};
+use medlarstile::platform::{configuration, discovery};
+use medlarstile::types::{AccountId, DurationMs, Position, RowVersion, Term};
+use yare::parameterized;
+
+const SETTINGS: &str = r#"{"nodeName":"frontend-a-1","ip":"127.0.0.1","zone":"a","unknown":{},
+    "bindAddrs":{"frontend":"127.0.0.1:8465","readiness":"127.0.0.1:8460"},
+    "internalPortRange":[7560,7575],"bounds":{"graceS":6},
+    "platform":{"address":"127.0.0.1:8466"},"cloudApi":{"address":"127.0.0.1:8467"}}"#;
+
+fn caller(text: &str) -> Result<CallerMessage, LineError> {
+    line::read_caller(&Bytes::copy_from_slice(text.as_bytes()))
+}
+
+fn statement(text: &str) -> Option<Statement> {
+    match caller(&format!("QUERY q1 {text}")) {
+        Ok(CallerMessage::Query(Ok(query))) => Some(query.statement),
+        _ => None,
+    }
+}
+
+/// Guards against statements that are taken for others, and against texts that end a host.
+#[parameterized(
+    begin = { "BEGIN", Some(Statement::Begin { read_only: false }) },
+    begin_read = { "BEGIN READ", Some(Statement::Begin { read_only: true }) },
+    begin_other = { "BEGIN WRITE", None },
+    commit = { "COMMIT", Some(Statement::Commit) },
+    read = { "READ 1a4", Some(Statement::Data(Access::Read)) },
+    write = { "WRITE 1a4 some data", Some(Statement::Data(Access::Write)) },
+    set = { "SET v two words", Some(Statement::Set { name: "v".into(), value: "two words".into() }) },
+    prepare = { "PREPARE s WRITE q2", Some(Statement::Prepare {
+        name: "s".into(), shape: Shape { access: Access::Write, text: "q2".into() } }) },
+    prepare_other = { "PREPARE s DROP q2", None },
+    execute = { "EXECUTE s 1a4 x y", Some(Statement::Execute {
+        name: "s".into(), arguments: Bytes::from_static(b"1a4 x y") }) },
+    after = { "AFTER 1.2 READ 1", None },
+    status = { "STATUS", None },
+    nothing = { "", None },
+)]
+fn statements_are_read(text: &str, expected: Option<Statement>) {
+    assert_eq!(statement(text), expected);
+}
+
+/// Guards against messages that are cut, joined or too long.
+#[test]
+fn lines_are_taken_whole() {
+    let mut input = BytesMut::from(&b"QUERY 1 READ a\r\nQUERY 2 RE"[..]);
+    assert_eq!(line::next_line(&mut input), Ok(Some(Bytes::from_static(b"QUERY 1 READ a"))));
+    assert_eq!(line::next_line(&mut input), Ok(None));
+    input.extend_from_slice(b"AD b\r\n");
+    assert_eq!(line::next_line(&mut input), Ok(Some(Bytes::from_static(b"QUERY 2 READ b"))));
+    let mut long = BytesMut::from(vec![b'x'; line::MAX_LINE_BYTES + 1].as_slice());
+    assert_eq!(line::next_line(&mut long), Err(LineError::TooLong));
+}
+
+/// Guards against an answer whose promise differs from what the error kind says: a code that
+/// promises that nothing is kept is used only for kinds that do.
+#[test]
+fn codes_keep_the_promise_of_their_kind() {
+    let promises = ["BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"];
+    for kind in ErrorKind::ALL {
+        let mut out = BytesMut::new();
+        line::write_error(&mut out, &Error::new(kind, "x"));
+        let text = String::from_utf8(out.to_vec()).expect("text");
+        let code = text.split(' ').nth(1).expect("a code");
+        if promises.contains(&code) {
+            assert_ne!(kind.answer().ran, Ran::Ran, "{kind:?} is told as {code}");
+            assert_ne!(kind, ErrorKind::OutcomeUnknown);
+        }
+        assert!(text.ends_with("\r\n") && text.lines().count() == 1, "{text:?}");
+    }
+}
+
+/// Guards against a request that is changed on its way, or a key that is passed on.
+#[test]
+fn endpoints_get_the_callers_text_and_the_account() {
+    let mut out = BytesMut::new();
+    let owner = Owner::Account("north".parse().expect("an account"));
+    let (group, host) = ("db".parse().expect("a group"), "h1".parse().expect("a host"));
+    line::write_startup(&mut out, &group, &owner, &host, &"i-1".parse().expect("an endpoint"));
+    let shape = Shape { access: Access::Read, text: "q1".into() };
+    line::write_setup(&mut out, &Setup::Prepare(shape.clone()));
+    let after = Some(Position::new(Term(3), 1207));
+    let read = Forward::Text("READ 1a4".into());
+    line::write_work(&mut out, &Work::Statement { id: "q1".into(), forward: read, after });
+    let execute = Forward::Execute(shape, "1a4 x".into());
+    line::write_work(&mut out, &Work::Statement { id: "q2".into(), forward: execute, after: None });
+    let expected = "STARTUP db north i-1\r\nQUERY - PREPARE read.q1 READ q1\r\n\
+        QUERY q1 AFTER 3.1207 READ 1a4\r\nQUERY q2 EXECUTE read.q1 1a4 x\r\n";
+    assert_eq!(out, expected.as_bytes());
+}
+
+/// Guards against endpoint messages that are taken for others.
+#[parameterized(
+    row = { "ROW a b", Some(EndpointMessage::Row(Bytes::from_static(b"a b"))) },
+    complete = { "COMPLETE 7.1f", Some(EndpointMessage::Complete("7.1f".into())) },
+    lagging = { "ERROR LAGGING 3.1", Some(EndpointMessage::Error(Refusal::Lagging, "3.1".into())) },
+    unknown_code = { "ERROR NEW x", Some(EndpointMessage::Error(Refusal::Other, "x".into())) },
+    ready = { "READY T 3.9", Some(EndpointMessage::Ready(
+        TransactionState::Open, Some(Position::new(Term(3), 9)))) },
+    ready_without = { "READY I -", Some(EndpointMessage::Ready(TransactionState::Idle, None)) },
+    bad_state = { "READY X -", None },
+    bad_position = { "READY I 3", None },
+    other = { "HELLO", None },
+)]
+fn endpoint_messages_are_read(text: &str, expected: Option<EndpointMessage>) {
+    assert_eq!(line::read_endpoint(&Bytes::copy_from_slice(text.as_bytes())).ok(), expected);
+}
+
+/// Guards against a status that is misread.
+#[test]
+fn a_status_is_read() {
+    let status = line::read_status(&Bytes::from_static(b"replica 3 3.1209 0 12 2 17"));
+    let status = status.expect("a status");
+    assert_eq!((status.term, status.received), (Term(3), Position::new(Term(3), 1209)));
+    assert_eq!(status.lag_ms, DurationMs(12));
+    assert!(line::read_status(&Bytes::from_static(b"replica 3")).is_err());
+}
+
+/// Guards against an answer that loses rows or the signature.
+#[test]
+fn answers_are_written_whole() {
+    let mut out = BytesMut::new();
+    let rows = vec![Bytes::from_static(b"r1"), Bytes::from_static(b"r2")];
+    let position = Some(Position::new(Term(1), 2));
+    let answer = Answer::Endpoint { rows, signature: "sig".into(), position };
+    line::write_answer(&mut out, &answer, TransactionState::Idle);
+    assert_eq!(out, &b"ROW r1\r\nROW r2\r\nCOMPLETE sig\r\nREADY I 1.2\r\n"[..]);
+}
+
+/// Guards against a host that starts on settings that it misreads.
+#[parameterized(
+    whole = { SETTINGS.to_owned(), None },
+    no_name = { SETTINGS.replace("nodeName", "n"), Some("nodeName") },
+    one_port = { SETTINGS.replace("7575", "7560"), Some("two ports") },
+    no_grace = { SETTINGS.replace(r#""graceS":6"#, r#""graceS":0"#), Some("graceS") },
+    cut = { SETTINGS[..40].to_owned(), Some("EOF") },
+)]
+fn settings_are_checked(text: String, fault: Option<&str>) {
+    let read = PlatformSettings::parse(&text);
+    match fault {
+        None => {
+            let settings = read.expect("the settings are valid");
+            assert_eq!(settings.stop_limit_ms, DurationMs(6_000));
+            assert_eq!(settings.peers.port() + 1, settings.metrics.port());
+        }
+        Some(fault) => {
+            let found = read.expect_err("the settings are not valid");
+            assert!(found.contains(fault), "{found}");
+        }
+    }
+}
+
+/// Guards against a configuration that is misread.
+#[test]
+fn a_configuration_is_read() {
+    let text = br#"{"version":7,"routes":[{"name":"r","database":"d1","type":"read_your_writes",
+        "timeoutMs":1000,"targetLatencyMs":400,"service":"s1","maxStalenessMs":2500},
+        {"name":"web","service":"s1","timeoutMs":5}],
+        "services":[{"name":"s1","maxConnections":38,"syncReplicas":1}],
+        "limits":{"txIdleMs":3000},
+        "tenants":[{"name":"t1","apiKeys":["k1","k2"],"ratePerS":140,"burst":70}]}"#;
+    let catalog = configuration::read(text).expect("a configuration");
+    let route = &catalog.routes[&"d1".parse().expect("a name")];
+    assert_eq!(route.rule, ReadRule::OwnWrites(DurationMs(2_500)));
+    assert_eq!(catalog.routes.len(), 1, "a route without a database is for other traffic");
+    let account: AccountId = "t1".parse().expect("an account");
+    assert_eq!(catalog.keys[&CallerKey::new("k2")], account);
+    assert_eq!(catalog.accounts[&account].burst.0, 70);
+    assert!(configuration::read(b"{\"version\":\"x\"}").is_err());
+    assert!(!format!("{catalog:?}").contains("k1"), "a key is printed");
+}
+
+/// Guards against entries of other writers that name an endpoint to use.
+#[parameterized(
+    whole = { r#"{"service":"s1","address":"127.0.0.1:80","zone":"a","state":"draining",
+        "dbRole":"primary","born":5}"#, true },
+    unknown_state = { r#"{"service":"s1","address":"127.0.0.1:80","zone":"a","state":"odd",
+        "dbRole":"primary"}"#, false },
+    no_address = { r#"{"service":"s1","zone":"a","state":"ready","dbRole":"primary"}"#, false },
+    number = { r#"{"service":4,"address":"127.0.0.1:80","zone":"a","state":"ready",
+        "dbRole":"primary"}"#, false },
+    bytes = { "\u{0}\u{1}", false },
+)]
+fn entries_are_checked(text: &str, usable: bool) {
+    let entry = discovery::read("i-1", RowVersion(3), text.as_bytes());
+    assert_eq!(entry.is_ok(), usable, "{entry:?}");
+    if let Ok(entry) = entry {
+        assert!(entry.leaving && entry.claims_lead && entry.started_ms == 5);
+    }
+}
+
+fn answer(status: u16, body: &str) -> HttpAnswer {
+    HttpAnswer { status, body: body.as_bytes().to_vec() }
+}
+
+/// Guards against a forgotten history or a refusal that is taken for an empty table.
+#[test]
+fn store_answers_are_read() {
+    let rows = r#"{"rows":[{"table":"t","part":"","key":"k","value":"bm9kZS0x","ver":4},
+        {"table":"t","part":"","key":"g","ver":5,"removed":true}],"hasMore":true,"ver":9}"#;
+    match store::read_rows(&answer(200, rows)) {
+        RowsAnswer::Rows(found) => {
+            assert_eq!(found.rows[0].value.as_deref(), Some(&b"node-1"[..]));
+            assert_eq!(found.rows[1].value, None);
+            assert!(found.has_more && found.version == RowVersion(9));
+        }
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(store::read_rows(&answer(410, "")), RowsAnswer::HistoryGone);
+    assert!(matches!(store::read_rows(&answer(429, "{}")), RowsAnswer::Refused(_)));
+    assert!(matches!(store::read_rows(&answer(200, "<")), RowsAnswer::Refused(_)));
+    let done = store::read_write(&answer(200, r#"{"ver":12}"#));
+    assert_eq!(done, WriteAnswer::Done(RowVersion(12)));
+    assert_eq!(store::read_write(&answer(412, r#"{"rows":[]}"#)), WriteAnswer::Changed(None));
+}
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,281 @@
+//! Sessions over pooled connections, event by event on a paused clock.
+
+mod proxy_rig;
+
+use medlarstile::core::proxy::job::{JobEnd, Refusal, Setup, Work};
+use medlarstile::core::proxy::statement::{Access, Shape, Statement};
+use medlarstile::core::proxy::{Answer, ProxyEffect};
+use medlarstile::core::transaction::TransactionState;
+use medlarstile::error::ErrorKind;
+use medlarstile::types::RowVersion;
+use proxy_rig::{at, catalog, entry, id, Rig};
+use yare::parameterized;
+
+const READ: Statement = Statement::Data(Access::Read);
+const WRITE: Statement = Statement::Data(Access::Write);
+const BEGIN: Statement = Statement::Begin { read_only: false };
+
+fn refused(answer: &Answer) -> Option<ErrorKind> {
+    match answer {
+        Answer::Refused(error) => Some(error.kind),
+        _ => None,
+    }
+}
+
+/// Guards against reads of a route at an endpoint that cannot prove the age of its data: a plain
+/// read alone is not refused by a primary that has lost the lead.
+#[parameterized(
+    primary = { "orders", "a", true },
+    bounded = { "lookups", "b", false },
+    own_writes = { "plans", "b", false },
+)]
+fn a_single_read_is_proven(database: &str, endpoint: &str, guarded: bool) {
+    let mut rig = Rig::new();
+    let session = rig.session(1, database);
+    rig.send(session, READ);
+    let (_, found, job) = rig.next_job();
+    let begins = job.setup.contains(&Setup::Begin { read_only: false, after: None });
+    assert_eq!((begins, job.rollback), (guarded, guarded));
+    let after = match &job.work {
+        Work::Statement { after, .. } => *after,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(after.is_some(), !guarded);
+    let replica = found == id("b") || found == id("c");
+    assert_eq!(replica, endpoint == "b", "{found}");
+}
+
+/// Guards against a read on a replica that misses the session's own commit.
+#[test]
+fn a_session_reads_its_own_commit() {
+    let mut rig = Rig::new();
+    let session = rig.session(1, "plans");
+    rig.send(session, WRITE);
+    let (connection, endpoint, job) = rig.next_job();
+    assert_eq!(endpoint, id("a"));
+    rig.succeed(connection, &job, TransactionState::Idle);
+    rig.send(session, READ);
+    let (_, _, job) = rig.next_job();
+    assert!(matches!(job.work, Work::Statement { after: Some(after), .. } if after == at(1, 11)));
+}
+
+/// Guards against data that is older than the route allows: without a young sample the read goes
+/// to the primary.
+#[test]
+fn a_read_without_a_young_sample_goes_to_the_primary() {
+    let mut rig = Rig::new();
+    rig.core.set_entries(rig.now, vec![entry("b", false), entry("c", false)]);
+    rig.pass(100);
+    // The clock jumps as after a suspension; nothing was sampled meanwhile.
+    rig.now = medlarstile::types::Timestamp(rig.now.0 + 1_600_000);
+    let session = rig.session(1, "lookups");
+    rig.send(session, READ);
+    let replicas = rig.jobs.iter().filter(|(_, endpoint, _)| *endpoint != id("a")).count();
+    assert_eq!(replicas, 0);
+}
+
+/// Guards against crossed answers: a guarded read whose caller has gone was rolled back twice, and
+/// the next statement took the second roll-back's answer for its own.
+#[test]
+fn an_abandoned_guarded_read_is_rolled_back_once() {
+    let mut rig = Rig::new();
+    let session = rig.session(1, "orders");
+    rig.send(session, READ);
+    let (connection, _, job) = rig.next_job();
+    assert!(job.rollback);
+    rig.core.close_session(rig.now, session);
+    rig.settle();
+    rig.core.on_began(rig.now, connection, at(1, 10));
+    let answer = medlarstile::core::proxy::job::JobAnswer {
+        rows: Vec::new(),
+        result: Ok("signed".into()),
+        transaction: TransactionState::Open,
+        position: None,
+        status: None,
+    };
+    rig.core.on_job(rig.now, connection, JobEnd::Answered(answer));
+    rig.settle();
+    assert!(rig.jobs.is_empty(), "a second roll-back was sent: {:?}", rig.jobs);
+    rig.core.on_job(rig.now, connection, JobEnd::Cleaned);
+    rig.settle();
+    assert!(rig.core.connection(connection).expect("it stays open").is_idle());
+}
+
+/// Guards against a write that runs twice, and against a false promise: only refusals that promise
+/// no run are tried again.
+#[parameterized(
+    busy = { Refusal::Busy, true },
+    lost_lead = { Refusal::ReadOnly, true },
+    failed = { Refusal::Failed, false },
+    timed_out = { Refusal::TimedOut, false },
+)]
+fn a_single_write_is_sent_again_only_if_it_did_not_run(refusal: Refusal, again: bool) {
+    let mut rig = Rig::new();
+    let session = rig.session(1, "orders");
+    rig.send(session, WRITE);
+    let (connection, _, _) = rig.next_job();
+    rig.refuse(connection, refusal, TransactionState::Idle);
+    assert_eq!(rig.told.is_empty(), again, "{:?}", rig.told);
+    if !again {
+        rig.pass(200);
+        let writes =
+            rig.jobs.iter().filter(|(_, _, job)| matches!(job.work, Work::Statement { .. }));
+        assert_eq!(writes.count(), 0);
+    }
+}
+
+/// Guards against a false promise about a write whose connection broke.
+#[parameterized(
+    write_sent = { false, true, ErrorKind::OutcomeUnknown },
+    commit_of_a_write = { true, true, ErrorKind::OutcomeUnknown },
+    commit_of_a_read = { true, false, ErrorKind::TransactionLost },
+)]
+fn a_lost_connection_is_told_truthfully(commit: bool, writes: bool, kind: ErrorKind) {
+    let mut rig = Rig::new();
+    let session = rig.session(1, "orders");
+    if commit {
+        rig.send(session, BEGIN);
+        rig.send(session, if writes { WRITE } else { READ });
+        let (connection, _, job) = rig.next_job();
+        rig.succeed(connection, &job, TransactionState::Open);
+        rig.send(session, Statement::Commit);
+    } else {
+        rig.send(session, WRITE);
+    }
+    let (connection, _, _) = rig.next_job();
+    rig.lose(connection, true);
+    let (_, answer, state) = rig.last_told();
+    assert_eq!((refused(answer), *state), (Some(kind), TransactionState::Idle));
+}
+
+/// Guards against a transaction that goes on elsewhere after its connection broke between two
+/// statements.
+#[test]
+fn a_transaction_ends_with_its_connection() {
+    let mut rig = Rig::new();
+    let session = rig.session(1, "orders");
+    rig.send(session, BEGIN);
+    rig.send(session, WRITE);
+    let (connection, _, job) = rig.next_job();
+    rig.succeed(connection, &job, TransactionState::Open);
+    rig.lose(connection, false);
+    rig.send(session, WRITE);
+    let (_, answer, state) = rig.last_told();
+    assert_eq!(refused(answer), Some(ErrorKind::TransactionLost));
+    assert_eq!(*state, TransactionState::Failed);
+    assert!(rig.jobs.is_empty());
+    rig.send(session, Statement::Rollback);
+    assert_eq!(rig.last_told().2, TransactionState::Idle);
+}
+
+/// Guards against values and prepared names of one session that another one sees.
+#[test]
+fn a_connection_takes_on_the_values_of_each_session() {
+    let mut rig = Rig::new();
+    let (one, two) = (rig.session(1, "orders"), rig.session(2, "orders"));
+    rig.send(one, Statement::Set { name: "v".into(), value: "1".into() });
+    rig.send(one, WRITE);
+    let (connection, _, job) = rig.next_job();
+    assert_eq!(job.setup, [Setup::Set("v".into(), "1".into())]);
+    rig.succeed(connection, &job, TransactionState::Idle);
+    rig.send(two, WRITE);
+    let (again, _, job) = rig.next_job();
+    assert_eq!((again, job.setup), (connection, vec![Setup::Reset]));
+}
+
+/// Guards against names of prepared statements that collide between sessions.
+#[test]
+fn a_prepared_name_stands_for_the_sessions_own_shape() {
+    let mut rig = Rig::new();
+    let (one, two) = (rig.session(1, "orders"), rig.session(2, "orders"));
+    let shapes = ["q1", "q2"].map(|text| Shape { access: Access::Write, text: text.into() });
+    for (session, shape) in [one, two].into_iter().zip(shapes.clone()) {
+        rig.send(session, Statement::Prepare { name: "s".into(), shape });
+    }
+    for (session, shape) in [one, two].into_iter().zip(shapes) {
+        let arguments = "1 x".into();
+        rig.send(session, Statement::Execute { name: "s".into(), arguments });
+        let (connection, _, job) = rig.next_job();
+        assert!(job.setup.contains(&Setup::Prepare(shape)));
+        rig.succeed(connection, &job, TransactionState::Idle);
+    }
+}
+
+/// Guards against new work for an endpoint that leaves: its open connections stayed in the pool.
+#[test]
+fn a_leaving_replica_gets_no_reads() {
+    let mut rig = Rig::new();
+    let sessions: Vec<_> = (1..=8).map(|number| rig.session(number, "lookups")).collect();
+    for session in &sessions {
+        rig.send(*session, READ);
+    }
+    while let Some((connection, _, job)) = rig.jobs.pop_front() {
+        rig.succeed(connection, &job, TransactionState::Idle);
+    }
+    let mut leaving = entry("b", false);
+    leaving.leaving = true;
+    leaving.version = RowVersion(2);
+    rig.core.set_entries(rig.now, vec![entry("a", true), leaving, entry("c", false)]);
+    for session in &sessions {
+        rig.send(*session, READ);
+    }
+    rig.pass(40);
+    assert!(!rig.jobs.is_empty());
+    assert!(rig.jobs.iter().all(|(_, endpoint, _)| *endpoint != id("b")));
+}
+
+/// Guards against a key or route that still works after a newer version dropped it, and against a
+/// version that comes back.
+#[test]
+fn an_operation_follows_the_newest_configuration() {
+    let mut rig = Rig::new();
+    let session = rig.session(1, "orders");
+    let mut without_keys = catalog(2);
+    without_keys.keys.clear();
+    rig.core.set_catalog(rig.now, without_keys);
+    rig.core.set_catalog(rig.now, catalog(1));
+    rig.send(session, WRITE);
+    assert_eq!(refused(&rig.last_told().1), Some(ErrorKind::WrongKey));
+    let mut without_routes = catalog(3);
+    without_routes.routes.clear();
+    rig.core.set_catalog(rig.now, without_routes);
+    rig.send(session, WRITE);
+    assert_eq!(refused(&rig.last_told().1), Some(ErrorKind::NoRoute));
+}
+
+/// Guards against a stop that cuts off work: idle sessions end after the notice, a transaction
+/// goes on until its commit.
+#[test]
+fn a_stop_lets_a_transaction_end() {
+    let mut rig = Rig::new();
+    let (idle, busy) = (rig.session(1, "orders"), rig.session(2, "orders"));
+    rig.send(busy, BEGIN);
+    rig.send(busy, WRITE);
+    let (connection, _, job) = rig.next_job();
+    rig.succeed(connection, &job, TransactionState::Open);
+    rig.core.stop(rig.now);
+    rig.settle();
+    assert!(!rig.core.is_ready());
+    rig.pass(2_020);
+    assert!(rig.other.contains(&ProxyEffect::CloseSession(idle)));
+    assert!(!rig.other.contains(&ProxyEffect::CloseSession(busy)));
+    rig.send(busy, Statement::Commit);
+    let (connection, _, job) = rig.next_job();
+    rig.succeed(connection, &job, TransactionState::Idle);
+    assert!(matches!(rig.last_told().1, Answer::Endpoint { .. }));
+    assert!(rig.other.contains(&ProxyEffect::CloseSession(busy)));
+}
+
+/// Guards against requests that wait for a busy primary until their callers have given up.
+#[test]
+fn a_request_without_a_free_connection_is_refused_in_time() {
+    let mut rig = Rig::new();
+    for number in 1..=12 {
+        let session = rig.session(number, "orders");
+        rig.send(session, WRITE);
+    }
+    rig.pass(100);
+    let kinds: Vec<_> = rig.told.iter().map(|(_, answer, _)| refused(answer)).collect();
+    assert_eq!(kinds, vec![Some(ErrorKind::Overloaded); 4], "8 connections run 8 of 12 writes");
+    assert!(ErrorKind::Overloaded.answer().ran == medlarstile::error::Ran::NotRun);
+}
--- /dev/null
+++ b/tests/proxy_failover.rs
@@ -0,0 +1,207 @@
+//! Replacing the primary of a group, step by step on a paused clock.
+
+use medlarstile::core::group::Role;
+use medlarstile::core::proxy::failover::{
+    Claim, ClaimFault, Failover, FailoverEffect, FailoverState, PromoteAnswer, Surroundings,
+};
+use medlarstile::core::proxy::job::{Order, StatusReport};
+use medlarstile::types::{
+    AttemptId, DurationMs, EndpointId, HostId, Position, RowVersion, Term, Timestamp,
+};
+use yare::parameterized;
+
+fn host(name: &str) -> HostId {
+    name.parse().expect("a host")
+}
+
+fn endpoint(name: &str) -> EndpointId {
+    name.parse().expect("an endpoint")
+}
+
+fn around(sync_replicas: u32) -> Surroundings {
+    let candidates = vec![endpoint("b"), endpoint("c")];
+    Surroundings { candidates, leaving: None, sync_replicas, replicas: 2, term: Term(1) }
+}
+
+fn status(role: Role, term: u64, index: u64) -> StatusReport {
+    let received = Position::new(Term(1), index);
+    StatusReport { role, term: Term(term), received, lag_ms: DurationMs(0) }
+}
+
+struct Rig {
+    failover: Failover,
+    now: Timestamp,
+    around: Surroundings,
+    seen: Vec<FailoverEffect>,
+}
+
+impl Rig {
+    fn new(around: Surroundings) -> Self {
+        let failover = Failover::new(host("h1"), 0);
+        Self { failover, now: Timestamp(1_000_000), around, seen: Vec::new() }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(20) {
+            self.now = self.now + DurationMs(20);
+            let effects = self.failover.tick(self.now, true, &self.around);
+            self.seen.extend(effects);
+        }
+    }
+
+    fn status(&mut self, name: &str, status: StatusReport) {
+        let effects = self.failover.on_status(self.now, &endpoint(name), status);
+        self.seen.extend(effects);
+    }
+
+    fn claimed(&mut self, version: u64) {
+        let effects = self.failover.on_claimed(self.now, Ok(RowVersion(version)));
+        self.seen.extend(effects);
+    }
+
+    fn promotions(&self) -> Vec<(EndpointId, RowVersion)> {
+        let promotions = self.seen.iter().filter_map(|effect| match effect {
+            FailoverEffect::Promote(endpoint, token) => Some((endpoint.clone(), *token)),
+            _ => None,
+        });
+        promotions.collect()
+    }
+}
+
+/// Guards against the loss of commits that only one replica has received.
+#[test]
+fn the_replica_with_the_highest_position_is_promoted() {
+    let mut rig = Rig::new(around(0));
+    rig.pass(20);
+    rig.claimed(7);
+    rig.pass(20);
+    rig.status("b", status(Role::Replica, 1, 10));
+    rig.status("c", status(Role::Replica, 1, 12));
+    rig.pass(20);
+    assert_eq!(rig.promotions(), [(endpoint("c"), RowVersion(7))]);
+}
+
+/// Guards against rolled-back commits that come to life again: an endpoint that has missed the
+/// last promotion is not promoted, however high its position.
+#[parameterized(
+    knows_it = { 2, 1 },
+    missed_it = { 1, 0 },
+)]
+fn an_endpoint_of_an_older_term_is_not_promoted(term: u64, promotions: usize) {
+    let mut rig = Rig::new(around(0));
+    let last = Claim {
+        holder: host("h2"),
+        attempt: AttemptId(9),
+        leader: Some(endpoint("a")),
+        term: Term(2),
+    };
+    rig.failover.on_row(rig.now, RowVersion(5), Some(&last));
+    rig.pass(20);
+    rig.claimed(7);
+    rig.pass(20);
+    rig.status("b", status(Role::Replica, term, 99));
+    rig.pass(1_000);
+    assert_eq!(rig.promotions().len(), promotions);
+}
+
+/// Guards against the loss of an acknowledged commit where one replica has it: with one
+/// synchronous replica both of two have to answer.
+#[parameterized(
+    asynchronous = { 0, 1 },
+    synchronous = { 1, 0 },
+)]
+fn enough_replicas_answer(sync_replicas: u32, promotions: usize) {
+    let mut rig = Rig::new(around(sync_replicas));
+    rig.pass(20);
+    rig.claimed(7);
+    rig.pass(20);
+    rig.status("b", status(Role::Replica, 1, 10));
+    rig.pass(400);
+    assert_eq!(rig.promotions().len(), promotions);
+    let pauses =
+        rig.seen.iter().any(|effect| matches!(effect, FailoverEffect::Order(_, Order::Pause(_))));
+    assert_eq!(pauses, sync_replicas > 0);
+}
+
+/// Guards against two hosts that promote at once.
+#[test]
+fn another_hosts_claim_is_respected_for_a_while() {
+    let mut rig = Rig::new(around(0));
+    let other = Claim { holder: host("h2"), attempt: AttemptId(9), leader: None, term: Term(0) };
+    rig.failover.on_row(rig.now, RowVersion(5), Some(&other));
+    rig.pass(2_900);
+    assert_eq!(rig.failover.state(), FailoverState::Watching);
+    rig.pass(200);
+    assert_eq!(rig.failover.state(), FailoverState::Claiming);
+}
+
+/// Guards against a holder that goes on after another host has claimed the group.
+#[test]
+fn a_newer_claim_ends_this_hosts_attempt() {
+    let mut rig = Rig::new(around(0));
+    rig.pass(20);
+    rig.claimed(7);
+    let other = Claim { holder: host("h2"), attempt: AttemptId(9), leader: None, term: Term(0) };
+    rig.failover.on_row(rig.now, RowVersion(8), Some(&other));
+    rig.status("b", status(Role::Replica, 1, 10));
+    rig.pass(400);
+    assert!(rig.promotions().is_empty());
+}
+
+/// Guards against a lost answer of the store: the row itself tells that the claim was written.
+#[test]
+fn a_claim_without_an_answer_is_recognised() {
+    let mut rig = Rig::new(around(0));
+    rig.pass(20);
+    let claim = rig.seen.iter().find_map(|effect| match effect {
+        FailoverEffect::Claim(_, claim) => Some(claim.clone()),
+        _ => None,
+    });
+    let effects = rig.failover.on_claimed(rig.now, Err(ClaimFault::Unknown));
+    assert!(effects.is_empty());
+    rig.failover.on_row(rig.now, RowVersion(9), claim.as_ref());
+    assert_eq!(rig.failover.state(), FailoverState::Surveying);
+}
+
+/// Guards against one token for two attempts: after a promotion without effect the next one has a
+/// higher token.
+#[parameterized(
+    refused = { PromoteAnswer::Refused },
+    no_answer = { PromoteAnswer::Unknown },
+    unavailable = { PromoteAnswer::Unavailable },
+)]
+fn the_next_attempt_has_a_new_claim(answer: PromoteAnswer) {
+    let mut rig = Rig::new(around(0));
+    rig.pass(20);
+    rig.claimed(7);
+    rig.status("b", status(Role::Replica, 1, 10));
+    rig.status("c", status(Role::Replica, 1, 10));
+    rig.pass(20);
+    let effects = rig.failover.on_promoted(rig.now, answer);
+    rig.seen.extend(effects);
+    rig.pass(2_500);
+    let claims = rig.seen.iter().filter(|effect| matches!(effect, FailoverEffect::Claim(..)));
+    assert!(claims.count() >= 2);
+    assert_eq!(rig.promotions().len(), 1, "no second call under the first token");
+}
+
+/// Guards against the loss of commits in a planned change: the leaving primary is demoted first,
+/// and a replica that lacks its last position is not promoted.
+#[test]
+fn a_leaving_primary_hands_over_everything() {
+    let mut around = around(0);
+    around.leaving = Some(endpoint("a"));
+    let mut rig = Rig::new(around);
+    rig.pass(20);
+    rig.claimed(7);
+    rig.pass(20);
+    assert!(rig.seen.contains(&FailoverEffect::Order(endpoint("a"), Order::Demote(Term(2)))));
+    rig.status("a", status(Role::Replica, 1, 20));
+    rig.status("b", status(Role::Replica, 1, 18));
+    rig.status("c", status(Role::Replica, 1, 19));
+    rig.pass(100);
+    assert!(rig.promotions().is_empty());
+    rig.status("c", status(Role::Replica, 1, 20));
+    rig.pass(20);
+    assert_eq!(rig.promotions(), [(endpoint("c"), RowVersion(7))]);
+}
--- /dev/null
+++ b/tests/proxy_rig/mod.rs
@@ -0,0 +1,250 @@
+//! A proxy core with endpoints that answer as a test says, on a clock that the test moves.
+
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use medlarstile::core::life::DrainTimes;
+use medlarstile::core::proxy::catalog::{
+    AccountPlan, CallerKey, Catalog, GroupPlan, ReadRule, Route,
+};
+use medlarstile::core::proxy::group::EndpointEntry;
+use medlarstile::core::proxy::job::{Job, JobAnswer, JobEnd, Refusal, Setup, Work};
+use medlarstile::core::proxy::statement::{Access, Query, Statement};
+use medlarstile::core::proxy::{Answer, LossReport, Proxy, ProxyEffect, ProxySpec};
+use medlarstile::core::transaction::TransactionState;
+use medlarstile::types::{
+    Burst, ConnectionCount, ConnectionId, DurationMs, EndpointId, GroupId, Position, RatePerS,
+    RowVersion, SessionId, TableVersion, Term, Timestamp,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Name of the only client account.
+pub const ACCOUNT: &str = "north";
+/// Key of that account.
+pub const KEY: &str = "k-north";
+
+/// Parses an identifier of a test.
+pub fn id<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().ok().expect("a valid id")
+}
+
+/// A position of term `term`.
+pub fn at(term: u64, index: u64) -> Position {
+    Position::new(Term(term), index)
+}
+
+/// A catalog with one database per read rule, all in the group `db`.
+pub fn catalog(version: u64) -> Catalog {
+    let route = |rule| {
+        Rc::new(Route {
+            group: id("db"),
+            rule,
+            statement_limit_ms: DurationMs(1_000),
+            target_latency_ms: DurationMs(100),
+            open: false,
+        })
+    };
+    let mut catalog = Catalog { version: TableVersion(version), ..Catalog::default() };
+    catalog.routes.insert(id("orders"), route(ReadRule::Primary));
+    catalog.routes.insert(id("lookups"), route(ReadRule::MaxAge(DurationMs(1_500))));
+    catalog.routes.insert(id("plans"), route(ReadRule::OwnWrites(DurationMs(2_500))));
+    let plan = GroupPlan { connections: ConnectionCount(8), sync_replicas: 0 };
+    catalog.groups.insert(id("db"), plan);
+    let plan = AccountPlan { rate_per_s: RatePerS(1_000), burst: Burst(1_000) };
+    catalog.accounts.insert(id(ACCOUNT), plan);
+    catalog.keys.insert(CallerKey::new(KEY), id(ACCOUNT));
+    catalog.transaction_idle_ms = DurationMs(3_000);
+    catalog
+}
+
+/// The entry of an endpoint; the first one leads.
+pub fn entry(name: &str, claims_lead: bool) -> EndpointEntry {
+    EndpointEntry {
+        endpoint: id(name),
+        group: id("db"),
+        address: "127.0.0.1:5000".parse().expect("an address"),
+        failure_domain: id("north"),
+        leaving: false,
+        claims_lead,
+        started_ms: 1,
+        version: RowVersion(1),
+    }
+}
+
+/// A core, the jobs that wait for an answer, and what callers were told.
+pub struct Rig {
+    pub core: Proxy,
+    pub now: Timestamp,
+    pub jobs: VecDeque<(ConnectionId, EndpointId, Job)>,
+    pub told: Vec<(SessionId, Answer, TransactionState)>,
+    pub closed: Vec<ConnectionId>,
+    pub other: Vec<ProxyEffect>,
+    open: std::collections::BTreeMap<ConnectionId, EndpointId>,
+    next_query: u64,
+}
+
+impl Rig {
+    /// A serving host with a primary `a` and replicas `b` and `c`, whose endpoints accept every
+    /// connection and answer the orders of the host themselves.
+    pub fn new() -> Self {
+        let spec = ProxySpec {
+            host: id("h1"),
+            home: id("north"),
+            drain: DrainTimes { notice_ms: DurationMs(2_000), limit_ms: DurationMs(2_000) },
+        };
+        let mut rig = Self {
+            core: Proxy::new(spec, ChaCha8Rng::seed_from_u64(1)),
+            now: Timestamp(1_000_000),
+            jobs: VecDeque::new(),
+            told: Vec::new(),
+            closed: Vec::new(),
+            other: Vec::new(),
+            open: std::collections::BTreeMap::new(),
+            next_query: 0,
+        };
+        rig.core.set_catalog(rig.now, catalog(1));
+        rig.core.set_entries(rig.now, vec![entry("a", true), entry("b", false), entry("c", false)]);
+        rig.pass(20);
+        rig
+    }
+
+    /// Lets time pass in ticks of 20 ms.
+    pub fn pass(&mut self, ms: u64) {
+        let end = Timestamp(self.now.0 + ms * 1_000);
+        while self.now < end {
+            self.now = Timestamp((self.now.0 + 20_000).min(end.0));
+            self.core.tick(self.now);
+            self.settle();
+        }
+    }
+
+    /// Carries out effects: connections open at once, jobs wait for the test.
+    pub fn settle(&mut self) {
+        loop {
+            let effects = self.core.drain();
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                match effect {
+                    ProxyEffect::Connect { connection, endpoint, .. } => {
+                        self.open.insert(connection, endpoint);
+                        self.core.on_opened(self.now, connection);
+                    }
+                    ProxyEffect::Run(connection, job) => {
+                        let endpoint = self.open[&connection].clone();
+                        self.jobs.push_back((connection, endpoint, job));
+                    }
+                    ProxyEffect::Close(connection) => {
+                        self.jobs.retain(|(found, _, _)| *found != connection);
+                        self.closed.push(connection);
+                    }
+                    ProxyEffect::Answer { session, answer, state } => {
+                        self.told.push((session, answer, state));
+                    }
+                    other => self.other.push(other),
+                }
+            }
+            self.answer_own_jobs();
+        }
+    }
+
+    /// Proofs and roll-backs are answered at once; the log of `a` stands at 1:10.
+    fn answer_own_jobs(&mut self) {
+        let own = |job: &Job| matches!(job.work, Work::Nothing | Work::Order(_));
+        let (own, kept): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.jobs).into_iter().partition(|(_, _, job)| own(job));
+        self.jobs = kept.into();
+        for (connection, endpoint, job) in own {
+            let begins = job.setup.iter().any(|step| matches!(step, Setup::Begin { .. }));
+            if begins && endpoint != id("a") {
+                let end = JobEnd::SetupRefused(Refusal::ReadOnly);
+                self.core.on_job(self.now, connection, end);
+                continue;
+            }
+            if begins {
+                self.core.on_began(self.now, connection, at(1, 10));
+            }
+            self.core.on_job(self.now, connection, JobEnd::Cleaned);
+        }
+    }
+
+    /// Opens a session of the account.
+    pub fn session(&mut self, number: u64, database: &str) -> SessionId {
+        let session = SessionId(number);
+        self.core.open_session(self.now, session, database, KEY).expect("the session is open");
+        session
+    }
+
+    /// Sends a statement.
+    pub fn send(&mut self, session: SessionId, statement: Statement) {
+        self.next_query += 1;
+        let text = match statement {
+            Statement::Data(Access::Read) => "READ 1",
+            Statement::Data(Access::Write) => "WRITE 1 x",
+            Statement::Commit => "COMMIT",
+            _ => "",
+        };
+        let query =
+            Query { id: format!("q{}", self.next_query).into(), statement, text: text.into() };
+        self.core.submit(self.now, session, query);
+        self.settle();
+    }
+
+    /// The job that waits longest.
+    pub fn next_job(&mut self) -> (ConnectionId, EndpointId, Job) {
+        self.jobs.pop_front().expect("a job waits")
+    }
+
+    /// An endpoint answers a job with success.
+    pub fn succeed(&mut self, connection: ConnectionId, job: &Job, state: TransactionState) {
+        let begins =
+            job.setup.iter().any(|step| matches!(step, Setup::Begin { read_only: false, .. }));
+        if begins {
+            self.core.on_began(self.now, connection, at(1, 10));
+        }
+        self.end(connection, Ok("signed".into()), state);
+        if job.rollback {
+            self.core.on_job(self.now, connection, JobEnd::Cleaned);
+            self.settle();
+        }
+    }
+
+    /// An endpoint refuses a job.
+    pub fn refuse(&mut self, connection: ConnectionId, refusal: Refusal, state: TransactionState) {
+        self.end(connection, Err((refusal, "".into())), state);
+    }
+
+    fn end(
+        &mut self,
+        connection: ConnectionId,
+        result: Result<compact_str::CompactString, (Refusal, compact_str::CompactString)>,
+        transaction: TransactionState,
+    ) {
+        let position = Some(at(1, 11));
+        let answer = JobAnswer { rows: Vec::new(), result, transaction, position, status: None };
+        self.core.on_job(self.now, connection, JobEnd::Answered(answer));
+        self.settle();
+    }
+
+    /// A connection breaks.
+    pub fn lose(&mut self, connection: ConnectionId, sent: bool) {
+        let report = LossReport { sent, refusal: None, cause: "reset".into() };
+        self.core.on_lost(self.now, connection, &report);
+        self.settle();
+    }
+
+    /// What the caller was told last.
+    pub fn last_told(&self) -> &(SessionId, Answer, TransactionState) {
+        self.told.last().expect("an answer")
+    }
+
+    /// The group.
+    pub fn group(&self) -> &medlarstile::core::proxy::group::GroupState {
+        let wanted: GroupId = id("db");
+        self.core.groups().find(|(group, _)| **group == wanted).expect("the group").1
+    }
+}
