Log one record of each ended statement, serve metrics and explain failures

Every line is JSON with host and run; each statement that was refused, retried or late has one line with what decided it. Lines are bounded by module and second and never block; what is not written is counted. Metrics are served in the Prometheus text format. medlarstile explain prints the chain of decisions.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -46,6 +46,8 @@
     Charts(ChartsCommand),
     /// Prints the decisions that the hosts recorded, in causal order.
     Timeline(commands::timeline::TimelineArgs),
+    /// Prints the decisions behind a request, session, group or endpoint, from log files.
+    Explain(commands::explain::ExplainArgs),
     /// Runs platform, endpoints and two hosts in this process, to try the proxy out.
     Demo(demo::DemoArgs),
     /// Sends statements to a host or an endpoint on loopback and measures the answers.
@@ -70,6 +72,7 @@
         Command::Hosts(command) => fleet::run_hosts(&command),
         Command::Charts(ChartsCommand::Draw { out }) => commands::charts::draw(&out),
         Command::Timeline(args) => commands::timeline::run(&args),
+        Command::Explain(args) => commands::explain::run(&args),
         Command::Demo(args) => demo::run(&args),
         Command::Load(args) => load::run(args),
         Command::Emulate(args) => emulator::run(args),
--- /dev/null
+++ b/src/commands/explain.rs
@@ -0,0 +1,155 @@
+//! `medlarstile explain`: the decisions behind one request, session, group or endpoint, from logs.
+
+use std::fs;
+use std::path::PathBuf;
+
+use clap::{Args, ValueEnum};
+use serde_json::Value;
+
+use crate::error::{Error, ErrorKind};
+
+/// Time around the lines that name the id in which lines about their group and endpoints belong
+/// to the chain, in seconds; longer than a failover.
+const AROUND_S: f64 = 3.0;
+/// Parts whose lines tell why a group or an endpoint could not serve.
+const CAUSES: [&str; 8] =
+    ["failover", "group", "pool", "discovery", "configuration", "store", "host", "log"];
+
+/// Form of the output.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum ExplainFormat {
+    /// A line of text for each decision.
+    Text,
+    /// The lines as they were written.
+    Json,
+}
+
+/// Flags of `explain`.
+#[derive(Debug, Clone, Args)]
+pub struct ExplainArgs {
+    /// Id of a request, session (HOST/NUMBER), group, endpoint or client account.
+    pub id: String,
+    /// Log files of any number of hosts.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+    /// Form of the output.
+    #[arg(long, value_enum, default_value_t = ExplainFormat::Text)]
+    pub format: ExplainFormat,
+}
+
+/// One line of a log.
+#[derive(Debug, Clone)]
+pub struct LogLine {
+    /// Wall time in seconds since the beginning of its month.
+    at_s: f64,
+    fields: Value,
+}
+
+impl LogLine {
+    /// Reads a line; text before the JSON object is passed over.
+    pub fn read(line: &str) -> Option<Self> {
+        let fields: Value = serde_json::from_str(&line[line.find('{')?..]).ok()?;
+        let at_s = seconds(fields.get("timestamp")?.as_str()?)?;
+        Some(Self { at_s, fields })
+    }
+
+    fn text(&self, field: &str) -> Option<&str> {
+        self.fields.get(field)?.as_str()
+    }
+
+    fn host(&self) -> Option<&str> {
+        self.fields.get("span")?.get("host")?.as_str()
+    }
+
+    fn part(&self) -> &str {
+        self.text("message").and_then(|text| text.split(':').next()).unwrap_or_default()
+    }
+
+    fn session(&self) -> Option<String> {
+        Some(format!("{}/{}", self.host()?, self.fields.get("session")?.as_u64()?))
+    }
+
+    fn names(&self, id: &str) -> bool {
+        let texts = ["request", "group", "endpoint", "account", "leader", "chosen", "peer"];
+        texts.iter().any(|field| self.text(field) == Some(id))
+            || self.session().as_deref() == Some(id)
+    }
+}
+
+/// Seconds of an RFC 3339 time, counted from the first of its month.
+fn seconds(time: &str) -> Option<f64> {
+    let (date, clock) = time.trim_end_matches('Z').split_once('T')?;
+    let day: f64 = date.rsplit('-').next()?.parse().ok()?;
+    let mut parts = clock.split(':').map(|part| part.parse::<f64>().ok());
+    let (hours, minutes, rest) = (parts.next()??, parts.next()??, parts.next()??);
+    Some(((day * 24.0 + hours) * 60.0 + minutes) * 60.0 + rest)
+}
+
+/// The lines that name `id`, and those that tell why their groups and endpoints could not serve.
+pub fn chain(mut lines: Vec<LogLine>, id: &str) -> Vec<LogLine> {
+    lines.sort_by(|one, other| one.at_s.total_cmp(&other.at_s));
+    let named: Vec<LogLine> = lines.iter().filter(|line| line.names(id)).cloned().collect();
+    let concerned: Vec<(f64, String)> = named
+        .iter()
+        .flat_map(|line| {
+            let things = ["group", "endpoint", "leader"].into_iter().filter_map(|f| line.text(f));
+            things.map(|thing| (line.at_s, thing.to_owned())).collect::<Vec<_>>()
+        })
+        .collect();
+    let hosts: Vec<(f64, &str)> =
+        named.iter().filter_map(|line| Some((line.at_s, line.host()?))).collect();
+    let near = |at: f64, line: &LogLine| line.at_s <= at + 0.1 && line.at_s >= at - AROUND_S;
+    let belongs = |line: &LogLine| {
+        let cause = CAUSES.contains(&line.part());
+        let about = concerned.iter().any(|(at, thing)| near(*at, line) && line.names(thing));
+        let own = ["configuration", "store", "host"].contains(&line.part())
+            && hosts.iter().any(|(at, host)| near(*at, line) && line.host() == Some(host));
+        line.names(id) || (cause && (about || own))
+    };
+    lines.into_iter().filter(|line| belongs(line)).collect()
+}
+
+/// One decision as text.
+pub fn describe(line: &LogLine) -> String {
+    let skipped = ["timestamp", "level", "message", "span"];
+    let mut text = format!(
+        "{} {:<24} {}",
+        line.text("timestamp").unwrap_or_default(),
+        line.host().unwrap_or("-"),
+        line.text("message").unwrap_or_default()
+    );
+    for (name, value) in line.fields.as_object().into_iter().flatten() {
+        if !skipped.contains(&name.as_str()) {
+            let value = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+            text.push_str(&format!(" {name}={value}"));
+        }
+    }
+    text
+}
+
+/// Prints the chain of decisions.
+///
+/// # Errors
+///
+/// A file cannot be read, or no line names the id.
+pub fn run(args: &ExplainArgs) -> Result<(), Error> {
+    let mut lines = Vec::new();
+    for file in &args.files {
+        let text = fs::read_to_string(file).map_err(|error| {
+            Error::new(ErrorKind::BadSetting, format!("{}: {error}", file.display()))
+        })?;
+        lines.extend(text.lines().filter_map(LogLine::read));
+    }
+    let chain = chain(lines, &args.id);
+    if chain.is_empty() {
+        let detail = format!("no line names {:?}; ordinary successes are not logged", args.id);
+        return Err(Error::new(ErrorKind::BadSetting, detail));
+    }
+    for line in &chain {
+        match args.format {
+            ExplainFormat::Text => println!("{}", describe(line)),
+            ExplainFormat::Json => println!("{}", line.fields),
+        }
+    }
+    Ok(())
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod args;
 pub mod charts;
 pub mod edit;
+pub mod explain;
 pub mod fleet;
 pub mod host;
 pub mod platform_host;
--- a/src/commands/platform_host.rs
+++ b/src/commands/platform_host.rs
@@ -11,6 +11,10 @@
 use crate::net::proxy::host::ProxyHost;
 use crate::net::reactor::{self, Signal};
 use crate::platform::settings::{PlatformSettings, FILE_VARIABLE};
+use crate::types::Incarnation;
+
+/// Port of the metrics page unless a flag says otherwise; `deploy/system.toml` names it too.
+const DEFAULT_METRICS_PORT: u16 = 9_464;
 
 /// Flags of a host on the platform.
 #[derive(Debug, Clone, Args)]
@@ -18,6 +22,9 @@
     /// Settings file that the platform writes.
     #[arg(long, env = FILE_VARIABLE)]
     pub settings: PathBuf,
+    /// Port of the metrics page, at the host's own address.
+    #[arg(long, env = "MEDLARSTILE_METRICS_PORT", default_value_t = DEFAULT_METRICS_PORT)]
+    pub metrics_port: u16,
 }
 
 /// Checks the settings and runs the host.
@@ -27,17 +34,26 @@
 /// What is wrong with the settings, or what ended the host early.
 pub fn run(args: &PlatformHostArgs) -> Result<(), Error> {
     charts::check()?;
-    let settings = PlatformSettings::read(&args.settings)?;
-    reactor::run(|stakker| start(stakker, settings))
+    let settings = PlatformSettings::read(&args.settings, args.metrics_port)?;
+    let incarnation = Incarnation(rand::random());
+    // Every line of this process names the host and the run.
+    let host = settings.host.clone();
+    let line = tracing::info_span!("host", host = host.as_str(), incarnation = incarnation.0);
+    let _entered = line.enter();
+    reactor::run(|stakker| start(stakker, settings, incarnation))
         .map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))
 }
 
-fn start(stakker: &mut Stakker, settings: PlatformSettings) -> ActorOwn<ProxyHost> {
+fn start(
+    stakker: &mut Stakker,
+    settings: PlatformSettings,
+    incarnation: Incarnation,
+) -> ActorOwn<ProxyHost> {
     let deferrer = stakker.deferrer();
     let notify = Fwd::new(move |notice| {
         deferrer.defer(move |stakker| on_notice(stakker, notice));
     });
-    let host = actor!(stakker, ProxyHost::init(settings, notify), ret_nop!());
+    let host = actor!(stakker, ProxyHost::init(settings, incarnation, notify), ret_nop!());
     let stopped: Actor<ProxyHost> = Actor::clone(&host);
     let on_signal = Fwd::new(move |signal: Signal| {
         tracing::info!(?signal, "host: signal received, stopping");
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -7,6 +7,7 @@
 pub mod catalog;
 pub mod connection;
 mod dispatch;
+pub mod ended;
 mod events;
 pub mod failover;
 pub mod group;
@@ -107,6 +108,8 @@
         /// Transaction state after it.
         state: TransactionState,
     },
+    /// Note how a statement ended.
+    Ended(Box<ended::Ended>),
     /// Close a session in which no statement is under way.
     CloseSession(SessionId),
     /// Write a group's row if it has still this version.
--- a/src/core/proxy/quota.rs
+++ b/src/core/proxy/quota.rs
@@ -134,6 +134,12 @@
         Some(self.demand())
     }
 
+    /// Tokens of an account on this host, and its part of the rate a second.
+    pub fn part(&self, account: &AccountId) -> Option<(MilliTokens, MilliTokens)> {
+        let bucket = self.buckets.get(account)?;
+        Some((MilliTokens(bucket.level), MilliTokens(bucket.rate)))
+    }
+
     /// This host's demand.
     pub fn demand(&self) -> Demand {
         let busy = self.buckets.iter().filter(|(_, bucket)| bucket.demand > 0);
--- a/src/core/proxy/request.rs
+++ b/src/core/proxy/request.rs
@@ -6,7 +6,6 @@
 use compact_str::CompactString;
 
 use super::catalog::{ReadRule, Route};
-use super::group::GroupState;
 use super::statement::{Access, Forward};
 use super::Proxy;
 use crate::chart::{Chart, ChartError, Machine, NoGuard};
@@ -141,10 +140,10 @@
     ) {
         let (route, account) = match self.standing(now, session_id) {
             Ok(found) => found,
-            Err(error) => return self.refuse_statement(session_id, error),
+            Err(error) => return self.refuse_statement(session_id, &query, error),
         };
         if !self.groups.contains_key(&route.group) {
-            return self.refuse_statement(session_id, Self::no_group());
+            return self.refuse_statement(session_id, &query, Self::no_group());
         }
         self.next_request += 1;
         let id = RequestId(self.next_request);
@@ -181,9 +180,8 @@
     }
 
     /// Refuses a statement that did not become a request. In a transaction nothing is kept.
-    pub(super) fn refuse_statement(&mut self, id: SessionId, error: Error) {
-        tracing::info!(session = id.0, kind = ?error.kind, ran = "NotRun",
-            detail = error.detail.as_str(), "request: refused");
+    pub(super) fn refuse_statement(&mut self, id: SessionId, query: &str, error: Error) {
+        self.record_refusal(id, query, &error);
         if let Some(open) = self.sessions.get_mut(&id).and_then(|found| found.transaction.as_mut())
         {
             open.failed = true;
@@ -244,46 +242,12 @@
     }
 
     fn answer_request(&mut self, now: Timestamp, id: RequestId) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(answer) = request.answer.take() else { return };
-        let session = request.session;
-        self.log_end(now, id, &answer);
-        self.answer(session, answer);
-    }
-
-    /// One line for each request that did not succeed at once.
-    fn log_end(&self, now: Timestamp, id: RequestId, answer: &super::Answer) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let took_ms = now.ms_since(request.arrived).0;
-        let waited_ms = request.sent.ms_since(request.arrived).0;
-        let (outcome, ran, detail) = match answer {
-            super::Answer::Refused(error) => (
-                format!("{:?}", error.kind),
-                format!("{:?}", error.kind.answer().ran),
-                error.detail.clone(),
-            ),
-            super::Answer::EndpointRefused(refusal, text) => {
-                (format!("{refusal:?}"), "endpoint".to_owned(), text.clone())
-            }
-            _ if request.returns > 0 || took_ms >= request.route.target_latency_ms.0 => {
-                ("Answered".to_owned(), "Ran".to_owned(), CompactString::default())
-            }
-            _ => return,
-        };
-        let group = self.groups.get(&request.route.group);
-        let endpoint = request.connection.and_then(|id| self.connections.get(&id));
-        tracing::info!(
-            request = request.query.as_str(),
-            session = request.session.0,
-            account = request.account.as_str(),
-            group = request.route.group.as_str(),
-            endpoint = endpoint.map(|found| found.endpoint.as_str()),
-            leader = group.and_then(|group| group.leader.as_ref()).map(EndpointId::as_str),
-            term = group.map(|group| group.term.0),
-            sample_age_ms = group.and_then(GroupState::sampled_at).map(|at| now.ms_since(at).0),
-            moment = ?request.moment, returns = request.returns, waited_ms, took_ms,
-            outcome, ran, detail = detail.as_str(), "request: ended"
-        );
+        let Some(mut request) = self.requests.remove(&id) else { return };
+        if let Some(answer) = request.answer.take() {
+            self.record_end(now, &request, &answer);
+            self.answer(request.session, answer);
+        }
+        self.requests.insert(id, request);
     }
 
     pub(super) fn leave_queue(&mut self, id: RequestId) {
--- a/src/core/proxy/session.rs
+++ b/src/core/proxy/session.rs
@@ -162,7 +162,7 @@
             return self.answer(id, Answer::Refused(error));
         }
         match query.statement {
-            Statement::Begin { read_only } => self.begin(now, id, read_only),
+            Statement::Begin { read_only } => self.begin(now, id, &query.id, read_only),
             Statement::Rollback => self.roll_back(now, id),
             Statement::Set { name, value } => {
                 session.values.insert(name, value);
@@ -194,7 +194,7 @@
         }
     }
 
-    fn begin(&mut self, now: Timestamp, id: SessionId, read_only: bool) {
+    fn begin(&mut self, now: Timestamp, id: SessionId, query: &str, read_only: bool) {
         let Some(session) = self.sessions.get(&id) else { return };
         if session.transaction.is_some() {
             let error = Error::new(ErrorKind::BadMessage, "a transaction is open");
@@ -202,7 +202,7 @@
         }
         let (route, account) = match self.start_operation(now, id) {
             Ok(found) => found,
-            Err(error) => return self.refuse_statement(id, error),
+            Err(error) => return self.refuse_statement(id, query, error),
         };
         if let Some(session) = self.sessions.get_mut(&id) {
             session.transaction = Some(Transaction {
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,9 +1,18 @@
 //! Set-up of the structured logs.
 
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, OnceLock};
+
 use clap::{Args, ValueEnum};
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing::{Event, Metadata, Subscriber};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::fmt::writer::BoxMakeWriter;
-use tracing_subscriber::EnvFilter;
+use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::{EnvFilter, Layer};
+
+use crate::net::reactor::wall_clock;
 
 /// Form of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
@@ -39,6 +48,59 @@
 
 /// Lines that may wait for the reader of standard output.
 const BUFFERED_LINES: usize = 4_096;
+/// Lines of one module a second; with the eight modules that write most, a host writes at most 800
+/// lines, about half a megabyte, a second.
+const LINES_PER_S: u32 = 100;
+
+/// Lines of the present second, by module.
+#[derive(Default)]
+struct Budget {
+    second: u64,
+    lines: BTreeMap<&'static str, u32>,
+}
+
+/// Lines dropped by the budget since the start.
+static OVER_BUDGET: AtomicU64 = AtomicU64::new(0);
+/// Lines dropped because nobody read standard output.
+static UNREAD: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// Lines that were not written since the start: beyond the budget, or unread.
+pub fn dropped_lines() -> u64 {
+    let unread = UNREAD.get().map_or(0, ErrorCounter::dropped_lines) as u64;
+    OVER_BUDGET.load(Ordering::Relaxed) + unread
+}
+
+/// Bounds the lines of each module; what is dropped is counted.
+#[derive(Default)]
+struct LineBudget(Mutex<Budget>);
+
+impl LineBudget {
+    /// Whether a line of `module` may be written in `second`.
+    fn take(&self, second: u64, module: &'static str) -> bool {
+        let Ok(mut budget) = self.0.lock() else { return true };
+        if budget.second != second {
+            budget.second = second;
+            budget.lines.clear();
+        }
+        let lines = budget.lines.entry(module).or_default();
+        *lines += 1;
+        *lines <= LINES_PER_S
+    }
+}
+
+impl<S: Subscriber> Filter<S> for LineBudget {
+    fn enabled(&self, _: &Metadata<'_>, _: &Context<'_, S>) -> bool {
+        true
+    }
+
+    fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
+        let allowed = self.take(wall_clock().as_secs(), event.metadata().target());
+        if !allowed {
+            OVER_BUDGET.fetch_add(1, Ordering::Relaxed);
+        }
+        allowed
+    }
+}
 
 /// Starts logging. Does nothing when a subscriber is already set. The guard writes what is
 /// buffered when it is dropped.
@@ -57,15 +119,21 @@
             let builder = NonBlockingBuilder::default().lossy(true);
             let (writer, guard) =
                 builder.buffered_lines_limit(BUFFERED_LINES).finish(std::io::stdout());
+            if UNREAD.set(writer.error_counter()).is_err() {
+                tracing::debug!("host: another writer counts the unread lines");
+            }
             (BoxMakeWriter::new(writer), Some(guard))
         }
     };
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer);
-    let result = match args.log_format {
-        LogFormat::Text => builder.with_target(false).try_init(),
-        LogFormat::Json => builder.json().flatten_event(true).with_target(false).try_init(),
+    let lines = tracing_subscriber::fmt::layer().with_writer(writer);
+    let lines = match args.log_format {
+        LogFormat::Text => lines.with_target(false).boxed(),
+        LogFormat::Json => {
+            lines.json().flatten_event(true).with_span_list(false).with_target(false).boxed()
+        }
     };
-    if result.is_err() {
+    let lines = lines.with_filter(LineBudget::default());
+    if tracing_subscriber::registry().with(filter).with(lines).try_init().is_err() {
         tracing::debug!("host: logging is already set up");
     }
     Ok(guard)
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -22,6 +22,7 @@
 use super::feed::{FeedEvent, FeedPlan, FeedRows, TableFeed};
 use super::http::{HttpServer, Respond};
 use super::peers::Peers;
+use super::report::Report;
 use super::store::{CallEnd, CallPurpose, Calls};
 use crate::core::life::DrainTimes;
 use crate::core::proxy::failover::{Claim, ClaimFault};
@@ -82,6 +83,7 @@
     listener: Option<MioSource<TcpListener>>,
     ready: Rc<Cell<bool>>,
     _readiness: ActorOwn<HttpServer>,
+    _metrics: ActorOwn<HttpServer>,
     _feeds: Vec<ActorOwn<TableFeed>>,
     pub(super) calls: ActorOwn<Calls>,
     promotions: ActorOwn<Calls>,
@@ -91,12 +93,18 @@
     pub(super) hosts: BTreeMap<HostId, HostRow>,
     pub(super) peers: Option<Peers>,
     pub(super) incarnation: Incarnation,
+    report: Report,
     next_session: u64,
 }
 
 impl ProxyHost {
     /// Starts a host. What happens to it goes to `notify`.
-    pub fn init(cx: CX![], settings: PlatformSettings, notify: Fwd<HostNotice>) -> Option<Self> {
+    pub fn init(
+        cx: CX![],
+        settings: PlatformSettings,
+        incarnation: Incarnation,
+        notify: Fwd<HostNotice>,
+    ) -> Option<Self> {
         let ready = Rc::new(Cell::new(false));
         let shown = Rc::clone(&ready);
         let respond: Respond = Rc::new(RefCell::new(move |_: &str| {
@@ -116,6 +124,15 @@
         let calls = actor!(cx, Calls::init(settings.store, calls), ret_nop!());
         let promotions = fwd_to!([cx], call_ended() as (CallEnd));
         let promotions = actor!(cx, Calls::init(settings.promotions, promotions), ret_nop!());
+        let report = Report::new();
+        let page = report.page();
+        let metrics: Respond = Rc::new(RefCell::new(move |path: &str| match path {
+            "/metrics" => (200, page()),
+            _ => (404, "metrics are at /metrics\n".to_owned()),
+        }));
+        // Without its metrics a host still serves callers.
+        let lost = ret_some_to!([cx], metrics_failed() as (StopCause));
+        let metrics = actor!(cx, HttpServer::init(settings.metrics, metrics), lost);
         let mut seed = rand::rng();
         let spec = ProxySpec {
             host: settings.host.clone(),
@@ -133,6 +150,7 @@
             listener: None,
             ready,
             _readiness: readiness,
+            _metrics: metrics,
             _feeds: feeds.into(),
             calls,
             promotions,
@@ -141,7 +159,8 @@
             entries: BTreeMap::new(),
             hosts: BTreeMap::new(),
             peers: None,
-            incarnation: Incarnation(rand::random()),
+            incarnation,
+            report,
             next_session: 0,
         })
     }
@@ -156,9 +175,14 @@
         fwd!([self.notify], HostNotice::Failed(cause.to_string()));
     }
 
+    fn metrics_failed(&mut self, _: CX![], cause: StopCause) {
+        tracing::warn!(address = %self.settings.metrics, %cause, "metrics: no server");
+    }
+
     fn tick(&mut self, cx: CX![]) {
         self.core.tick(suspend_aware_clock());
         self.carry_out(cx);
+        self.report.on_state(&self.core);
         after!(TICK, [cx], tick());
     }
 
@@ -194,6 +218,7 @@
                     call!([caller], answer(answer, state));
                 }
             }
+            ProxyEffect::Ended(ended) => self.report.on_ended(&ended),
             ProxyEffect::CloseSession(session) => {
                 if let Some(caller) = self.callers.get(&session) {
                     call!([caller], end_when_idle());
@@ -201,6 +226,7 @@
             }
             ProxyEffect::Claim(group, version, claim) => self.claim(&group, version, &claim),
             ProxyEffect::Promote(group, endpoint, token) => {
+                self.report.on_promotion();
                 tracing::info!(group = group.as_str(), endpoint = endpoint.as_str(), %token,
                     "failover: promotion is ordered");
                 let request = store::promote(&group, &endpoint, &self.settings.host, token);
@@ -223,6 +249,7 @@
     }
 
     fn connect(&mut self, cx: CX![], id: ConnectionId, target: Target) {
+        self.report.on_connect();
         let hub = fwd_to!([cx], endpoint_event(id) as (EndpointEvent));
         let ended = ret_some_to!([cx], endpoint_ended(id) as (StopCause));
         let endpoint = actor!(cx, LineEndpoint::init(target, hub), ended);
@@ -337,6 +364,7 @@
     }
 
     fn call_ended(&mut self, cx: CX![], end: CallEnd) {
+        self.report.on_call(&end);
         let now = suspend_aware_clock();
         match end {
             CallEnd::Written(CallPurpose::Claim(group), answer) => {
@@ -374,7 +402,7 @@
                 self.take_entries(&rows);
             }
             FeedEvent::Rows(rows) => self.take_own_rows(cx, &rows),
-            FeedEvent::Reachable(..) => {}
+            FeedEvent::Reachable(table, reachable) => self.report.on_reachable(table, reachable),
         }
         self.carry_out(cx);
     }
--- a/src/net/proxy/mod.rs
+++ b/src/net/proxy/mod.rs
@@ -6,4 +6,5 @@
 pub mod host;
 pub mod http;
 mod peers;
+pub mod report;
 mod store;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -23,7 +23,7 @@
     pub listen: SocketAddr,
     /// Address of the readiness probe.
     pub readiness: SocketAddr,
-    /// Address for other hosts and, one port higher, for metrics.
+    /// Address for other hosts.
     pub peers: SocketAddr,
     /// Address of the metrics.
     pub metrics: SocketAddr,
@@ -71,17 +71,17 @@
 }
 
 impl PlatformSettings {
-    /// Reads and checks the file at `path`.
+    /// Reads and checks the file at `path`; metrics are served at `metrics_port`.
     ///
     /// # Errors
     ///
     /// `bad_setting` with the file and what is wrong with it.
-    pub fn read(path: &Path) -> Result<Self, Error> {
+    pub fn read(path: &Path, metrics_port: u16) -> Result<Self, Error> {
         let fault = |detail: String| {
             Error::new(ErrorKind::BadSetting, format!("{}: {detail}", path.display()))
         };
         let text = std::fs::read_to_string(path).map_err(|error| fault(error.to_string()))?;
-        Self::parse(&text).map_err(fault)
+        Self::parse(&text, metrics_port).map_err(fault)
     }
 
     /// Reads and checks the text of a settings file.
@@ -89,11 +89,11 @@
     /// # Errors
     ///
     /// What is wrong with the text.
-    pub fn parse(text: &str) -> Result<Self, String> {
+    pub fn parse(text: &str, metrics_port: u16) -> Result<Self, String> {
         let file: File = serde_json::from_str(text).map_err(|error| error.to_string())?;
         let (first, last) = file.internal_port_range;
-        if first >= last {
-            return Err(format!("internalPortRange is {first} to {last}, two ports are needed"));
+        if first > last {
+            return Err(format!("internalPortRange is {first} to {last}, one port is needed"));
         }
         let seconds = file.bounds.grace_s;
         if !(seconds > 0.0) {
@@ -105,7 +105,7 @@
             listen: file.bind_addrs.frontend,
             readiness: file.bind_addrs.readiness,
             peers: SocketAddr::new(file.ip, first),
-            metrics: SocketAddr::new(file.ip, first + 1),
+            metrics: SocketAddr::new(file.ip, metrics_port),
             store: file.platform.address,
             promotions: file.cloud_api.address,
             stop_limit_ms: DurationMs((seconds * 1_000.0) as u64),
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -144,17 +144,17 @@
 #[parameterized(
     whole = { SETTINGS.to_owned(), None },
     no_name = { SETTINGS.replace("nodeName", "n"), Some("nodeName") },
-    one_port = { SETTINGS.replace("7575", "7560"), Some("two ports") },
+    no_port = { SETTINGS.replace("7575", "7559"), Some("one port") },
     no_grace = { SETTINGS.replace(r#""graceS":6"#, r#""graceS":0"#), Some("graceS") },
     cut = { SETTINGS[..40].to_owned(), Some("EOF") },
 )]
 fn settings_are_checked(text: String, fault: Option<&str>) {
-    let read = PlatformSettings::parse(&text);
+    let read = PlatformSettings::parse(&text, 9_464);
     match fault {
         None => {
             let settings = read.expect("the settings are valid");
             assert_eq!(settings.stop_limit_ms, DurationMs(6_000));
-            assert_eq!(settings.peers.port() + 1, settings.metrics.port());
+            assert_eq!((settings.peers.port(), settings.metrics.port()), (7_560, 9_464));
         }
         Some(fault) => {
             let found = read.expect_err("the settings are not valid");
