--- a/src/core/proxy/quota.rs
+++ b/src/core/proxy/quota.rs
@@ -12,6 +12,9 @@
 
 /// Span over which demand is measured.
 const DEMAND_SPAN: DurationMs = DurationMs(500);
+/// Weight of the latest span in the average of the demand, as 1/n; a host sees few operations of an
+/// account in one span.
+const DEMAND_AVERAGE: u64 = 5;
 /// Part of the rate that a host keeps although nobody asks for it there, in thousandths of an
 /// equal part.
 const FLOOR_PERMILLE: u64 = 250;
@@ -126,7 +129,7 @@
         for bucket in self.buckets.values_mut() {
             let rate = bucket.asked * MilliTokens::ONE.0 * 1_000 / spent;
             let before = bucket.demand;
-            bucket.demand = (before + rate) / 2;
+            bucket.demand = (before * (DEMAND_AVERAGE - 1) + rate) / DEMAND_AVERAGE;
             bucket.granted = bucket.demand.min(before);
             bucket.asked = 0;
         }
