Look for the new primary at the endpoints when the known one does not answer

The test fails without the change. A stopping host also reports no demand, so that the others take its part over at once.

--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -301,7 +301,11 @@
                 }
                 LifeAction::RollBack => self.end_all_sessions(now),
                 LifeAction::ReleaseShares => {}
-                LifeAction::Close => self.out.push(ProxyEffect::Stop),
+                LifeAction::Close => {
+                    // The others take over this host's part at once.
+                    self.out.push(ProxyEffect::ReportDemand(Demand::new()));
+                    self.out.push(ProxyEffect::Stop);
+                }
             }
         }
         if before != self.life.state() {
--- a/src/core/proxy/tick.rs
+++ b/src/core/proxy/tick.rs
@@ -12,7 +12,7 @@
 
 /// Time without news of a primary after which it is asked for its status.
 const LEADER_QUIET: DurationMs = DurationMs(400);
-/// Time between two questions to all endpoints of a group without a known primary.
+/// Time between two questions to the endpoints of a group without a healthy primary.
 const SEARCH_INTERVAL: DurationMs = DurationMs(150);
 /// Longest time for a connect; a healthy endpoint accepts within a few of its slot times.
 const CONNECT_LIMIT: DurationMs = DurationMs(1_000);
@@ -80,26 +80,27 @@
         }
     }
 
-    /// Asks the primary for its status when nothing else brings news of it, and every endpoint
-    /// when no primary is known.
+    /// Asks the primary for a proof when nothing else brings news of it, and every endpoint when no
+    /// primary is known or the known one does not answer.
     fn ask_leader(&mut self, now: Timestamp, group_id: &GroupId) {
         let Some(group) = self.groups.get(group_id) else { return };
-        let asked: Vec<EndpointId> = match &group.leader {
-            Some(leader) => {
-                let Some(state) = group.endpoints.get(leader) else { return };
-                let quiet = now >= state.heard + LEADER_QUIET
-                    || group.sampled_at().is_none_or(|at| now >= at + LEADER_QUIET);
-                let ask = quiet || state.down_since.is_some();
-                ask.then(|| leader.clone()).into_iter().collect()
+        let leader = group.leader.as_ref().and_then(|id| Some((id, group.endpoints.get(id)?)));
+        let well = leader.is_some_and(|(_, state)| state.is_well(now));
+        let mut asked: Vec<EndpointId> = Vec::new();
+        if let Some((id, state)) = leader {
+            let quiet = now >= state.heard + LEADER_QUIET
+                || group.sampled_at().is_none_or(|at| now >= at + LEADER_QUIET);
+            if quiet || !well {
+                asked.push(id.clone());
             }
-            None => {
-                let due = |id: &&EndpointId| {
-                    let state = group.endpoints.get(*id);
-                    state.is_some_and(|state| now >= state.heard + SEARCH_INTERVAL)
-                };
-                group.endpoints.keys().filter(due).cloned().collect()
-            }
-        };
+        }
+        if !well {
+            // Another host may have promoted an endpoint; without the store only the endpoints
+            // themselves tell.
+            let due = |state: &super::group::EndpointState| now >= state.heard + SEARCH_INTERVAL;
+            let others = group.endpoints.iter().filter(|(_, state)| due(state));
+            asked.extend(others.map(|(id, _)| id.clone()));
+        }
         for endpoint in asked {
             self.order(group_id, &endpoint, Order::Prove);
         }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -279,3 +279,18 @@
     assert_eq!(kinds, vec![Some(ErrorKind::Overloaded); 4], "8 connections run 8 of 12 writes");
     assert!(ErrorKind::Overloaded.answer().ran == medlarstile::error::Ran::NotRun);
 }
+
+/// Guards against a host without the store that stays with a dead primary although another host has
+/// promoted a replica: only the endpoints can tell it.
+#[test]
+fn a_host_without_the_store_finds_the_new_primary() {
+    let mut rig = Rig::new();
+    rig.leads = id("b");
+    rig.dark.push(id("a"));
+    rig.pass(2_000);
+    assert_eq!(rig.group().leader, Some(id("b")));
+    let session = rig.session(1, "orders");
+    rig.send(session, WRITE);
+    let (_, endpoint, _) = rig.next_job();
+    assert_eq!(endpoint, id("b"));
+}
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -82,6 +82,10 @@
     pub told: Vec<(SessionId, Answer, TransactionState)>,
     pub closed: Vec<ConnectionId>,
     pub other: Vec<ProxyEffect>,
+    /// The endpoint that leads.
+    pub leads: EndpointId,
+    /// Endpoints that do not answer.
+    pub dark: Vec<EndpointId>,
     open: std::collections::BTreeMap<ConnectionId, EndpointId>,
     next_query: u64,
 }
@@ -102,6 +106,8 @@
             told: Vec::new(),
             closed: Vec::new(),
             other: Vec::new(),
+            leads: id("a"),
+            dark: Vec::new(),
             open: std::collections::BTreeMap::new(),
             next_query: 0,
         };
@@ -131,8 +137,10 @@
             for effect in effects {
                 match effect {
                     ProxyEffect::Connect { connection, endpoint, .. } => {
-                        self.open.insert(connection, endpoint);
-                        self.core.on_opened(self.now, connection);
+                        self.open.insert(connection, endpoint.clone());
+                        if !self.dark.contains(&endpoint) {
+                            self.core.on_opened(self.now, connection);
+                        }
                     }
                     ProxyEffect::Run(connection, job) => {
                         let endpoint = self.open[&connection].clone();
@@ -152,7 +160,7 @@
         }
     }
 
-    /// Proofs and roll-backs are answered at once; the log of `a` stands at 1:10.
+    /// Proofs and roll-backs are answered at once; the log of the primary stands at index 10.
     fn answer_own_jobs(&mut self) {
         let own = |job: &Job| matches!(job.work, Work::Nothing | Work::Order(_));
         let (own, kept): (Vec<_>, Vec<_>) =
@@ -160,13 +168,17 @@
         self.jobs = kept.into();
         for (connection, endpoint, job) in own {
             let begins = job.setup.iter().any(|step| matches!(step, Setup::Begin { .. }));
-            if begins && endpoint != id("a") {
+            if self.dark.contains(&endpoint) {
+                continue;
+            }
+            if begins && endpoint != self.leads {
                 let end = JobEnd::SetupRefused(Refusal::ReadOnly);
                 self.core.on_job(self.now, connection, end);
                 continue;
             }
             if begins {
-                self.core.on_began(self.now, connection, at(1, 10));
+                let term = if self.leads == id("a") { 1 } else { 2 };
+                self.core.on_began(self.now, connection, at(term, 10));
             }
             self.core.on_job(self.now, connection, JobEnd::Cleaned);
         }
