--- a/src/core/proxy/events.rs
+++ b/src/core/proxy/events.rs
@@ -353,6 +353,16 @@
         if matches!(refusal, Refusal::Lagging | Refusal::Failed) {
             request.tried.push(endpoint.clone());
         }
+        tracing::info!(
+            request = request.query.as_str(),
+            session = request.session.0,
+            group = request.route.group.as_str(),
+            endpoint = endpoint.as_str(),
+            ?refusal,
+            after = request.after.as_ref().map(ToString::to_string),
+            returns = request.returns,
+            "request: did not run, trying again"
+        );
         let rest = match refusal {
             Refusal::Busy => BUSY_REST,
             Refusal::ReadOnly => LEAD_REST,
--- a/src/core/proxy/failover.rs
+++ b/src/core/proxy/failover.rs
@@ -7,8 +7,6 @@
 use std::collections::BTreeMap;
 use std::sync::LazyLock;
 
-use serde::{Deserialize, Serialize};
-
 use super::job::{Order, StatusReport};
 use crate::chart::{Chart, ChartError, Machine, NoGuard};
 use crate::chart_names;
@@ -78,7 +76,7 @@
     LazyLock::new(|| chart().expect("charts are checked at start"));
 
 /// A group's row: who replaces, or last replaced, its primary.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Claim {
     /// Host that claimed.
     pub holder: HostId,
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,12 +1,13 @@
 //! Set-up of the structured logs.
 
 use std::collections::BTreeMap;
+use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, OnceLock};
 
 use clap::{Args, ValueEnum};
 use tracing::{Event, Metadata, Subscriber};
-use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::fmt::writer::BoxMakeWriter;
 use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
 use tracing_subscriber::util::SubscriberInitExt;
@@ -72,11 +73,11 @@
 
 /// Bounds the lines of each module; what is dropped is counted.
 #[derive(Default)]
-struct LineBudget(Mutex<Budget>);
+pub struct LineBudget(Mutex<Budget>);
 
 impl LineBudget {
     /// Whether a line of `module` may be written in `second`.
-    fn take(&self, second: u64, module: &'static str) -> bool {
+    pub fn take(&self, second: u64, module: &'static str) -> bool {
         let Ok(mut budget) = self.0.lock() else { return true };
         if budget.second != second {
             budget.second = second;
@@ -102,6 +103,13 @@
     }
 }
 
+/// Writes lines to `output` from a thread of its own. A line that does not fit into the buffer is
+/// dropped, so that an output that nobody reads never delays a request.
+pub fn bounded(output: impl Write + Send + 'static) -> (NonBlocking, WorkerGuard) {
+    let builder = NonBlockingBuilder::default().lossy(true);
+    builder.buffered_lines_limit(BUFFERED_LINES).finish(output)
+}
+
 /// Starts logging. Does nothing when a subscriber is already set. The guard writes what is
 /// buffered when it is dropped.
 ///
@@ -116,9 +124,7 @@
     let (writer, guard) = match args.log_output {
         LogOutput::Stderr => (BoxMakeWriter::new(std::io::stderr), None),
         LogOutput::Stdout => {
-            let builder = NonBlockingBuilder::default().lossy(true);
-            let (writer, guard) =
-                builder.buffered_lines_limit(BUFFERED_LINES).finish(std::io::stdout());
+            let (writer, guard) = bounded(std::io::stdout());
             if UNREAD.set(writer.error_counter()).is_err() {
                 tracing::debug!("host: another writer counts the unread lines");
             }
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -9,7 +9,6 @@
 use compact_str::{format_compact, CompactString};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use serde::{Deserialize, Serialize};
 use stakker::{
     actor, after, call, fwd, fwd_to, ret_nop, ret_some_to, ActorOwn, Fwd, StopCause, CX,
 };
@@ -36,6 +35,7 @@
 use crate::platform::store::{self, StoreRow, WriteAnswer};
 use crate::platform::{configuration, discovery};
 use crate::types::{ConnectionId, DurationMs, GroupId, HostId, Incarnation, RowVersion, SessionId};
+use crate::wire::fleet_rows::{HostRow, WireClaim};
 
 /// Time between two ticks of the core.
 const TICK: Duration = Duration::from_millis(20);
@@ -68,13 +68,6 @@
 const OWN_FEED: FeedPlan =
     FeedPlan { table: OWN_TABLE, wait_ms: DurationMs(3_000), pause_ms: DurationMs(50) };
 
-/// A host's row.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct HostRow {
-    pub(super) address: SocketAddr,
-    pub(super) incarnation: Incarnation,
-}
-
 /// A host that serves sessions over pooled connections.
 pub struct ProxyHost {
     pub(super) settings: PlatformSettings,
@@ -349,15 +342,14 @@
 
     /// Writes this host's row, which stays until the host is removed for good.
     fn register(&mut self, _: CX![]) {
-        let row = HostRow { address: self.settings.peers, incarnation: self.incarnation };
-        let value = serde_json::to_vec(&row).expect("a host's row is always JSON");
+        let value = HostRow::new(self.settings.peers, self.incarnation).to_json();
         let key = format_compact!("{HOST_KEY}{}", self.settings.host);
         let request = store::put_row(OWN_TABLE, &key, None, Some(&value));
         call!([self.calls], call(CallPurpose::Register, request));
     }
 
     fn claim(&mut self, group: &GroupId, version: RowVersion, claim: &Claim) {
-        let value = serde_json::to_vec(claim).expect("a claim is always JSON");
+        let value = WireClaim::from(claim).to_json();
         let key = format_compact!("{GROUP_KEY}{group}");
         let request = store::put_row(OWN_TABLE, &key, Some(version), Some(&value));
         call!([self.calls], call(CallPurpose::Claim(group.clone()), request));
@@ -464,7 +456,7 @@
 
     fn take_host(&mut self, host: &str, row: &StoreRow) {
         let Ok(host) = host.parse::<HostId>() else { return };
-        match row.value.as_deref().map(serde_json::from_slice::<HostRow>) {
+        match row.value.as_deref().map(HostRow::read) {
             Some(Ok(known)) => {
                 self.hosts.insert(host, known);
             }
@@ -480,7 +472,7 @@
 
 fn read_claim(row: &StoreRow) -> Option<Claim> {
     let value = row.value.as_deref()?;
-    match serde_json::from_slice(value) {
+    match WireClaim::read(value) {
         Ok(claim) => Some(claim),
         Err(error) => {
             tracing::warn!(key = row.key.as_str(), %error, "store: row of a group cannot be read");
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -14,6 +14,7 @@
 use crate::net::reactor::suspend_aware_clock;
 use crate::platform::store::{self, StoreRow};
 use crate::types::{HostId, RowVersion};
+use crate::wire::fleet_rows::HostRow;
 
 /// Random bytes of the secret that all hosts share.
 const SECRET_BYTES: usize = 32;
@@ -74,7 +75,7 @@
     /// Dials the hosts whose rows are known.
     pub(super) fn set_peer_targets(&mut self) {
         let others = self.hosts.iter().filter(|(host, _)| **host != self.settings.host);
-        let target = |(host, row): (&HostId, &super::host::HostRow)| PeerTarget {
+        let target = |(host, row): (&HostId, &HostRow)| PeerTarget {
             host: host.clone(),
             incarnation: row.incarnation,
             address: row.address,
--- /dev/null
+++ b/src/wire/fleet_rows.rs
@@ -0,0 +1,92 @@
+//! Rows that hosts write for each other into the platform's store, as JSON.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::core::proxy::failover::Claim;
+use crate::types::{AttemptId, IdError, Incarnation, Term};
+
+/// Why bytes are not a row.
+pub type RowFault = String;
+
+/// A host's row: where its link is, and which run of its process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRow {
+    /// Address of the link between hosts.
+    pub address: SocketAddr,
+    /// Run of the process.
+    pub incarnation: Incarnation,
+}
+
+impl HostRow {
+    /// The row of a host.
+    pub fn new(address: SocketAddr, incarnation: Incarnation) -> Self {
+        Self { address, incarnation }
+    }
+
+    /// The row as JSON.
+    pub fn to_json(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("an address and a number are always JSON")
+    }
+
+    /// Reads a row.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the bytes.
+    pub fn read(bytes: &[u8]) -> Result<Self, RowFault> {
+        serde_json::from_slice(bytes).map_err(|error| error.to_string())
+    }
+}
+
+/// A group's row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireClaim {
+    holder: CompactString,
+    attempt: u64,
+    leader: Option<CompactString>,
+    term: u64,
+}
+
+impl WireClaim {
+    /// The row as JSON.
+    pub fn to_json(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("texts and numbers are always JSON")
+    }
+
+    /// Reads a row.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the bytes.
+    pub fn read(bytes: &[u8]) -> Result<Claim, RowFault> {
+        let wire: Self = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
+        wire.try_into().map_err(|error: IdError| error.to_string())
+    }
+}
+
+impl From<&Claim> for WireClaim {
+    fn from(claim: &Claim) -> Self {
+        Self {
+            holder: claim.holder.as_str().into(),
+            attempt: claim.attempt.0,
+            leader: claim.leader.as_ref().map(|leader| leader.as_str().into()),
+            term: claim.term.0,
+        }
+    }
+}
+
+impl TryFrom<WireClaim> for Claim {
+    type Error = IdError;
+
+    fn try_from(wire: WireClaim) -> Result<Self, IdError> {
+        Ok(Self {
+            holder: wire.holder.parse()?,
+            attempt: AttemptId(wire.attempt),
+            leader: wire.leader.map(|leader| leader.parse()).transpose()?,
+            term: Term(wire.term),
+        })
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,6 +1,7 @@
 //! Wire types and codecs, separate from domain types, with `From` and `TryFrom`.
 
 pub mod batch;
+pub mod fleet_rows;
 pub mod peer;
 pub mod pg;
 pub mod platform;
