--- a/src/core/proxy/events.rs
+++ b/src/core/proxy/events.rs
@@ -79,7 +79,7 @@
             Some(Task::Request(request)) => request,
             _ => {
                 if refusal != Refusal::ReadOnly {
-                    return self.close_connection(now, id);
+                    return self.close_connection(id);
                 }
                 connection.fire(PooledEvent::Answered);
                 return self.deny(now, id);
@@ -92,7 +92,7 @@
         if matches!(refusal, Refusal::Lagging | Refusal::ReadOnly) {
             connection.fire(PooledEvent::Answered);
         } else {
-            self.close_connection(now, id);
+            self.close_connection(id);
         }
         self.detach(request);
         tracing::debug!(endpoint = endpoint.as_str(), ?refusal, "pool: set-up was refused");
@@ -175,7 +175,7 @@
             connection.fire(PooledEvent::Hold);
         } else {
             tracing::warn!(connection = id.0, "pool: a transaction is open that nobody started");
-            self.close_connection(now, id);
+            self.close_connection(id);
         }
     }
 
@@ -392,7 +392,7 @@
         let Some(connection) = self.connections.get(&id) else { return };
         let connecting = connection.is_connecting();
         let delay_us = self.random_delay_us(LIMIT_REST.as_us());
-        let Some(connection) = self.remove_connection(now, id) else { return };
+        let Some(connection) = self.remove_connection(id) else { return };
         self.note_loss(now, &connection, connecting, delay_us, report);
         match connection.task {
             Some(Task::Request(request)) if self.requests.contains_key(&request) => {
--- a/src/core/proxy/pick.rs
+++ b/src/core/proxy/pick.rs
@@ -85,7 +85,7 @@
     let mut found: Vec<_> = others
         .filter(|(id, state)| usable(id, state))
         .map(|(id, state)| {
-            let latency = (state.latency_us / EQUAL_LATENCY_US).min(64).max(1).ilog2();
+            let latency = (state.latency_us / EQUAL_LATENCY_US).clamp(1, 64).ilog2();
             let behind = state.applied < floor;
             let rank = (!state.is_well(now), state.entry.leaving, behind, latency);
             (rank, affinity(request, id), id.clone())
--- a/src/core/proxy/pool.rs
+++ b/src/core/proxy/pool.rs
@@ -73,7 +73,7 @@
             // A connection for orders serves no caller; the next order opens another one.
             let spare = self.idle_connection(group_id, endpoint, Some(&Owner::Host));
             let Some(spare) = spare.filter(|_| *owner != Owner::Host) else { return false };
-            self.close_connection(now, spare);
+            self.close_connection(spare);
         }
         self.connect(now, group_id, endpoint, owner);
         true
@@ -92,7 +92,7 @@
         let Some(state) = state.filter(|state| now >= state.connect_after) else { return false };
         if state.connections.len() as u64 >= self.share(group_id) {
             let Some(victim) = self.least_used(group_id, endpoint, owner) else { return false };
-            self.close_connection(now, victim);
+            self.close_connection(victim);
         }
         self.connect(now, group_id, endpoint, owner);
         true
@@ -155,14 +155,14 @@
     }
 
     /// Closes a connection by this host's own decision; that says nothing about the endpoint.
-    pub(super) fn close_connection(&mut self, now: Timestamp, id: ConnectionId) {
-        if self.remove_connection(now, id).is_some() {
+    pub(super) fn close_connection(&mut self, id: ConnectionId) {
+        if self.remove_connection(id).is_some() {
             self.out.push(ProxyEffect::Close(id));
         }
     }
 
     /// Forgets a connection.
-    pub(super) fn remove_connection(&mut self, now: Timestamp, id: ConnectionId) -> Option<Pooled> {
+    pub(super) fn remove_connection(&mut self, id: ConnectionId) -> Option<Pooled> {
         let mut connection = self.connections.remove(&id)?;
         let state = connection.machine.state();
         let running =
@@ -180,7 +180,6 @@
             }
             self.dirty.insert(connection.group.clone());
         }
-        let _ = now;
         Some(connection)
     }
 
@@ -190,7 +189,7 @@
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.session = None;
         if connection.machine.state() != PooledState::Held {
-            return self.close_connection(now, id);
+            return self.close_connection(id);
         }
         connection.fire(PooledEvent::Clean);
         connection.started = now;
--- a/src/core/proxy/tick.rs
+++ b/src/core/proxy/tick.rs
@@ -167,7 +167,7 @@
             "request: leaves an endpoint that does not answer"
         );
         request.tried.extend(endpoint);
-        self.close_connection(now, connection);
+        self.close_connection(connection);
         self.request_lost(now, id, true);
     }
 
@@ -189,7 +189,7 @@
             return self.refuse_request(now, id, error);
         }
         if let Some(connection) = connection {
-            self.close_connection(now, connection);
+            self.close_connection(connection);
         }
         self.request_lost(now, id, true);
     }
@@ -257,7 +257,7 @@
         for id in ids {
             let connecting = self.connections.get(&id).is_some_and(super::Pooled::is_connecting);
             let busy = self.connections.get(&id).is_some_and(|found| !found.is_idle());
-            let Some(connection) = self.remove_connection(now, id) else { continue };
+            let Some(connection) = self.remove_connection(id) else { continue };
             self.out.push(ProxyEffect::Close(id));
             let group = self.groups.get_mut(&connection.group);
             let state = group.and_then(|group| group.endpoints.get_mut(&connection.endpoint));
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -96,7 +96,7 @@
             return Err(format!("internalPortRange is {first} to {last}, one port is needed"));
         }
         let seconds = file.bounds.grace_s;
-        if !(seconds > 0.0) {
+        if seconds.is_nan() || seconds <= 0.0 {
             return Err(format!("graceS is {seconds}, more than 0 is needed"));
         }
         Ok(Self {
--- a/tests/proxy_failover.rs
+++ b/tests/proxy_failover.rs
@@ -43,7 +43,7 @@
 
     fn pass(&mut self, ms: u64) {
         for _ in 0..ms.div_ceil(20) {
-            self.now = self.now + DurationMs(20);
+            self.now += DurationMs(20);
             let effects = self.failover.tick(self.now, true, &self.around);
             self.seen.extend(effects);
         }
