Run sessions at home hosts where connections are fewer than hosts

The sessions of an account and group now run on one of a few homes, to which the other hosts relay lines over TCP; sites whose hosts hold a connection for an eighth of the accounts are as before. The spare rate follows the demand, and hosts count from their row on, so that after a start of all hosts nobody takes the whole of an endpoint's connections.

--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -11,6 +11,7 @@
 mod events;
 pub mod failover;
 pub mod group;
+pub mod home;
 pub mod job;
 mod order;
 mod pick;
@@ -138,6 +139,9 @@
     discovered: bool,
     quota: Quota,
     hosts: u64,
+    reachable: Vec<HostId>,
+    homes: BTreeMap<GroupId, Vec<HostId>>,
+    relayed: usize,
     groups: BTreeMap<GroupId, GroupState>,
     sessions: BTreeMap<SessionId, Session>,
     requests: BTreeMap<RequestId, Request>,
@@ -162,6 +166,9 @@
             discovered: false,
             quota: Quota::default(),
             hosts: 1,
+            reachable: Vec::new(),
+            homes: BTreeMap::new(),
+            relayed: 0,
             groups: BTreeMap::new(),
             sessions: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -237,6 +244,7 @@
             }
         }
         self.catalog = Some(catalog);
+        self.choose_homes();
         self.drop_foreign_connections();
         self.apply_entries(now);
         self.settle(now);
@@ -279,6 +287,11 @@
         self.quota.set_hosts(now, listed);
     }
 
+    /// Sets the number of callers whose sessions run on other hosts.
+    pub fn set_relayed(&mut self, callers: usize) {
+        self.relayed = callers;
+    }
+
     /// Takes the demand at another host.
     pub fn on_demand(&mut self, now: Timestamp, host: HostId, demand: Demand) {
         self.quota.on_report(now, host, demand);
@@ -320,7 +333,7 @@
             self.live(now, LifeEvent::Ready);
         }
         let remaining = Remaining {
-            idle: self.sessions.is_empty(),
+            idle: self.sessions.is_empty() && self.relayed == 0,
             no_request: self.requests.is_empty(),
             released: true,
         };
--- a/src/core/proxy/pool.rs
+++ b/src/core/proxy/pool.rs
@@ -46,9 +46,9 @@
     }
 
     /// This host's part of an endpoint's connections.
-    fn share(&self, group: &GroupId) -> u64 {
+    pub(super) fn share(&self, group: &GroupId) -> u64 {
         let limit = self.groups.get(group).map_or(1, |group| u64::from(group.plan.connections.0));
-        (limit / self.hosts.max(1)).max(LEAST_SHARE)
+        (limit / self.sharers(group)).max(LEAST_SHARE)
     }
 
     /// Opens a connection for `owner` if the endpoint can be tried and this host's part allows it.
--- a/src/core/proxy/quota.rs
+++ b/src/core/proxy/quota.rs
@@ -1,7 +1,7 @@
 //! This host's part of each client account's rate and burst.
 //!
 //! Hosts tell each other how many operations of each account were asked for. Every host takes the
-//! part of the rate that its callers ask for; what nobody asks for is divided equally. A host that
+//! part of the rate that its callers ask for; what nobody asks for is divided in the same way. A host that
 //! is not heard keeps its last part reserved, so that the parts of hosts that are cut off from
 //! each other do not add up to more than the rate.
 
@@ -190,8 +190,6 @@
     floor: u64,
     /// What the hosts that report may use.
     free: u64,
-    /// Hosts that report, this one included.
-    known: u64,
 }
 
 impl Parts {
@@ -200,7 +198,7 @@
         let equal = rate / hosts;
         let reserved = equal * hosts.saturating_sub(known);
         let free = rate.saturating_sub(reserved).max(equal);
-        Self { rate, equal, floor: equal * FLOOR_PERMILLE / 1_000, free, known }
+        Self { rate, equal, floor: equal * FLOOR_PERMILLE / 1_000, free }
     }
 
     fn wanted(&self, demand: u64) -> u64 {
@@ -213,11 +211,8 @@
     fn set_rate(&mut self, plan: &AccountPlan, parts: &Parts) {
         let own = parts.wanted(self.granted);
         let total = own + self.others;
-        self.rate = if total <= parts.free {
-            own + (parts.free - total) / parts.known
-        } else {
-            scale(parts.free, own, total)
-        };
+        // What nobody asks for follows the demand too: a host with little demand sees it vary most.
+        self.rate = scale(parts.free, own, total);
         let burst = scale(plan.burst.0 * MilliTokens::ONE.0, self.rate, parts.rate);
         self.burst = burst.max(MilliTokens::ONE.0);
         self.level = self.level.min(self.burst);
--- a/src/core/proxy/session.rs
+++ b/src/core/proxy/session.rs
@@ -12,7 +12,7 @@
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
 use crate::types::{
-    AccountId, ConnectionId, DatabaseName, Position, RequestId, SessionId, Timestamp,
+    AccountId, ConnectionId, DatabaseName, HostId, Position, RequestId, SessionId, Timestamp,
 };
 
 /// A transaction of a session.
@@ -75,7 +75,14 @@
 }
 
 impl Proxy {
-    /// A caller asks for a session.
+    /// Home of the session that a caller asks for, if that is another host.
+    pub fn foreign_home(&self, database: &str, key: &str) -> Option<HostId> {
+        let name = database.parse::<DatabaseName>().ok()?;
+        let (route, account) = self.resolve(&name, &CallerKey::new(key)).ok()?;
+        self.home(&route.group, &account).filter(|home| *home != self.spec.host)
+    }
+
+    /// A caller asks for a session on this host.
     ///
     /// # Errors
     ///
--- a/src/core/proxy/tick.rs
+++ b/src/core/proxy/tick.rs
@@ -41,8 +41,10 @@
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
         for group in &groups {
             self.drop_gone(now, group);
-            self.ask_leader(now, group);
-            self.check_failover(now, group);
+            if self.serves(group) {
+                self.ask_leader(now, group);
+                self.check_failover(now, group);
+            }
         }
         let waiting = |id: &&GroupId| self.groups.get(*id).is_some_and(|group| group.waiting() > 0);
         let waiting: Vec<GroupId> = groups.iter().filter(waiting).cloned().collect();
@@ -240,6 +242,25 @@
         }
     }
 
+    /// Closes idle connections beyond this host's part, which has become smaller.
+    fn close_beyond_share(&mut self) {
+        let mut beyond = Vec::new();
+        for (id, group) in &self.groups {
+            let share = usize::try_from(self.share(id)).unwrap_or(usize::MAX);
+            for state in group.endpoints.values() {
+                let excess = state.connections.len().saturating_sub(share + 1);
+                let idle = state
+                    .connections
+                    .iter()
+                    .filter(|id| self.connections.get(id).is_some_and(super::Pooled::is_idle));
+                beyond.extend(idle.take(excess).copied());
+            }
+        }
+        for id in beyond {
+            self.close_connection(id);
+        }
+    }
+
     /// Closes connections whose connect or job takes too long, and those that nobody uses.
     fn close_overdue(&mut self, now: Timestamp) {
         let overdue = |connection: &super::Pooled| match connection.machine.state() {
@@ -254,6 +275,7 @@
         };
         let found = self.connections.iter().filter(|(_, connection)| overdue(connection));
         let ids: Vec<ConnectionId> = found.map(|(id, _)| *id).collect();
+        self.close_beyond_share();
         for id in ids {
             let connecting = self.connections.get(&id).is_some_and(super::Pooled::is_connecting);
             let busy = self.connections.get(&id).is_some_and(|found| !found.is_idle());
--- a/src/net/proxy/caller.rs
+++ b/src/net/proxy/caller.rs
@@ -1,6 +1,6 @@
 //! Actor of one caller's connection: it owns the socket and passes one statement on at a time.
 
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -13,10 +13,14 @@
 use crate::core::transaction::TransactionState;
 use crate::error::Error;
 use crate::net::stream::{Stream, StreamState};
-use crate::platform::line::{self, CallerMessage, LineError};
+use crate::platform::line::{self, CallerMessage, LineError, Relayed};
 
 /// Bytes read ahead while a statement is under way.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Longest wait for the home of a session; a reachable one answers within a few milliseconds.
+const HOME_LIMIT: Duration = Duration::from_millis(300);
+/// Bytes that wait for a slow reader before no more are taken from the other side.
+const RELAY_BUFFER_BYTES: usize = 1024 * 1024;
 /// Longest time from the connection to the start-up message.
 const STARTUP_LIMIT: Duration = Duration::from_secs(10);
 /// Time for which a connection that this host ends waits for the caller's end, so that the last
@@ -32,6 +36,8 @@
     Query(Query),
     /// It sends a statement that cannot be read.
     Malformed(LineError),
+    /// Its session's home cannot be reached; the session has to run here.
+    HomeLost(CompactString, CompactString),
     /// It has gone.
     Gone,
 }
@@ -42,15 +48,28 @@
     Starting,
     Idle,
     Busy,
+    Relaying,
     Ending,
 }
 
+/// The other side of a caller whose session runs on another host.
+struct Home {
+    stream: Stream,
+    database: CompactString,
+    key: CompactString,
+    greeted: bool,
+    answered: bool,
+    asked: u32,
+    idle: bool,
+}
+
 /// A caller's connection.
 pub struct LineCaller {
     hub: Fwd<CallerEvent>,
     stream: Stream,
     phase: Phase,
     end_wanted: bool,
+    home: Option<Home>,
 }
 
 impl LineCaller {
@@ -61,7 +80,7 @@
         match Stream::new(&miopoll, socket, true, ready) {
             Ok(stream) => {
                 after!(STARTUP_LIMIT, [cx], check_startup());
-                Some(Self { hub, stream, phase: Phase::Starting, end_wanted: false })
+                Some(Self { hub, stream, phase: Phase::Starting, end_wanted: false, home: None })
             }
             Err(error) => {
                 tracing::debug!(%error, "caller: connection could not be registered");
@@ -80,7 +99,9 @@
 
     fn ready(&mut self, cx: CX![], _: Ready) {
         let filled = self.stream.fill(READ_AHEAD_BYTES);
-        if self.phase != Phase::Ending {
+        if self.phase == Phase::Relaying {
+            self.relay_lines(cx);
+        } else if self.phase != Phase::Ending {
             self.take_lines(cx);
         }
         match filled {
@@ -130,6 +151,101 @@
         self.flush(cx);
     }
 
+    /// The session runs on the host with this address; lines are passed on from now on.
+    pub fn relay(
+        &mut self,
+        cx: CX![],
+        address: SocketAddr,
+        database: CompactString,
+        key: CompactString,
+    ) {
+        let socket = TcpStream::connect(address).and_then(|socket| {
+            let miopoll = cx.anymap_get::<MioPoll>();
+            Stream::new(&miopoll, socket, false, fwd_to!([cx], home_ready() as (Ready)))
+        });
+        match socket {
+            Ok(stream) => {
+                self.phase = Phase::Relaying;
+                let (greeted, answered, asked, idle) = (false, false, 0, true);
+                self.home = Some(Home { stream, database, key, greeted, answered, asked, idle });
+                after!(HOME_LIMIT, [cx], check_home());
+            }
+            Err(error) => {
+                tracing::info!(%address, %error, "relay: home cannot be reached");
+                fwd!([self.hub], CallerEvent::HomeLost(database, key));
+            }
+        }
+    }
+
+    fn check_home(&mut self, cx: CX![]) {
+        if self.home.as_ref().is_some_and(|home| !home.answered) {
+            self.home_lost(cx, "time limit");
+        }
+    }
+
+    fn home_ready(&mut self, cx: CX![], _: Ready) {
+        let Some(home) = &mut self.home else { return };
+        if !home.greeted {
+            match home.stream.finish_connect() {
+                Ok(true) => {
+                    let (database, key) = (home.database.clone(), home.key.clone());
+                    line::write_caller_startup(&mut home.stream.output, &database, &key);
+                    home.greeted = true;
+                }
+                Ok(false) => return,
+                Err(error) => return self.home_lost(cx, &error.to_string()),
+            }
+        }
+        let filled = if self.stream.output.len() < RELAY_BUFFER_BYTES {
+            home.stream.fill(READ_AHEAD_BYTES)
+        } else {
+            StreamState::Open
+        };
+        self.relay_lines(cx);
+        if let StreamState::Closed(cause) = filled {
+            self.home_lost(cx, &cause);
+        }
+    }
+
+    /// Passes whole lines on in both directions.
+    fn relay_lines(&mut self, cx: CX![]) {
+        let Some(home) = &mut self.home else { return };
+        let room = home.stream.output.len() < RELAY_BUFFER_BYTES;
+        while let Some(end) = self.stream.input.iter().position(|byte| room && *byte == b'\n') {
+            let line = self.stream.input.split_to(end + 1);
+            home.asked += u32::from(line::read_relayed(&line) == Relayed::Asked);
+            home.stream.output.extend_from_slice(&line);
+        }
+        while let Some(end) = home.stream.input.iter().position(|byte| *byte == b'\n') {
+            let line = home.stream.input.split_to(end + 1);
+            if let Relayed::Answered(idle) = line::read_relayed(&line) {
+                // The first answer belongs to the start-up, which was not counted.
+                home.asked = home.asked.saturating_sub(u32::from(home.answered));
+                (home.answered, home.idle) = (true, idle);
+            }
+            self.stream.output.extend_from_slice(&line);
+        }
+        let done = self.end_wanted && home.asked == 0 && home.idle;
+        if let StreamState::Closed(cause) = home.stream.flush() {
+            return self.home_lost(cx, &cause);
+        }
+        self.flush(cx);
+        if done {
+            self.end(cx);
+        }
+    }
+
+    /// The home is gone. A session that has not begun runs here; another one ends.
+    fn home_lost(&mut self, cx: CX![], cause: &str) {
+        let Some(home) = self.home.take() else { return };
+        if home.answered {
+            return self.end(cx);
+        }
+        tracing::info!(cause, "relay: home did not answer");
+        self.phase = Phase::Busy;
+        fwd!([self.hub], CallerEvent::HomeLost(home.database, home.key));
+    }
+
     /// The session is refused.
     pub fn refused(&mut self, cx: CX![], error: Error) {
         line::write_error(&mut self.stream.output, &error);
@@ -156,6 +272,9 @@
     /// were not read yet.
     pub fn end_when_idle(&mut self, cx: CX![]) {
         self.end_wanted = true;
+        if self.phase == Phase::Relaying {
+            return self.relay_lines(cx);
+        }
         if self.phase == Phase::Idle {
             let filled = self.stream.fill(READ_AHEAD_BYTES);
             self.take_lines(cx);
@@ -174,6 +293,7 @@
             return;
         }
         self.phase = Phase::Ending;
+        self.home = None;
         after!(LINGER, [cx], gone());
         self.flush(cx);
         self.stream.finish_output(Shutdown::Write);
--- a/src/net/proxy/feed.rs
+++ b/src/net/proxy/feed.rs
@@ -12,6 +12,9 @@
 
 /// Time for an answer beyond the time that the store may wait for a change.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
+/// Most by which a wait for changes is lengthened; a longer one would notice a silent connection
+/// later than a version of the configuration has to be in force.
+const MOST_WAIT_PACE: u64 = 2;
 /// Pause after a call that failed; the store may be down for seconds, and every call has a price.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -55,6 +58,7 @@
     newest: RowVersion,
     page: Vec<StoreRow>,
     reachable: bool,
+    pace: u64,
 }
 
 impl TableFeed {
@@ -68,7 +72,22 @@
         let client = actor!(cx, HttpClient::init(address), ret_nop!());
         call!([cx], read_all(None));
         let (known, newest) = (None, RowVersion(0));
-        Some(Self { plan, hub, client, known, newest, page: Vec::new(), reachable: true })
+        Some(Self { plan, hub, client, known, newest, page: Vec::new(), reachable: true, pace: 1 })
+    }
+
+    /// Makes pauses and waits `pace` times as long as planned, so that the calls of a large fleet
+    /// do not grow with its hosts.
+    pub fn set_pace(&mut self, _: CX![], pace: u64) {
+        self.pace = pace;
+    }
+
+    fn pause(&self) -> Duration {
+        self.plan.pause_ms.to_std() * u32::try_from(self.pace).unwrap_or(u32::MAX)
+    }
+
+    /// Changes are told at once; only a silent connection is noticed later.
+    fn wait_ms(&self) -> DurationMs {
+        DurationMs(self.plan.wait_ms.0 * self.pace.min(MOST_WAIT_PACE))
     }
 
     /// Reads the rows behind the key `after`, or all.
@@ -93,7 +112,7 @@
                     self.known = Some(version);
                     self.newest = version;
                 }
-                self.follow_later(cx, self.plan.pause_ms.to_std());
+                self.follow_later(cx, self.pause());
             }
         }
     }
@@ -104,9 +123,9 @@
 
     fn follow(&mut self, cx: CX![]) {
         let Some(known) = self.known else { return self.read_all(cx, None) };
-        let request = store::get_changes(self.plan.table, known, self.plan.wait_ms);
+        let request = store::get_changes(self.plan.table, known, self.wait_ms());
         let ret = ret_some_to!([cx], changes_read() as (CallResult));
-        let limit = self.plan.wait_ms.to_std() + ANSWER_LIMIT;
+        let limit = self.wait_ms().to_std() + ANSWER_LIMIT;
         call!([self.client], call(request, limit, ret));
     }
 
@@ -119,8 +138,8 @@
         if changed {
             self.pass_on(rows.rows, false);
         }
-        let pause = if changed { self.plan.pause_ms } else { DurationMs(0) };
-        self.follow_later(cx, pause.to_std());
+        let pause = if changed { self.pause() } else { Duration::ZERO };
+        self.follow_later(cx, pause);
     }
 
     /// The rows of an answer; after a fault the next call is planned.
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -1,7 +1,8 @@
 //! The hub actor of a host: it owns the core, the listener and the actors of all connections.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -73,10 +74,15 @@
     pub(super) core: Proxy,
     notify: Fwd<HostNotice>,
     listener: Option<MioSource<TcpListener>>,
+    guest_listener: Option<MioSource<TcpListener>>,
+    /// Sessions of callers of other hosts.
+    guests: BTreeSet<SessionId>,
+    /// Callers whose sessions run on other hosts.
+    relayed: BTreeSet<SessionId>,
     ready: Rc<Cell<bool>>,
     _readiness: ActorOwn<HttpServer>,
     _metrics: ActorOwn<HttpServer>,
-    _feeds: Vec<ActorOwn<TableFeed>>,
+    pub(super) feeds: Vec<ActorOwn<TableFeed>>,
     pub(super) calls: ActorOwn<Calls>,
     promotions: ActorOwn<Calls>,
     callers: BTreeMap<SessionId, ActorOwn<LineCaller>>,
@@ -140,10 +146,13 @@
             settings,
             notify,
             listener: None,
+            guest_listener: None,
+            guests: BTreeSet::new(),
+            relayed: BTreeSet::new(),
             ready,
             _readiness: readiness,
             _metrics: metrics,
-            _feeds: feeds.into(),
+            feeds: feeds.into(),
             calls,
             promotions,
             callers: BTreeMap::new(),
@@ -226,8 +235,16 @@
             }
             ProxyEffect::ReportDemand(demand) => self.report_demand(&demand),
             ProxyEffect::Listen => self.listen(cx),
-            ProxyEffect::Leave => self.ready.set(false),
-            ProxyEffect::StopListening => self.listener = None,
+            ProxyEffect::Leave => {
+                self.ready.set(false);
+                self.refuse_guests();
+            }
+            ProxyEffect::StopListening => {
+                self.listener = None;
+                for caller in self.relayed.iter().filter_map(|id| self.callers.get(id)) {
+                    call!([caller], end_when_idle());
+                }
+            }
             ProxyEffect::Stop => {
                 fwd!([self.notify], HostNotice::Stopped);
             }
@@ -275,6 +292,7 @@
         match listener {
             Ok(listener) => {
                 self.listener = Some(listener);
+                self.listen_for_guests(cx);
                 fwd!([self.notify], HostNotice::Listening(self.settings.listen));
             }
             Err(error) => {
@@ -284,9 +302,34 @@
         }
     }
 
+    /// Sessions of other hosts' callers come over TCP at the port of the link.
+    fn listen_for_guests(&mut self, cx: CX![]) {
+        let miopoll = cx.anymap_get::<MioPoll>();
+        let ready = fwd_to!([cx], accept_guests() as (Ready));
+        let listener = TcpListener::bind(self.settings.peers).and_then(|listener| {
+            miopoll.add(listener, Interest::READABLE, LISTENER_PRIORITY, ready)
+        });
+        match listener {
+            Ok(listener) => self.guest_listener = Some(listener),
+            Err(error) => {
+                tracing::warn!(address = %self.settings.peers, %error, "relay: no listener")
+            }
+        }
+    }
+
     fn accept(&mut self, cx: CX![], _: Ready) {
+        self.accept_callers(cx, false);
+    }
+
+    /// Other hosts relay their callers' sessions.
+    fn accept_guests(&mut self, cx: CX![], _: Ready) {
+        self.accept_callers(cx, true);
+    }
+
+    fn accept_callers(&mut self, cx: CX![], guests: bool) {
         loop {
-            let Some(listener) = &self.listener else { return };
+            let listener = if guests { &self.guest_listener } else { &self.listener };
+            let Some(listener) = listener else { return };
             match listener.accept() {
                 Ok((socket, _)) => {
                     self.next_session += 1;
@@ -295,6 +338,9 @@
                     let ended = ret_some_to!([cx], caller_ended(id) as (StopCause));
                     let caller = actor!(cx, LineCaller::init(socket, hub), ended);
                     self.callers.insert(id, caller);
+                    if guests {
+                        self.guests.insert(id);
+                    }
                 }
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
@@ -307,22 +353,34 @@
         }
     }
 
+    /// A stopping host takes no sessions of other hosts; their callers are served there.
+    fn refuse_guests(&mut self) {
+        self.guest_listener = None;
+        if let Some(peers) = self.peers.as_ref().filter(|_| !self.guests.is_empty()) {
+            peers.close();
+        }
+    }
+
     fn caller_event(&mut self, cx: CX![], id: SessionId, event: CallerEvent) {
         let now = suspend_aware_clock();
         match event {
-            CallerEvent::Startup(database, key) => {
-                let opened = self.core.open_session(now, id, &database, &key);
-                let Some(caller) = self.callers.get(&id) else { return };
-                match opened {
-                    Ok(()) => call!([caller], started()),
-                    Err(error) => {
-                        tracing::info!(session = id.0, database = database.as_str(),
-                            kind = ?error.kind, detail = error.detail.as_str(),
-                            "session: refused");
-                        call!([caller], refused(error));
+            CallerEvent::Startup(database, key) if !self.guests.contains(&id) => {
+                match self.home_address(&database, &key) {
+                    Some(address) => {
+                        self.relayed.insert(id);
+                        self.core.set_relayed(self.relayed.len());
+                        if let Some(caller) = self.callers.get(&id) {
+                            call!([caller], relay(address, database, key));
+                        }
                     }
+                    None => self.open_session(id, &database, &key),
                 }
             }
+            CallerEvent::Startup(database, key) => self.open_session(id, &database, &key),
+            CallerEvent::HomeLost(database, key) => {
+                self.forget_relayed(id);
+                self.open_session(id, &database, &key);
+            }
             CallerEvent::Query(query) => self.core.submit(now, id, query),
             CallerEvent::Malformed(fault) => {
                 let error = Error::new(ErrorKind::BadMessage, fault.to_string());
@@ -333,8 +391,34 @@
         self.carry_out(cx);
     }
 
+    fn open_session(&mut self, id: SessionId, database: &str, key: &str) {
+        let opened = self.core.open_session(suspend_aware_clock(), id, database, key);
+        let Some(caller) = self.callers.get(&id) else { return };
+        match opened {
+            Ok(()) => call!([caller], started()),
+            Err(error) => {
+                tracing::info!(session = id.0, database, kind = ?error.kind,
+                    detail = error.detail.as_str(), "session: refused");
+                call!([caller], refused(error));
+            }
+        }
+    }
+
+    /// Where the session of a caller runs, if that is another host.
+    fn home_address(&self, database: &str, key: &str) -> Option<SocketAddr> {
+        let home = self.core.foreign_home(database, key)?;
+        self.hosts.get(&home).map(|row| row.address)
+    }
+
+    fn forget_relayed(&mut self, id: SessionId) {
+        self.relayed.remove(&id);
+        self.core.set_relayed(self.relayed.len());
+    }
+
     fn caller_ended(&mut self, cx: CX![], id: SessionId, _: StopCause) {
         self.callers.remove(&id);
+        self.guests.remove(&id);
+        self.forget_relayed(id);
         self.core.close_session(suspend_aware_clock(), id);
         self.carry_out(cx);
     }
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -19,14 +19,26 @@
 /// Random bytes of the secret that all hosts share.
 const SECRET_BYTES: usize = 32;
 
+/// Hosts up to which each one reads the store as often as planned.
+const HOSTS_AT_FULL_PACE: u64 = 12;
+/// Most by which reads of the store are spread; endpoints that leave are noticed within 3 s then.
+const MOST_PACE: u64 = 4;
+
 /// The other hosts as this host knows them.
 pub struct Peers {
     link: ActorOwn<PeerActor>,
     open: BTreeSet<HostId>,
+    /// Hosts whose link ended and has not come back.
+    lost: BTreeSet<HostId>,
     last_number: u64,
 }
 
 impl Peers {
+    /// Ends all links, by which the other hosts learn that this one leaves.
+    pub(super) fn close(&self) {
+        call!([self.link], close());
+    }
+
     fn broadcast(&mut self, message: &PeerMessage) {
         for host in &self.open {
             self.last_number += 1;
@@ -69,7 +81,8 @@
         let spec = PeerSpec { socket, hello, secret: Secret::new(secret) };
         let events = fwd_to!([cx], peer_event() as (PeerEvent));
         let link = actor!(cx, PeerActor::init(spec, events), ret_nop!());
-        self.peers = Some(Peers { link, open: BTreeSet::new(), last_number: 0 });
+        self.peers =
+            Some(Peers { link, open: BTreeSet::new(), lost: BTreeSet::new(), last_number: 0 });
     }
 
     /// Dials the hosts whose rows are known.
@@ -91,8 +104,17 @@
     fn count_hosts(&mut self) {
         let others = self.hosts.keys().filter(|host| **host != self.settings.host);
         let others: Vec<HostId> = others.cloned().collect();
-        let reachable = self.peers.as_ref().map_or(others.len(), |peers| peers.open.len());
-        self.core.set_hosts(suspend_aware_clock(), others, reachable);
+        let pace = (self.hosts.len() as u64 / HOSTS_AT_FULL_PACE).clamp(1, MOST_PACE);
+        for feed in &self.feeds {
+            call!([feed], set_pace(pace));
+        }
+        // A host counts from its row on, not only once the link is open: after a start of all hosts
+        // each would take the whole of the endpoints' connections.
+        let lost = |host: &HostId| self.peers.as_ref().is_some_and(|p| p.lost.contains(host));
+        let present: Vec<HostId> = others.iter().filter(|host| !lost(host)).cloned().collect();
+        let now = suspend_aware_clock();
+        self.core.set_hosts(now, others, present.len());
+        self.core.set_reachable(present);
     }
 
     fn peer_event(&mut self, cx: CX![], event: PeerEvent) {
@@ -100,12 +122,14 @@
         match event {
             PeerEvent::Opened(hello) => {
                 tracing::info!(peer = hello.host.as_str(), "peer: link is open");
+                peers.lost.remove(&hello.host);
                 peers.open.insert(hello.host);
                 self.count_hosts();
             }
             PeerEvent::Closed(host, _) => {
                 tracing::info!(peer = host.as_str(), "peer: link is closed");
                 peers.open.remove(&host);
+                peers.lost.insert(host);
                 self.count_hosts();
             }
             PeerEvent::Message(host, envelope) => match envelope.message {
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -166,6 +166,31 @@
     Ok(Shape { access, text: text(&shape)? })
 }
 
+/// What a line that is relayed means for the state of its session.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Relayed {
+    /// The caller waits for an answer from now on.
+    Asked,
+    /// The answer has ended; whether no transaction is open.
+    Answered(bool),
+    /// Nothing.
+    Other,
+}
+
+/// Reads as much of a relayed line as its session's state needs.
+pub fn read_relayed(line: &[u8]) -> Relayed {
+    match line {
+        [b'Q', b'U', b'E', b'R', b'Y', b' ', ..] => Relayed::Asked,
+        [b'R', b'E', b'A', b'D', b'Y', b' ', state, ..] => Relayed::Answered(*state == b'I'),
+        _ => Relayed::Other,
+    }
+}
+
+/// Writes the message with which a caller asks for a session.
+pub fn write_caller_startup(out: &mut BytesMut, database: &str, key: &str) {
+    put(out, &["STARTUP", database, key]);
+}
+
 /// Reads a message of an endpoint.
 ///
 /// # Errors
--- /dev/null
+++ b/tests/proxy_home.rs
@@ -0,0 +1,69 @@
+//! Which host runs a session where connections are fewer than hosts and accounts.
+
+mod proxy_rig;
+
+use std::collections::BTreeSet;
+
+use medlarstile::core::proxy::catalog::AccountPlan;
+use medlarstile::types::{Burst, ConnectionCount, HostId, RatePerS};
+use proxy_rig::{catalog, id, Rig};
+use yare::parameterized;
+
+/// A host of a fleet of `hosts` with `accounts` accounts and `connections` to each endpoint.
+fn rig(hosts: usize, accounts: usize, connections: u32) -> Rig {
+    let mut rig = Rig::new();
+    let mut catalog = catalog(2);
+    for number in 0..accounts {
+        let plan = AccountPlan { rate_per_s: RatePerS(1), burst: Burst(1) };
+        catalog.accounts.insert(id(&format!("t{number}")), plan);
+    }
+    if let Some(plan) = catalog.groups.get_mut(&id("db")) {
+        plan.connections = ConnectionCount(connections);
+    }
+    rig.core.set_catalog(rig.now, catalog);
+    rig.core.set_reachable((2..=hosts).map(|number| id(&format!("h{number}"))).collect());
+    rig
+}
+
+fn homes(rig: &Rig, accounts: usize) -> Vec<Option<HostId>> {
+    (0..accounts).map(|number| rig.core.home(&id("db"), &id(&format!("t{number}")))).collect()
+}
+
+/// Guards against relays where every host can hold its own connections, and against a large fleet
+/// in which more hosts than an endpoint has connections for open one each.
+#[parameterized(
+    small_few = { 8, 7, 16, 0 },
+    small_many = { 11, 7, 38, 0 },
+    large_few = { 59, 71, 32, 3 },
+    large_many = { 91, 87, 342, 31 },
+)]
+fn homes_are_as_many_as_the_connections_allow(
+    hosts: usize,
+    accounts: usize,
+    connections: u32,
+    most: usize,
+) {
+    let rig = rig(hosts, accounts, connections);
+    let found: BTreeSet<HostId> = homes(&rig, accounts).into_iter().flatten().collect();
+    assert!(found.len() <= most, "{found:?}");
+    assert_eq!(found.is_empty(), most == 0);
+}
+
+/// Guards against hosts that disagree about a home, and against a host that moves all sessions
+/// when it goes.
+#[test]
+fn homes_are_stable() {
+    let mut rig = rig(59, 71, 32);
+    let before = homes(&rig, 71);
+    rig.core.set_reachable((2..=59).rev().map(|number| id(&format!("h{number}"))).collect());
+    assert_eq!(homes(&rig, 71), before);
+    let gone = before[0].clone().expect("a home");
+    let left = (2..=59).map(|number| id(&format!("h{number}")));
+    rig.core.set_reachable(left.filter(|host| *host != gone).collect());
+    let known: BTreeSet<_> = before.iter().flatten().cloned().collect();
+    for (old, new) in before.iter().zip(homes(&rig, 71)) {
+        // Another host takes the place of the one that went, and accounts of its own with it.
+        let newcomer = new.as_ref().is_some_and(|host| !known.contains(host));
+        assert!(*old == Some(gone.clone()) || *old == new || newcomer, "{old:?} to {new:?}");
+    }
+}
