Do not count hosts whose row is left over

A row of a host that was removed for good stays in the store; its host counts for 10 s after the row was first seen unless a link to it opens.

--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -1,6 +1,6 @@
 //! The link to the other hosts.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::UdpSocket;
 
 use stakker::{actor, call, fwd_to, ret_nop, ActorOwn, CX};
@@ -13,7 +13,7 @@
 use crate::net::peer::{PeerActor, PeerEvent, PeerSpec, PeerTarget};
 use crate::net::reactor::suspend_aware_clock;
 use crate::platform::store::{self, StoreRow};
-use crate::types::{HostId, RowVersion};
+use crate::types::{DurationMs, HostId, RowVersion, Timestamp};
 use crate::wire::fleet_rows::HostRow;
 
 /// Random bytes of the secret that all hosts share.
@@ -24,12 +24,18 @@
 /// Most by which reads of the store are spread; endpoints that leave are noticed within 3 s then.
 const MOST_PACE: u64 = 4;
 
+/// Time in which the link to a host whose row is new is expected to open; a row may be that of a
+/// host that was removed for good.
+const LINK_GRACE: DurationMs = DurationMs(10_000);
+
 /// The other hosts as this host knows them.
 pub struct Peers {
     link: ActorOwn<PeerActor>,
     open: BTreeSet<HostId>,
     /// Hosts whose link ended and has not come back.
     lost: BTreeSet<HostId>,
+    /// When the row of each host was first seen.
+    first_seen: BTreeMap<HostId, Timestamp>,
     last_number: u64,
 }
 
@@ -39,6 +45,13 @@
         call!([self.link], close());
     }
 
+    /// Whether a listed host counts: its link is open, or is expected to open.
+    fn is_present(&mut self, now: Timestamp, host: &HostId) -> bool {
+        let seen = *self.first_seen.entry(host.clone()).or_insert(now);
+        let expected = !self.lost.contains(host) && now < seen + LINK_GRACE;
+        self.open.contains(host) || expected
+    }
+
     fn broadcast(&mut self, message: &PeerMessage) {
         for host in &self.open {
             self.last_number += 1;
@@ -81,8 +94,13 @@
         let spec = PeerSpec { socket, hello, secret: Secret::new(secret) };
         let events = fwd_to!([cx], peer_event() as (PeerEvent));
         let link = actor!(cx, PeerActor::init(spec, events), ret_nop!());
-        self.peers =
-            Some(Peers { link, open: BTreeSet::new(), lost: BTreeSet::new(), last_number: 0 });
+        self.peers = Some(Peers {
+            link,
+            open: BTreeSet::new(),
+            lost: BTreeSet::new(),
+            first_seen: BTreeMap::new(),
+            last_number: 0,
+        });
     }
 
     /// Dials the hosts whose rows are known.
@@ -110,9 +128,11 @@
         }
         // A host counts from its row on, not only once the link is open: after a start of all hosts
         // each would take the whole of the endpoints' connections.
-        let lost = |host: &HostId| self.peers.as_ref().is_some_and(|p| p.lost.contains(host));
-        let present: Vec<HostId> = others.iter().filter(|host| !lost(host)).cloned().collect();
         let now = suspend_aware_clock();
+        let mut present = others.clone();
+        if let Some(peers) = &mut self.peers {
+            present.retain(|host| peers.is_present(now, host));
+        }
         self.core.set_hosts(now, others, present.len());
         self.core.set_reachable(present);
     }
@@ -144,6 +164,7 @@
 
     /// Tells the other hosts this host's demand.
     pub(super) fn report_demand(&mut self, demand: &Demand) {
+        self.count_hosts();
         if let Some(peers) = &mut self.peers {
             peers.broadcast(&PeerMessage::Demand(demand.clone()));
         }
