Keep hosts from undoing each other's promotions and read the settings at SIGHUP

Hosts now wait 3.3 s after another host's claim, finished or not. Both tests fail without the change.

--- a/src/commands/host.rs
+++ b/src/commands/host.rs
@@ -42,9 +42,12 @@
     });
     let host = Starter::start(stakker, settings, tls, notify);
     let stopped: Actor<Starter> = Actor::clone(&host);
-    let on_signal = Fwd::new(move |signal: Signal| {
-        tracing::info!("host: {signal:?} received, stopping");
-        call!([stopped], stop());
+    let on_signal = Fwd::new(move |signal: Signal| match signal {
+        Signal::Hangup => tracing::info!("host: SIGHUP received; flags are read at the start only"),
+        Signal::Interrupt | Signal::Terminate => {
+            tracing::info!("host: {signal:?} received, stopping");
+            call!([stopped], stop());
+        }
     });
     if let Err(error) = reactor::forward_signals(stakker, on_signal) {
         stakker.shutdown(StopCause::Failed(Box::new(error)));
--- a/src/commands/platform_host.rs
+++ b/src/commands/platform_host.rs
@@ -40,12 +40,13 @@
     let host = settings.host.clone();
     let line = tracing::info_span!("host", host = host.as_str(), incarnation = incarnation.0);
     let _entered = line.enter();
-    reactor::run(|stakker| start(stakker, settings, incarnation))
+    reactor::run(|stakker| start(stakker, args.clone(), settings, incarnation))
         .map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))
 }
 
 fn start(
     stakker: &mut Stakker,
+    args: PlatformHostArgs,
     settings: PlatformSettings,
     incarnation: Incarnation,
 ) -> ActorOwn<ProxyHost> {
@@ -55,9 +56,17 @@
     });
     let host = actor!(stakker, ProxyHost::init(settings, incarnation, notify), ret_nop!());
     let stopped: Actor<ProxyHost> = Actor::clone(&host);
-    let on_signal = Fwd::new(move |signal: Signal| {
-        tracing::info!(?signal, "host: signal received, stopping");
-        call!([stopped], stop());
+    let on_signal = Fwd::new(move |signal: Signal| match signal {
+        Signal::Hangup => match PlatformSettings::read(&args.settings, args.metrics_port) {
+            Ok(settings) => call!([stopped], reload(settings)),
+            Err(error) => {
+                tracing::warn!(%error, "host: settings cannot be read again; the old ones stay");
+            }
+        },
+        Signal::Interrupt | Signal::Terminate => {
+            tracing::info!(?signal, "host: signal received, stopping");
+            call!([stopped], stop());
+        }
     });
     if let Err(error) = reactor::forward_signals(stakker, on_signal) {
         stakker.shutdown(StopCause::Failed(Box::new(error)));
--- a/src/core/proxy/failover.rs
+++ b/src/core/proxy/failover.rs
@@ -17,8 +17,10 @@
 pub const SILENCE_LIMIT: DurationMs = DurationMs(1_000);
 /// Time for which connections to a primary fail before it is replaced.
 pub const DOWN_LIMIT: DurationMs = DurationMs(300);
-/// Time after which another host may replace a claim that makes no progress.
-pub const CLAIM_LIMIT: DurationMs = DurationMs(3_000);
+/// Time after which another host may claim a group that one host has claimed, finished or not: two
+/// hosts that take turns within 3 s count as two holders at once, and a promotion needs a second
+/// before its effect shows everywhere.
+pub const CLAIM_LIMIT: DurationMs = DurationMs(3_300);
 /// Longest wait for the replicas' positions; a healthy replica answers within a few statements.
 const SURVEY_LIMIT: DurationMs = DurationMs(600);
 /// Time in which replicas that answered first wait for the others' positions.
@@ -259,7 +261,8 @@
         }
         let since = *self.needed_since.get_or_insert(now);
         let staggered = now >= since + DurationMs(STAGGER.0 * self.place);
-        let taken = self.row_open && !self.row_mine && now < self.row_seen + CLAIM_LIMIT;
+        let claimed = self.row > RowVersion(0) && !self.row_mine;
+        let taken = claimed && now < self.row_seen + CLAIM_LIMIT;
         if staggered && !taken && now >= self.quiet_until {
             self.fire(now, FailoverEvent::Needed, out);
         }
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -114,10 +114,7 @@
         }));
         let failed = ret_some_to!([cx], server_failed() as (StopCause));
         let readiness = actor!(cx, HttpServer::init(settings.readiness, respond), failed);
-        let feeds = [CONFIGURATION_FEED, ENDPOINT_FEED, OWN_FEED].map(|plan| {
-            let hub = fwd_to!([cx], fed() as (FeedEvent));
-            actor!(cx, TableFeed::init(settings.store, plan, hub), ret_nop!())
-        });
+        let feeds = Self::start_feeds(cx, settings.store);
         let calls = fwd_to!([cx], call_ended() as (CallEnd));
         let calls = actor!(cx, Calls::init(settings.store, calls), ret_nop!());
         let promotions = fwd_to!([cx], call_ended() as (CallEnd));
@@ -152,7 +149,7 @@
             ready,
             _readiness: readiness,
             _metrics: metrics,
-            feeds: feeds.into(),
+            feeds,
             calls,
             promotions,
             callers: BTreeMap::new(),
@@ -172,6 +169,34 @@
         self.carry_out(cx);
     }
 
+    fn start_feeds(cx: CX![], store: SocketAddr) -> Vec<ActorOwn<TableFeed>> {
+        let plans = [CONFIGURATION_FEED, ENDPOINT_FEED, OWN_FEED];
+        plans
+            .into_iter()
+            .map(|plan| {
+                let hub = fwd_to!([cx], fed() as (FeedEvent));
+                actor!(cx, TableFeed::init(store, plan, hub), ret_nop!())
+            })
+            .collect()
+    }
+
+    /// Takes the settings as they are now. A host that was moved starts again; the addresses of
+    /// the platform apply at once.
+    pub fn reload(&mut self, cx: CX![], settings: PlatformSettings) {
+        let changed = settings != self.settings;
+        tracing::info!(changed, store = %settings.store, "host: settings were read again");
+        if settings.store != self.settings.store {
+            self.feeds = Self::start_feeds(cx, settings.store);
+            let calls = fwd_to!([cx], call_ended() as (CallEnd));
+            self.calls = actor!(cx, Calls::init(settings.store, calls), ret_nop!());
+        }
+        if settings.promotions != self.settings.promotions {
+            let ended = fwd_to!([cx], call_ended() as (CallEnd));
+            self.promotions = actor!(cx, Calls::init(settings.promotions, ended), ret_nop!());
+        }
+        self.settings = settings;
+    }
+
     fn server_failed(&mut self, _: CX![], cause: StopCause) {
         fwd!([self.notify], HostNotice::Failed(cause.to_string()));
     }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -14,7 +14,7 @@
     timerfd_create, timerfd_settime, Itimerspec, TimerfdClockId, TimerfdFlags, TimerfdTimerFlags,
     Timespec,
 };
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::low_level::pipe;
 use stakker::{fwd, Core, Fwd, Stakker, StopCause};
 use stakker_mio::mio::net::UnixStream;
@@ -47,9 +47,11 @@
     }
 }
 
-/// A request to stop the process.
+/// A request to the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Signal {
+    /// SIGHUP: the settings may have changed. Without a handler it ends the process.
+    Hangup,
     /// SIGINT.
     Interrupt,
     /// SIGTERM.
@@ -87,7 +89,7 @@
     }
 }
 
-/// Forwards SIGINT and SIGTERM to `notify` from now on.
+/// Forwards SIGHUP, SIGINT and SIGTERM to `notify` from now on.
 ///
 /// # Errors
 ///
@@ -95,7 +97,9 @@
 pub fn forward_signals(core: &mut Core, notify: Fwd<Signal>) -> io::Result<()> {
     let poll = core.anymap_get::<MioPoll>();
     let mut sources = Vec::new();
-    for (number, signal) in [(SIGINT, Signal::Interrupt), (SIGTERM, Signal::Terminate)] {
+    let signals =
+        [(SIGHUP, Signal::Hangup), (SIGINT, Signal::Interrupt), (SIGTERM, Signal::Terminate)];
+    for (number, signal) in signals {
         let (read, write) = std::os::unix::net::UnixStream::pair()?;
         read.set_nonblocking(true)?;
         pipe::register(number, write)?;
--- a/tests/proxy_failover.rs
+++ b/tests/proxy_failover.rs
@@ -96,7 +96,7 @@
         term: Term(2),
     };
     rig.failover.on_row(rig.now, RowVersion(5), Some(&last));
-    rig.pass(20);
+    rig.pass(3_320);
     rig.claimed(7);
     rig.pass(20);
     rig.status("b", status(Role::Replica, term, 99));
@@ -123,15 +123,20 @@
     assert_eq!(pauses, sync_replicas > 0);
 }
 
-/// Guards against two hosts that promote at once.
-#[test]
-fn another_hosts_claim_is_respected_for_a_while() {
+/// Guards against two hosts that promote at once or in turn: a hunt (kitami-hyoka, mix, seed
+/// 565566699959) showed two that undid each other's promotions every 0.7 s.
+#[parameterized(
+    under_way = { None },
+    finished = { Some("b") },
+)]
+fn another_hosts_claim_is_respected_for_a_while(leader: Option<&str>) {
     let mut rig = Rig::new(around(0));
-    let other = Claim { holder: host("h2"), attempt: AttemptId(9), leader: None, term: Term(0) };
+    let leader = leader.map(endpoint);
+    let other = Claim { holder: host("h2"), attempt: AttemptId(9), leader, term: Term(0) };
     rig.failover.on_row(rig.now, RowVersion(5), Some(&other));
-    rig.pass(2_900);
+    rig.pass(3_000);
     assert_eq!(rig.failover.state(), FailoverState::Watching);
-    rig.pass(200);
+    rig.pass(400);
     assert_eq!(rig.failover.state(), FailoverState::Claiming);
 }
 
