Get a newer configuration from another host when the store does not bring it

Hosts now tell their version with their demand, and one that stays behind asks. The test runs two processes on a store that refuses one of them; without the change it ends at its time limit.

--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -1,5 +1,6 @@
 //! Messages between hosts.
 
+use bytes::Bytes;
 use derive_more::Display;
 
 use super::limit::{TokenRequest, Transfer};
@@ -57,8 +58,13 @@
     TokensGrant(Transfer),
     /// Group records that are new to the sender.
     Records(Vec<(GroupId, GroupRecord)>),
-    /// Operations a second that callers of the sender ask for.
-    Demand(Demand),
+    /// Operations a second that callers of the sender ask for, and its version of the operator's
+    /// configuration.
+    Demand(Demand, Option<TableVersion>),
+    /// Asks for [`PeerMessage::Configuration`].
+    ConfigurationRequest,
+    /// Answer: the operator's configuration as the sender read it.
+    Configuration(Bytes),
 }
 
 /// A message with its number.
--- a/src/net/host/peers.rs
+++ b/src/net/host/peers.rs
@@ -222,7 +222,11 @@
             }
             PeerMessage::Tables(tables) => self.peer_tables(now, host, answers, *tables),
             PeerMessage::Announce(version) => self.core.on_announced(now, version),
-            PeerMessage::Demand(_) => tracing::debug!("peer: {host} shares limits by demand"),
+            PeerMessage::Demand(..)
+            | PeerMessage::ConfigurationRequest
+            | PeerMessage::Configuration(_) => {
+                tracing::debug!("peer: {host} follows the operator's configuration");
+            }
             PeerMessage::TokensGrant(transfer) => self.core.on_transfer(now, host, &transfer),
             PeerMessage::Records(records) => {
                 for (group, record) in records {
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -76,6 +77,8 @@
     pub(super) callers: BTreeMap<SessionId, ActorOwn<LineCaller>>,
     pub(super) endpoints: BTreeMap<ConnectionId, ActorOwn<LineEndpoint>>,
     pub(super) entries: BTreeMap<CompactString, EndpointEntry>,
+    /// The operator's configuration in use, as it was read.
+    pub(super) configuration: Option<Bytes>,
     pub(super) hosts: BTreeMap<HostId, HostRow>,
     pub(super) peers: Option<Peers>,
     pub(super) incarnation: Incarnation,
@@ -143,6 +146,7 @@
             callers: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             entries: BTreeMap::new(),
+            configuration: None,
             hosts: BTreeMap::new(),
             peers: None,
             incarnation,
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -13,7 +13,7 @@
 use crate::net::peer::{PeerActor, PeerEvent, PeerSpec, PeerTarget};
 use crate::net::reactor::suspend_aware_clock;
 use crate::platform::store::{self, StoreRow};
-use crate::types::{DurationMs, HostId, RowVersion, Timestamp};
+use crate::types::{DurationMs, HostId, RowVersion, TableVersion, Timestamp};
 use crate::wire::fleet_rows::HostRow;
 
 /// Random bytes of the secret that all hosts share.
@@ -28,6 +28,10 @@
 /// host that was removed for good.
 const LINK_GRACE: DurationMs = DurationMs(10_000);
 
+/// Time for which another host's newer configuration is left to the store's feed; well below the
+/// time in which a version has to be in force.
+const BEHIND_LIMIT: DurationMs = DurationMs(800);
+
 /// The other hosts as this host knows them.
 pub struct Peers {
     link: ActorOwn<PeerActor>,
@@ -37,6 +41,8 @@
     /// When the row of each host was first seen.
     first_seen: BTreeMap<HostId, Timestamp>,
     last_number: u64,
+    /// Since when another host is known to have a newer configuration.
+    behind_since: Option<Timestamp>,
 }
 
 impl Peers {
@@ -53,14 +59,18 @@
     }
 
     fn broadcast(&mut self, message: &PeerMessage) {
-        for host in &self.open {
-            self.last_number += 1;
-            let number = MessageNumber(self.last_number);
-            let envelope = Envelope { number, answers: None, message: message.clone() };
-            let host = host.clone();
-            call!([self.link], send(host, envelope));
+        let open: Vec<HostId> = self.open.iter().cloned().collect();
+        for host in open {
+            self.send(host, message.clone());
         }
     }
+
+    fn send(&mut self, host: HostId, message: PeerMessage) {
+        self.last_number += 1;
+        let number = MessageNumber(self.last_number);
+        let envelope = Envelope { number, answers: None, message };
+        call!([self.link], send(host, envelope));
+    }
 }
 
 impl ProxyHost {
@@ -103,6 +113,7 @@
             lost: BTreeSet::new(),
             first_seen: BTreeMap::new(),
             last_number: 0,
+            behind_since: None,
         });
     }
 
@@ -156,8 +167,14 @@
                 self.count_hosts();
             }
             PeerEvent::Message(host, envelope) => match envelope.message {
-                PeerMessage::Demand(demand) => {
-                    self.core.on_demand(suspend_aware_clock(), host, demand);
+                PeerMessage::Demand(demand, version) => {
+                    self.core.on_demand(suspend_aware_clock(), host.clone(), demand);
+                    self.compare_configuration(host, version);
+                }
+                PeerMessage::ConfigurationRequest => self.send_configuration(host),
+                PeerMessage::Configuration(text) => {
+                    tracing::info!(peer = host.as_str(), "configuration: another host sent it");
+                    self.adopt_configuration(&text);
                 }
                 other => tracing::debug!(peer = host.as_str(), ?other, "peer: message is not used"),
             },
@@ -169,7 +186,41 @@
     pub(super) fn report_demand(&mut self, demand: &Demand) {
         self.count_hosts();
         if let Some(peers) = &mut self.peers {
-            peers.broadcast(&PeerMessage::Demand(demand.clone()));
+            let version = self.core.catalog().map(|catalog| catalog.version);
+            peers.broadcast(&PeerMessage::Demand(demand.clone(), version));
+        }
+    }
+
+    /// Asks another host for its configuration if this one's has been older for a while, because
+    /// the store refuses this host or is not reached.
+    fn compare_configuration(&mut self, host: HostId, version: Option<TableVersion>) {
+        let own = self.core.catalog().map(|catalog| catalog.version);
+        let Some(peers) = self.peers.as_mut().filter(|_| version > own) else { return };
+        let now = suspend_aware_clock();
+        let since = *peers.behind_since.get_or_insert(now);
+        if now >= since + BEHIND_LIMIT {
+            tracing::info!(
+                peer = host.as_str(),
+                own = own.map(|own| own.0),
+                newer = version.map(|version| version.0),
+                "configuration: asking another host"
+            );
+            peers.behind_since = Some(now);
+            peers.send(host, PeerMessage::ConfigurationRequest);
+        }
+    }
+
+    fn send_configuration(&mut self, host: HostId) {
+        let text = self.configuration.clone();
+        if let (Some(peers), Some(text)) = (&mut self.peers, text) {
+            peers.send(host, PeerMessage::Configuration(text));
+        }
+    }
+
+    /// A newer configuration is in use.
+    pub(super) fn forget_behind(&mut self) {
+        if let Some(peers) = &mut self.peers {
+            peers.behind_since = None;
         }
     }
 }
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use compact_str::format_compact;
 use stakker::{after, call, CX};
 
@@ -92,10 +93,24 @@
     fn take_configuration(&mut self, rows: &FeedRows) {
         let row = rows.rows.iter().rev().find(|row| row.key == store::CONFIGURATION_KEY);
         let Some(value) = row.and_then(|row| row.value.as_deref()) else { return };
-        match configuration::read(value) {
-            Ok(catalog) => self.core.set_catalog(suspend_aware_clock(), catalog),
-            Err(detail) => tracing::warn!(detail, "configuration: version cannot be read"),
+        self.adopt_configuration(value);
+    }
+
+    /// Takes a configuration from the store or from another host; an older one changes nothing.
+    pub(super) fn adopt_configuration(&mut self, text: &[u8]) {
+        let catalog = match configuration::read(text) {
+            Ok(catalog) => catalog,
+            Err(detail) => {
+                tracing::warn!(detail, "configuration: version cannot be read");
+                return;
+            }
+        };
+        let before = self.core.catalog().map(|known| known.version);
+        if Some(catalog.version) > before {
+            self.configuration = Some(Bytes::copy_from_slice(text));
+            self.forget_behind();
         }
+        self.core.set_catalog(suspend_aware_clock(), catalog);
     }
 
     fn take_entries(&mut self, rows: &FeedRows) {
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -81,7 +81,11 @@
     /// See [`PeerMessage::Records`].
     Records(Vec<WireRecord>),
     /// See [`PeerMessage::Demand`].
-    Demand(Vec<(CompactString, u64)>),
+    Demand(Vec<(CompactString, u64)>, Option<u64>),
+    /// See [`PeerMessage::ConfigurationRequest`].
+    ConfigurationRequest,
+    /// See [`PeerMessage::Configuration`].
+    Configuration(Vec<u8>),
 }
 
 /// Who a host is, with its proof.
@@ -251,12 +255,15 @@
             PeerMessage::Records(records) => {
                 Self::Records(records.iter().map(WireRecord::from).collect())
             }
-            PeerMessage::Demand(demand) => {
+            PeerMessage::Demand(demand, version) => {
                 let entry = |(account, rate): (&AccountId, &MilliTokens)| {
                     (CompactString::from(account.as_str()), rate.0)
                 };
-                Self::Demand(demand.iter().map(entry).collect())
+                let version = version.map(|version| version.0);
+                Self::Demand(demand.iter().map(entry).collect(), version)
             }
+            PeerMessage::ConfigurationRequest => Self::ConfigurationRequest,
+            PeerMessage::Configuration(text) => Self::Configuration(text.to_vec()),
         }
     }
 }
@@ -281,13 +288,15 @@
                 let records: Result<_, _> = records.into_iter().map(TryInto::try_into).collect();
                 Self::Records(records?)
             }
-            WireMessage::Demand(demand) => {
+            WireMessage::Demand(demand, version) => {
                 let entry = |(account, rate): (CompactString, u64)| {
                     Ok((account.parse::<AccountId>()?, MilliTokens(rate)))
                 };
                 let demand: Result<_, PeerFault> = demand.into_iter().map(entry).collect();
-                Self::Demand(demand?)
+                Self::Demand(demand?, version.map(TableVersion))
             }
+            WireMessage::ConfigurationRequest => Self::ConfigurationRequest,
+            WireMessage::Configuration(text) => Self::Configuration(text.into()),
         })
     }
 }
--- a/tests/peer_wire.rs
+++ b/tests/peer_wire.rs
@@ -62,6 +62,11 @@
     PeerMessage::Records(vec![("group".parse().expect("an id"), record)])
 }
 
+fn demand_message() -> PeerMessage {
+    let account = "north".parse().expect("an id");
+    PeerMessage::Demand([(account, MilliTokens(1_500))].into(), Some(TableVersion(7)))
+}
+
 fn frame(message: PeerMessage) -> BytesMut {
     let (number, answers) = (MessageNumber(300), Some(MessageNumber(299)));
     let mut out = BytesMut::new();
@@ -79,6 +84,9 @@
     request = { request_message() },
     grant = { grant_message() },
     records = { records_message() },
+    demand = { demand_message() },
+    configuration_request = { PeerMessage::ConfigurationRequest },
+    configuration = { PeerMessage::Configuration("{}".into()) },
 )]
 fn keeps_every_field(message: PeerMessage) {
     let expected = format!("{message:?}");
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -1,65 +1,125 @@
 //! The process of a host on the platform: its signals and its settings.
 
 use std::io::{BufRead, BufReader};
-use std::net::TcpListener;
-use std::process::{Child, Command, Stdio};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use rustix::process::{kill_process, Pid, Signal};
 
+mod platform_store_double;
+
+use platform_store_double::Store;
+
+/// Time after which a host that does not do what a test waits for is ended.
+const LIMIT: Duration = Duration::from_secs(20);
+
 fn free_port() -> u16 {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     listener.local_addr().expect("an address").port()
 }
 
-/// A host whose store refuses every connection, and its settings file.
-fn start(name: &str) -> (Child, std::path::PathBuf) {
-    let [front, probe, link, store, metrics] = [(); 5].map(|()| free_port());
-    let text = format!(
-        r#"{{"nodeName":"h1","ip":"127.0.0.1","zone":"a",
-        "bindAddrs":{{"frontend":"127.0.0.1:{front}","readiness":"127.0.0.1:{probe}"}},
-        "internalPortRange":[{link},{link}],"bounds":{{"graceS":6}},
-        "platform":{{"address":"127.0.0.1:{store}"}},"cloudApi":{{"address":"127.0.0.1:{store}"}}}}"#
-    );
-    let file = std::env::temp_dir().join(format!("medlarstile-{name}-{}", std::process::id()));
-    std::fs::write(&file, text).expect("the settings are written");
-    let child = Command::new(env!("CARGO_BIN_EXE_medlarstile"))
-        .args(["--log-format", "json", "--log-output", "stdout", "platform-host"])
-        .args(["--metrics-port", &metrics.to_string()])
-        .env("MEDLARSTILE_NODE_FILE", &file)
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("the host starts");
-    (child, file)
+/// A running host. It is ended when it is dropped, or after [`LIMIT`].
+struct Host {
+    child: Arc<Mutex<Child>>,
+    log: BufReader<ChildStdout>,
+    settings: PathBuf,
+    _watch: Sender<()>,
 }
 
-fn signal(child: &Child, signal: Signal) {
-    let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw).expect("a process id");
-    kill_process(pid, signal).expect("the signal is sent");
-}
+impl Host {
+    /// A host that reads and writes the store at `store`.
+    fn start(name: &str, store: SocketAddr) -> Self {
+        let [front, probe, link, metrics] = [(); 4].map(|()| free_port());
+        let text = format!(
+            r#"{{"nodeName":"{name}","ip":"127.0.0.1","zone":"a",
+            "bindAddrs":{{"frontend":"127.0.0.1:{front}","readiness":"127.0.0.1:{probe}"}},
+            "internalPortRange":[{link},{link}],"bounds":{{"graceS":6}},
+            "platform":{{"address":"{store}"}},"cloudApi":{{"address":"{store}"}}}}"#
+        );
+        let settings = std::env::temp_dir().join(format!("medlarstile-{name}-{link}"));
+        std::fs::write(&settings, text).expect("the settings are written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_medlarstile"))
+            .args(["--log-format", "json", "--log-output", "stdout", "platform-host"])
+            .args(["--metrics-port", &metrics.to_string()])
+            .env("MEDLARSTILE_NODE_FILE", &settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the host starts");
+        let log = BufReader::new(child.stdout.take().expect("a log"));
+        let child = Arc::new(Mutex::new(child));
+        let (watch, ended) = channel::<()>();
+        let watched = Arc::clone(&child);
+        std::thread::spawn(move || {
+            if ended.recv_timeout(LIMIT) == Err(RecvTimeoutError::Timeout) {
+                drop(watched.lock().expect("the child").kill());
+            }
+        });
+        Self { child, log, settings, _watch: watch }
+    }
 
-/// Reads the log up to the line with `message`.
-fn wait_for(log: &mut impl BufRead, message: &str) {
-    let mut line = String::new();
-    while log.read_line(&mut line).expect("text") > 0 {
-        if line.contains(message) {
-            return;
+    /// Reads the log up to the line with `message`.
+    fn wait_for(&mut self, message: &str) -> String {
+        let mut line = String::new();
+        while self.log.read_line(&mut line).expect("text") > 0 {
+            if line.contains(message) {
+                return line;
+            }
+            line.clear();
         }
-        line.clear();
+        panic!("the host ended without {message:?}");
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = self.child.lock().expect("the child").id();
+        let pid = i32::try_from(id).ok().and_then(Pid::from_raw).expect("a process id");
+        kill_process(pid, signal).expect("the signal is sent");
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        let mut child = self.child.lock().expect("the child");
+        drop(child.kill());
+        drop(child.wait());
+        drop(std::fs::remove_file(&self.settings));
     }
-    panic!("the host ended without {message:?}");
 }
 
 /// Guards against a host that ends at SIGHUP, as seven did in a bench run (kitami-hyoka, mix, seed
 /// 565566699959), and against one that does not stop at SIGTERM.
 #[test]
 fn a_hangup_reads_the_settings_again() {
-    let (mut child, file) = start("hangup");
-    let mut log = BufReader::new(child.stdout.take().expect("a log"));
-    wait_for(&mut log, "host: starting");
-    signal(&child, Signal::HUP);
-    wait_for(&mut log, "host: settings were read again");
-    signal(&child, Signal::TERM);
-    wait_for(&mut log, "host: stopped");
-    assert!(child.wait().expect("an end").success());
-    std::fs::remove_file(file).expect("the settings are removed");
+    let mut host = Host::start("h1", Store::default().serve(None));
+    host.wait_for("host: starting");
+    host.signal(Signal::HUP);
+    host.wait_for("host: settings were read again");
+    host.signal(Signal::TERM);
+    host.wait_for("host: stopped");
+    assert!(host.child.lock().expect("the child").wait().expect("an end").success());
+}
+
+/// A configuration without routes.
+fn configuration(version: u64) -> String {
+    format!(r#"{{"version":{version},"routes":[],"services":[],"tenants":[],"limits":{{}}}}"#)
+}
+
+/// Guards against a host that acts on an old configuration while the store refuses it: with 59
+/// hosts, such a home told relayed callers that their database does not exist 8.5 s after the
+/// version that has it.
+#[test]
+fn a_host_without_the_configuration_gets_it_from_another_host() {
+    let store = Store::default();
+    store.put("op", "config", configuration(3).as_bytes());
+    let mut reader = Host::start("h1", store.serve(None));
+    reader.wait_for("configuration: version is in use");
+    let mut refused = Host::start("h2", store.serve(Some("op")));
+    let line = refused.wait_for("configuration: version is in use");
+    assert!(line.contains(r#""version":"3""#), "{line}");
+    store.put("op", "config", configuration(8).as_bytes());
+    let line = refused.wait_for("configuration: version is in use");
+    assert!(line.contains(r#""version":"8""#), "{line}");
 }
--- /dev/null
+++ b/tests/platform_store_double/mod.rs
@@ -0,0 +1,113 @@
+//! A stand-in for the platform's store, with one address for each host, so that it can refuse one
+//! host what it answers to the others.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+use tiny_http::{Method, Request, Response, Server};
+
+/// Longest wait of a feed for a change.
+const FEED_WAIT: Duration = Duration::from_millis(300);
+/// Connections that are served at once at one address.
+const WORKERS: usize = 8;
+
+#[derive(Default)]
+struct Rows {
+    version: u64,
+    /// Version and base64 value by table and key.
+    rows: BTreeMap<(String, String), (u64, String)>,
+}
+
+/// The store.
+#[derive(Clone, Default)]
+pub struct Store(Arc<(Mutex<Rows>, Condvar)>);
+
+impl Store {
+    /// Writes a row, as the operator or an endpoint does.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+        use base64::Engine;
+        let text = base64::engine::general_purpose::STANDARD.encode(value);
+        let mut rows = self.0 .0.lock().expect("the rows");
+        rows.version += 1;
+        let version = rows.version;
+        rows.rows.insert((table.into(), key.into()), (version, text));
+        self.0 .1.notify_all();
+    }
+
+    /// Serves one host, which is refused what concerns the table `refused`.
+    pub fn serve(&self, refused: Option<&'static str>) -> SocketAddr {
+        let server = Arc::new(Server::http("127.0.0.1:0").expect("an address"));
+        let address = server.server_addr().to_ip().expect("an IP address");
+        for _ in 0..WORKERS {
+            let (server, store) = (Arc::clone(&server), self.clone());
+            thread::spawn(move || {
+                while let Ok(mut request) = server.recv() {
+                    let (status, body) = store.answer(&mut request, refused);
+                    let response = Response::from_string(body.to_string());
+                    // A host that has gone needs no answer.
+                    drop(request.respond(response.with_status_code(status)));
+                }
+            });
+        }
+        address
+    }
+
+    fn answer(&self, request: &mut Request, refused: Option<&str>) -> (u16, Value) {
+        if *request.method() == Method::Post {
+            let mut body = String::new();
+            request.as_reader().read_to_string(&mut body).expect("a text");
+            return self.transact(&serde_json::from_str(&body).expect("JSON"));
+        }
+        let url = request.url().to_owned();
+        let (path, query) = url.split_once('?').expect("a query");
+        let query: BTreeMap<String, String> =
+            form_urlencoded::parse(query.as_bytes()).into_owned().collect();
+        if refused == Some(query["table"].as_str()) {
+            return (503, json!({}));
+        }
+        let after = query.get("after").map_or(0, |text| text.parse().expect("a version"));
+        (200, self.read(&query["table"], after, path.ends_with("feed")))
+    }
+
+    fn read(&self, table: &str, after: u64, wait: bool) -> Value {
+        let mut rows = self.0 .0.lock().expect("the rows");
+        let newer = |rows: &Rows| rows.rows.iter().any(|((t, _), (v, _))| t == table && *v > after);
+        if wait && !newer(&rows) {
+            rows = self.0 .1.wait_timeout(rows, FEED_WAIT).expect("the rows").0;
+        }
+        let found =
+            rows.rows.iter().filter(|((t, _), (version, _))| t == table && *version > after);
+        let found: Vec<Value> = found
+            .map(|((table, key), (version, value))| {
+                json!({"table": table, "part": "", "key": key, "value": value, "ver": version})
+            })
+            .collect();
+        json!({"rows": found, "hasMore": false, "ver": rows.version})
+    }
+
+    fn transact(&self, body: &Value) -> (u16, Value) {
+        let name = |entry: &Value| {
+            let text = |field: &str| entry[field].as_str().expect("a text").to_owned();
+            (text("table"), text("key"))
+        };
+        let mut rows = self.0 .0.lock().expect("the rows");
+        for expected in body["expect"].as_array().expect("a list") {
+            let known = rows.rows.get(&name(expected)).map_or(0, |(version, _)| *version);
+            if Some(known) != expected["ver"].as_u64() {
+                return (412, json!({"rows": [], "ver": rows.version}));
+            }
+        }
+        rows.version += 1;
+        let version = rows.version;
+        for put in body["puts"].as_array().expect("a list") {
+            let value = put["value"].as_str().expect("a text").to_owned();
+            rows.rows.insert(name(put), (version, value));
+        }
+        self.0 .1.notify_all();
+        (200, json!({"ver": version}))
+    }
+}
