Run all sessions of an account on one home, and give it the account's rate

Homes differed by group, so that even they shared a rate. Now an account has one home for all groups, which keeps half of the rate in any case; other hosts keep a tenth of an equal part. Homes are the strongest hosts, by the processor share of the settings, and accounts are spread by it. A host is ready once it knows the other hosts. The tests of the quota fail without the homes (33 admitted of 96).

--- a/src/core/proxy/home.rs
+++ b/src/core/proxy/home.rs
@@ -1,70 +1,146 @@
 //! Which host runs a session.
 //!
-//! Where an endpoint has fewer connections than there are hosts and client accounts to share them,
-//! the sessions of an account and group run on one host, its home, and the other hosts relay their
-//! callers' lines to it. The home is chosen by rendezvous hashing, so that it changes for few
-//! sessions when a host comes or goes.
+//! In a large fleet an endpoint has too few connections for every host, and a client account's rate
+//! divided by the hosts is a fraction of one operation. There, all sessions of an account run on
+//! one host, its home, and the other hosts relay their callers' lines to it. Homes are the
+//! strongest hosts; accounts are spread over them by weighted rendezvous hashing, so that few
+//! sessions change their home when a host comes or goes.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use super::Proxy;
-use crate::types::{AccountId, GroupId, HostId};
+use crate::types::{AccountId, GroupId, HostId, MilliCores, Timestamp};
 
 /// A host serves its own callers while its part of an endpoint's connections reaches for one in
 /// this many client accounts; connections of idle accounts make room for the others.
 const ACCOUNTS_PER_CONNECTION: u64 = 8;
-/// Least part of an endpoint's connections that a home should have; several accounts use them in
-/// turn.
+/// Hosts from which on homes are used in any case: with more, an account's rate divided by the
+/// hosts no longer reaches for the operations that meet on one of them.
+const HOMES_FROM: u64 = 24;
+/// Hosts for each home. A home spends about four times the processor time of a host that relays.
+const HOSTS_PER_HOME: u64 = 8;
+/// Least number of homes, so that the loss of one moves few accounts.
+const LEAST_HOMES: u64 = 8;
+/// Least part of an endpoint's connections that a home has; several accounts use them in turn.
 const LEAST_HOME_SHARE: u64 = 4;
+/// Part of an endpoint's connections, in percent, that homes divide; the rest is for hosts that
+/// cannot reach a home.
+const HOME_PERCENT: u64 = 88;
+
+/// A host that may run sessions of others.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Candidate {
+    /// The host.
+    pub host: HostId,
+    /// Its processor.
+    pub processor: MilliCores,
+}
+
+/// The hosts that run sessions; none if each one serves its own callers.
+#[derive(Debug, Default)]
+pub(super) struct Homes {
+    candidates: Vec<Candidate>,
+}
+
+impl Homes {
+    /// Chooses the homes among `all`, for endpoints that accept at least `connections` and
+    /// `accounts` client accounts.
+    pub(super) fn choose(mut all: Vec<Candidate>, connections: u64, accounts: u64) -> Self {
+        let hosts = all.len() as u64;
+        let scarce = connections / hosts.max(1) < accounts / ACCOUNTS_PER_CONNECTION;
+        if !scarce && hosts < HOMES_FROM {
+            return Self::default();
+        }
+        let most = connections * HOME_PERCENT / 100 / LEAST_HOME_SHARE;
+        let wanted = (hosts / HOSTS_PER_HOME).max(LEAST_HOMES).min(most).max(1);
+        all.sort_by_cached_key(|one| (Reverse(one.processor), hash(&one.host), one.host.clone()));
+        all.truncate(usize::try_from(wanted).unwrap_or(usize::MAX));
+        Self { candidates: all }
+    }
+
+    /// Whether sessions run at homes.
+    pub(super) fn are_used(&self) -> bool {
+        !self.candidates.is_empty()
+    }
+
+    /// Home of an account: each host draws a lot, the larger its processor the better.
+    pub(super) fn of(&self, account: &AccountId) -> Option<&HostId> {
+        let lot = |one: &Candidate| {
+            let drawn = (hash(&(&one.host, account)) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+            -drawn.ln() / f64::from(one.processor.0.max(1))
+        };
+        let best = self.candidates.iter().min_by(|a, b| lot(a).total_cmp(&lot(b)));
+        best.map(|one| &one.host)
+    }
+
+    fn contains(&self, host: &HostId) -> bool {
+        self.candidates.iter().any(|one| one.host == *host)
+    }
+}
 
 impl Proxy {
-    /// Sets the other hosts that a link is open to.
-    pub fn set_reachable(&mut self, hosts: Vec<HostId>) {
-        self.reachable = hosts;
-        self.choose_homes();
+    /// Sets the other hosts of the fleet: those that are listed, and those among them that share
+    /// the work.
+    pub fn set_hosts(&mut self, now: Timestamp, listed: Vec<HostId>, present: Vec<Candidate>) {
+        self.listed_known = true;
+        self.quota.set_hosts(now, listed);
+        if self.present != present {
+            self.present = present;
+            self.choose_homes(now);
+        }
     }
 
-    /// Chooses the homes of each group anew, after a change of the hosts or the configuration.
-    pub(super) fn choose_homes(&mut self) {
-        self.homes.clear();
+    /// Chooses the homes anew, after a change of the hosts or the configuration.
+    pub(super) fn choose_homes(&mut self, now: Timestamp) {
         let Some(catalog) = &self.catalog else { return };
-        let hosts = self.reachable.len() as u64 + 1;
-        let wanted = catalog.accounts.len() as u64 / ACCOUNTS_PER_CONNECTION;
-        for (group, plan) in &catalog.groups {
-            let connections = u64::from(plan.connections.0);
-            if connections / hosts >= wanted {
-                continue;
-            }
-            let homes = (connections / wanted.max(LEAST_HOME_SHARE)).clamp(1, hosts);
-            let all = self.reachable.iter().chain([&self.spec.host]);
-            let mut ranked: Vec<(u64, &HostId)> =
-                all.map(|host| (weight(host.as_str(), group.as_str()), host)).collect();
-            ranked.sort_unstable();
-            ranked.truncate(usize::try_from(homes).unwrap_or(usize::MAX));
-            let chosen = ranked.into_iter().map(|(_, host)| host.clone()).collect();
-            self.homes.insert(group.clone(), chosen);
-        }
+        let own = Candidate { host: self.spec.host.clone(), processor: self.spec.processor };
+        let all = self.present.iter().cloned().chain([own]).collect();
+        let connections = catalog.groups.values().map(|plan| u64::from(plan.connections.0)).min();
+        let accounts = catalog.accounts.len() as u64;
+        let homes = Homes::choose(all, connections.unwrap_or(u64::MAX / 100), accounts);
+        let of = |account: &AccountId| Some((account.clone(), homes.of(account)?.clone()));
+        let by_account: BTreeMap<AccountId, HostId> =
+            catalog.accounts.keys().filter_map(of).collect();
+        self.quota.set_homes(now, &self.spec.host, by_account);
+        self.homes = homes;
     }
 
-    /// Home of the sessions of an account in a group; none if every host serves its own callers.
-    pub fn home(&self, group: &GroupId, account: &AccountId) -> Option<HostId> {
-        let homes = self.homes.get(group)?;
-        homes.iter().min_by_key(|host| weight(host.as_str(), account.as_str())).cloned()
+    /// Home of the sessions of an account; none if every host serves its own callers.
+    pub fn home(&self, account: &AccountId) -> Option<HostId> {
+        self.homes.of(account).cloned()
     }
 
-    /// Whether this host runs sessions in a group.
+    /// Whether this host runs sessions in a group, as a home or because it cannot reach one.
     pub(super) fn serves(&self, group: &GroupId) -> bool {
-        self.homes.get(group).is_none_or(|homes| homes.contains(&self.spec.host))
+        let used = |group: &super::group::GroupState| {
+            group.waiting() > 0 || group.endpoints.values().any(|one| !one.connections.is_empty())
+        };
+        !self.homes.are_used()
+            || self.homes.contains(&self.spec.host)
+            || self.groups.get(group).is_some_and(used)
     }
 
-    /// Hosts that share the connections of a group's endpoints.
-    pub(super) fn sharers(&self, group: &GroupId) -> u64 {
-        self.homes.get(group).map_or(self.hosts, |homes| homes.len() as u64).max(1)
+    /// This host's part of an endpoint's connections.
+    pub(super) fn share(&self, group: &GroupId) -> u64 {
+        let limit = self.groups.get(group).map_or(1, |group| u64::from(group.plan.connections.0));
+        let share = if !self.homes.are_used() {
+            limit / (self.present.len() as u64 + 1)
+        } else if self.homes.contains(&self.spec.host) {
+            limit * HOME_PERCENT / 100 / self.homes.candidates.len() as u64
+        } else {
+            0
+        };
+        share.max(LEAST_SHARE)
     }
 }
 
-fn weight(host: &str, thing: &str) -> u64 {
+/// Connections that every host may open to an endpoint, however many hosts there are.
+const LEAST_SHARE: u64 = 1;
+
+fn hash(thing: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
-    (host, thing).hash(&mut hasher);
+    thing.hash(&mut hasher);
     hasher.finish()
 }
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -35,6 +35,7 @@
 pub use events::LossReport;
 use failover::{Claim, Failover};
 use group::{EndpointEntry, GroupState};
+use home::{Candidate, Homes};
 use job::{Job, Order, Refusal};
 use quota::{Demand, Quota};
 pub use request::ProxyMoment;
@@ -45,8 +46,8 @@
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
 use crate::types::{
-    ConnectionId, EndpointId, FailureDomain, GroupId, HostId, Position, RequestId, RowVersion,
-    SessionId, Timestamp,
+    ConnectionId, EndpointId, FailureDomain, GroupId, HostId, MilliCores, Position, RequestId,
+    RowVersion, SessionId, Timestamp,
 };
 
 /// What a host is.
@@ -56,6 +57,8 @@
     pub host: HostId,
     /// Its failure domain.
     pub home: FailureDomain,
+    /// Its processor.
+    pub processor: MilliCores,
     /// How long a stop may take.
     pub drain: DrainTimes,
 }
@@ -138,9 +141,11 @@
     entries: Vec<EndpointEntry>,
     discovered: bool,
     quota: Quota,
-    hosts: u64,
-    reachable: Vec<HostId>,
-    homes: BTreeMap<GroupId, Vec<HostId>>,
+    /// Whether the hosts of the fleet are known.
+    listed_known: bool,
+    /// Other hosts that share the work.
+    present: Vec<Candidate>,
+    homes: Homes,
     relayed: usize,
     groups: BTreeMap<GroupId, GroupState>,
     sessions: BTreeMap<SessionId, Session>,
@@ -165,9 +170,9 @@
             entries: Vec::new(),
             discovered: false,
             quota: Quota::default(),
-            hosts: 1,
-            reachable: Vec::new(),
-            homes: BTreeMap::new(),
+            listed_known: false,
+            present: Vec::new(),
+            homes: Homes::default(),
             relayed: 0,
             groups: BTreeMap::new(),
             sessions: BTreeMap::new(),
@@ -244,7 +249,7 @@
             }
         }
         self.catalog = Some(catalog);
-        self.choose_homes();
+        self.choose_homes(now);
         self.drop_foreign_connections();
         self.apply_entries(now);
         self.settle(now);
@@ -281,12 +286,6 @@
         }
     }
 
-    /// Sets the other hosts of the fleet.
-    pub fn set_hosts(&mut self, now: Timestamp, listed: Vec<HostId>, reachable: usize) {
-        self.hosts = reachable as u64 + 1;
-        self.quota.set_hosts(now, listed);
-    }
-
     /// Sets the number of callers whose sessions run on other hosts.
     pub fn set_relayed(&mut self, callers: usize) {
         self.relayed = callers;
@@ -329,7 +328,8 @@
 
     /// Moves along the host's life by what is known and what is left to do.
     fn check_life(&mut self, now: Timestamp) {
-        if self.life.state() == LifeState::Starting && self.catalog.is_some() && self.discovered {
+        let informed = self.catalog.is_some() && self.discovered && self.listed_known;
+        if self.life.state() == LifeState::Starting && informed {
             self.live(now, LifeEvent::Ready);
         }
         let remaining = Remaining {
--- a/src/core/proxy/pool.rs
+++ b/src/core/proxy/pool.rs
@@ -7,9 +7,6 @@
 use super::{Proxy, ProxyEffect};
 use crate::types::{ConnectionId, EndpointId, GroupId, Timestamp};
 
-/// Connections that every host may open to an endpoint, however many hosts there are.
-const LEAST_SHARE: u64 = 1;
-
 impl Proxy {
     /// An idle connection of `owner` to an endpoint, the one used last first.
     pub(super) fn idle_connection(
@@ -45,12 +42,6 @@
         state.connections.iter().filter(opening).count()
     }
 
-    /// This host's part of an endpoint's connections.
-    pub(super) fn share(&self, group: &GroupId) -> u64 {
-        let limit = self.groups.get(group).map_or(1, |group| u64::from(group.plan.connections.0));
-        (limit / self.sharers(group)).max(LEAST_SHARE)
-    }
-
     /// Opens a connection for `owner` if the endpoint can be tried and this host's part allows it.
     /// `extra` connections go beyond the part.
     pub(super) fn try_connect(
--- a/src/core/proxy/quota.rs
+++ b/src/core/proxy/quota.rs
@@ -18,6 +18,11 @@
 /// Part of the rate that a host keeps although nobody asks for it there, in thousandths of an
 /// equal part.
 const FLOOR_PERMILLE: u64 = 250;
+/// Part of the rate that an account's home keeps in any case, in thousandths of the rate: it starts
+/// with the account's usual demand before it has measured any.
+const HOME_FLOOR_PERMILLE: u64 = 500;
+/// The same for hosts that are not the home, in thousandths of an equal part.
+const FOREIGN_FLOOR_PERMILLE: u64 = 100;
 /// Tokens that a starting host has, as time at its rate; what the account used before the start
 /// may count in the same window.
 const FIRST_LEVEL: DurationMs = DurationMs(300);
@@ -40,6 +45,8 @@
     granted: u64,
     /// What the other hosts report, a floor for each included.
     others: u64,
+    /// Least own part.
+    floor: u64,
     rate: u64,
     burst: u64,
 }
@@ -58,6 +65,10 @@
     reports: BTreeMap<HostId, Report>,
     /// Other hosts that are listed.
     others: Vec<HostId>,
+    /// Home of each account, where homes are used.
+    homes: BTreeMap<AccountId, HostId>,
+    /// Accounts whose home is this host.
+    own: BTreeSet<AccountId>,
     /// Hosts whose reports count, this one included.
     known: u64,
     measured: Timestamp,
@@ -73,9 +84,21 @@
 
     /// Sets the other hosts of the fleet.
     pub fn set_hosts(&mut self, now: Timestamp, others: Vec<HostId>) {
-        self.reports.retain(|host, _| others.contains(host));
-        self.others = others;
-        self.divide(now);
+        if self.others != others {
+            self.reports.retain(|host, _| others.contains(host));
+            self.others = others;
+            self.divide(now);
+        }
+    }
+
+    /// Sets the home of each account as this host, `own`, sees it.
+    pub fn set_homes(&mut self, now: Timestamp, own: &HostId, homes: BTreeMap<AccountId, HostId>) {
+        if self.homes != homes {
+            let mine = homes.iter().filter(|(_, home)| *home == own);
+            self.own = mine.map(|(account, _)| account.clone()).collect();
+            self.homes = homes;
+            self.divide(now);
+        }
     }
 
     /// Takes the demand at another host.
@@ -83,7 +106,7 @@
         if !self.others.contains(&host) {
             return;
         }
-        let old = self.reports.insert(host, Report { at: now, demand: demand.clone() });
+        let old = self.reports.insert(host.clone(), Report { at: now, demand: demand.clone() });
         let Some(old) = old.filter(|old| now < old.at + REPORT_LIFE) else {
             return self.divide(now);
         };
@@ -93,8 +116,9 @@
             let Some(plan) = self.plans.get(account) else { continue };
             let Some(bucket) = self.buckets.get_mut(account) else { continue };
             let parts = Parts::new(plan, hosts, self.known);
-            let before = parts.wanted(old.demand.get(account).map_or(0, |demand| demand.0));
-            let after = parts.wanted(demand.get(account).map_or(0, |demand| demand.0));
+            let floor = parts.floor(self.homes.get(account).map(|home| *home == host));
+            let before = old.demand.get(account).map_or(0, |demand| demand.0).max(floor);
+            let after = demand.get(account).map_or(0, |demand| demand.0).max(floor);
             bucket.others = bucket.others.saturating_sub(before) + after;
             bucket.settle(now);
             bucket.set_rate(plan, &parts);
@@ -152,18 +176,22 @@
     /// Computes all parts anew from the reports that count.
     fn divide(&mut self, now: Timestamp) {
         let hosts = self.others.len() as u64 + 1;
-        let young: Vec<&Demand> = self
+        let young: Vec<(&HostId, &Demand)> = self
             .others
             .iter()
-            .filter_map(|host| self.reports.get(host))
-            .filter(|report| now < report.at + REPORT_LIFE)
-            .map(|report| &report.demand)
+            .filter_map(|host| Some((host, self.reports.get(host)?)))
+            .filter(|(_, report)| now < report.at + REPORT_LIFE)
+            .map(|(host, report)| (host, &report.demand))
             .collect();
         self.known = young.len() as u64 + 1;
         for (account, plan) in &self.plans {
             let parts = Parts::new(plan, hosts, self.known);
-            let asked = |demand: &&Demand| demand.get(account).map_or(0, |demand| demand.0);
-            let others = young.iter().map(|demand| parts.wanted(asked(demand))).sum();
+            let home = self.homes.get(account);
+            let wanted = |(host, demand): &(&HostId, &Demand)| {
+                let floor = parts.floor(home.map(|home| home == *host));
+                demand.get(account).map_or(0, |demand| demand.0).max(floor)
+            };
+            let others = young.iter().map(wanted).sum();
             let bucket = self.buckets.entry(account.clone()).or_insert_with(|| Bucket {
                 level: parts.equal * FIRST_LEVEL.0 / 1_000 + MilliTokens::ONE.0,
                 settled: now,
@@ -171,9 +199,11 @@
                 demand: 0,
                 granted: 0,
                 others: 0,
+                floor: 0,
                 rate: parts.equal,
                 burst: 0,
             });
+            bucket.floor = parts.floor(home.map(|_| self.own.contains(account)));
             bucket.settle(now);
             bucket.others = others;
             bucket.set_rate(plan, &parts);
@@ -186,8 +216,6 @@
     rate: u64,
     /// An equal part.
     equal: u64,
-    /// Least part of a host.
-    floor: u64,
     /// What the hosts that report may use.
     free: u64,
 }
@@ -198,18 +226,23 @@
         let equal = rate / hosts;
         let reserved = equal * hosts.saturating_sub(known);
         let free = rate.saturating_sub(reserved).max(equal);
-        Self { rate, equal, floor: equal * FLOOR_PERMILLE / 1_000, free }
+        Self { rate, equal, free }
     }
 
-    fn wanted(&self, demand: u64) -> u64 {
-        demand.max(self.floor)
+    /// Least part of a host: whether it is the account's home, if the account has one.
+    fn floor(&self, is_home: Option<bool>) -> u64 {
+        match is_home {
+            None => self.equal * FLOOR_PERMILLE / 1_000,
+            Some(true) => self.rate * HOME_FLOOR_PERMILLE / 1_000,
+            Some(false) => self.equal * FOREIGN_FLOOR_PERMILLE / 1_000,
+        }
     }
 }
 
 impl Bucket {
     /// Sets the own part of the rate and of the burst.
     fn set_rate(&mut self, plan: &AccountPlan, parts: &Parts) {
-        let own = parts.wanted(self.granted);
+        let own = self.granted.max(self.floor);
         let total = own + self.others;
         // What nobody asks for follows the demand too: a host with little demand sees it vary most.
         self.rate = scale(parts.free, own, total);
--- a/src/core/proxy/session.rs
+++ b/src/core/proxy/session.rs
@@ -78,8 +78,8 @@
     /// Home of the session that a caller asks for, if that is another host.
     pub fn foreign_home(&self, database: &str, key: &str) -> Option<HostId> {
         let name = database.parse::<DatabaseName>().ok()?;
-        let (route, account) = self.resolve(&name, &CallerKey::new(key)).ok()?;
-        self.home(&route.group, &account).filter(|home| *home != self.spec.host)
+        let (_, account) = self.resolve(&name, &CallerKey::new(key)).ok()?;
+        self.home(&account).filter(|home| *home != self.spec.host)
     }
 
     /// A caller asks for a session on this host.
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -80,6 +80,8 @@
     /// The operator's configuration in use, as it was read.
     pub(super) configuration: Option<Bytes>,
     pub(super) hosts: BTreeMap<HostId, HostRow>,
+    /// Whether the hosts' rows were read.
+    pub(super) hosts_read: bool,
     pub(super) peers: Option<Peers>,
     pub(super) incarnation: Incarnation,
     pub(super) report: Report,
@@ -123,6 +125,7 @@
         let spec = ProxySpec {
             host: settings.host.clone(),
             home: settings.failure_domain.clone(),
+            processor: settings.processor,
             drain: drain_times(settings.stop_limit_ms),
         };
         tracing::info!(host = settings.host.as_str(), domain = settings.failure_domain.as_str(),
@@ -148,6 +151,7 @@
             entries: BTreeMap::new(),
             configuration: None,
             hosts: BTreeMap::new(),
+            hosts_read: false,
             peers: None,
             incarnation,
             report,
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -9,11 +9,12 @@
 use super::store::CallPurpose;
 use crate::auth::Secret;
 use crate::core::peer::{Envelope, Hello, MessageNumber, PeerMessage};
+use crate::core::proxy::home::Candidate;
 use crate::core::proxy::quota::Demand;
 use crate::net::peer::{PeerActor, PeerEvent, PeerSpec, PeerTarget};
 use crate::net::reactor::suspend_aware_clock;
 use crate::platform::store::{self, StoreRow};
-use crate::types::{DurationMs, HostId, RowVersion, TableVersion, Timestamp};
+use crate::types::{DurationMs, HostId, MilliCores, RowVersion, TableVersion, Timestamp};
 use crate::wire::fleet_rows::HostRow;
 
 /// Random bytes of the secret that all hosts share.
@@ -134,6 +135,9 @@
 
     /// Tells the core who is listed, and how many of them share the endpoints.
     fn count_hosts(&mut self) {
+        if !self.hosts_read {
+            return;
+        }
         let others = self.hosts.keys().filter(|host| **host != self.settings.host);
         let others: Vec<HostId> = others.cloned().collect();
         let pace = (self.hosts.len() as u64 / HOSTS_AT_FULL_PACE).clamp(1, MOST_PACE);
@@ -147,8 +151,12 @@
         if let Some(peers) = &mut self.peers {
             present.retain(|host| peers.is_present(now, host));
         }
-        self.core.set_hosts(now, others, present.len());
-        self.core.set_reachable(present);
+        let candidate = |host: HostId| {
+            let processor = self.hosts.get(&host).map_or(MilliCores(0), |row| row.processor);
+            Candidate { host, processor }
+        };
+        let present = present.into_iter().map(candidate).collect();
+        self.core.set_hosts(now, others, present);
     }
 
     fn peer_event(&mut self, cx: CX![], event: PeerEvent) {
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -26,7 +26,12 @@
 impl ProxyHost {
     /// Writes this host's row, which stays until the host is removed for good.
     pub(super) fn register(&mut self, _: CX![]) {
-        let value = HostRow::new(self.settings.peers, self.incarnation).to_json();
+        let value = HostRow::new(
+            self.settings.peers,
+            self.incarnation,
+            self.settings.processor,
+        )
+        .to_json();
         let key = format_compact!("{HOST_KEY}{}", self.settings.host);
         let request = store::put_row(OWN_TABLE, &key, None, Some(&value));
         call!([self.calls], call(CallPurpose::Register, request));
@@ -140,6 +145,7 @@
         let now = suspend_aware_clock();
         if rows.whole {
             self.hosts.clear();
+            self.hosts_read = true;
         }
         for row in &rows.rows {
             if let Some(host) = row.key.strip_prefix(HOST_KEY) {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -7,10 +7,12 @@
 use serde::Deserialize;
 
 use crate::error::{Error, ErrorKind};
-use crate::types::{DurationMs, FailureDomain, HostId};
+use crate::types::{DurationMs, FailureDomain, HostId, MilliCores};
 
 /// Variable that holds the path of the settings file.
 pub const FILE_VARIABLE: &str = "MEDLARSTILE_NODE_FILE";
+/// Processor of a host whose settings do not limit it, in cores.
+const WHOLE_CORE: f64 = 1.0;
 
 /// What a host is told by its settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,6 +33,8 @@
     pub store: SocketAddr,
     /// Address that takes promotions.
     pub promotions: SocketAddr,
+    /// Processor of the host.
+    pub processor: MilliCores,
     /// Time from the request to stop until the process is killed.
     pub stop_limit_ms: DurationMs,
 }
@@ -44,6 +48,8 @@
     bind_addrs: BindAddrs,
     internal_port_range: (u16, u16),
     bounds: Bounds,
+    #[serde(default)]
+    limits: Limits,
     platform: StoreService,
     cloud_api: ControlService,
 }
@@ -60,6 +66,13 @@
     grace_s: f64,
 }
 
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    /// Part of one core.
+    cpu_share: Option<f64>,
+}
+
 #[derive(Deserialize)]
 struct StoreService {
     address: SocketAddr,
@@ -99,7 +112,12 @@
         if seconds.is_nan() || seconds <= 0.0 {
             return Err(format!("graceS is {seconds}, more than 0 is needed"));
         }
+        let cores = file.limits.cpu_share.unwrap_or(WHOLE_CORE);
+        if cores.is_nan() || cores <= 0.0 {
+            return Err(format!("cpuShare is {cores}, more than 0 is needed"));
+        }
         Ok(Self {
+            processor: MilliCores((cores * 1_000.0) as u32),
             host: file.node_name.parse().map_err(|error| format!("nodeName: {error}"))?,
             failure_domain: file.zone.parse().map_err(|error| format!("zone: {error}"))?,
             listen: file.bind_addrs.frontend,
--- a/src/types/amount.rs
+++ b/src/types/amount.rs
@@ -28,6 +28,8 @@
     Weight(u32);
     /// Statements that an endpoint runs at once.
     Slots(u32);
+    /// Thousandths of a processor core that a host may use.
+    MilliCores(u32);
     /// Connections that an endpoint accepts from the whole fleet.
     ConnectionCount(u32);
 }
--- a/src/wire/fleet_rows.rs
+++ b/src/wire/fleet_rows.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::proxy::failover::Claim;
-use crate::types::{AttemptId, IdError, Incarnation, Term};
+use crate::types::{AttemptId, IdError, Incarnation, MilliCores, Term};
 
 /// Why bytes are not a row.
 pub type RowFault = String;
@@ -18,12 +18,15 @@
     pub address: SocketAddr,
     /// Run of the process.
     pub incarnation: Incarnation,
+    /// The host's processor.
+    #[serde(default)]
+    pub processor: MilliCores,
 }
 
 impl HostRow {
     /// The row of a host.
-    pub fn new(address: SocketAddr, incarnation: Incarnation) -> Self {
-        Self { address, incarnation }
+    pub fn new(address: SocketAddr, incarnation: Incarnation, processor: MilliCores) -> Self {
+        Self { address, incarnation, processor }
     }
 
     /// The row as JSON.
--- a/tests/proxy_home.rs
+++ b/tests/proxy_home.rs
@@ -1,11 +1,12 @@
-//! Which host runs a session where connections are fewer than hosts and accounts.
+//! Which host runs a session in a large fleet.
 
 mod proxy_rig;
 
 use std::collections::BTreeSet;
 
 use medlarstile::core::proxy::catalog::AccountPlan;
-use medlarstile::types::{Burst, ConnectionCount, HostId, RatePerS};
+use medlarstile::core::proxy::home::Candidate;
+use medlarstile::types::{Burst, ConnectionCount, HostId, MilliCores, RatePerS};
 use proxy_rig::{catalog, id, Rig};
 use yare::parameterized;
 
@@ -21,21 +22,32 @@
         plan.connections = ConnectionCount(connections);
     }
     rig.core.set_catalog(rig.now, catalog);
-    rig.core.set_reachable((2..=hosts).map(|number| id(&format!("h{number}"))).collect());
+    set_present(&mut rig, (2..=hosts).map(|number| candidate(number, 250)).collect());
     rig
 }
 
+fn candidate(number: usize, processor: u32) -> Candidate {
+    Candidate { host: id(&format!("h{number}")), processor: MilliCores(processor) }
+}
+
+fn set_present(rig: &mut Rig, present: Vec<Candidate>) {
+    let listed = present.iter().map(|one| one.host.clone()).collect();
+    rig.core.set_hosts(rig.now, listed, present);
+}
+
 fn homes(rig: &Rig, accounts: usize) -> Vec<Option<HostId>> {
-    (0..accounts).map(|number| rig.core.home(&id("db"), &id(&format!("t{number}")))).collect()
+    (0..accounts).map(|number| rig.core.home(&id(&format!("t{number}")))).collect()
 }
 
 /// Guards against relays where every host can hold its own connections, and against a large fleet
-/// in which more hosts than an endpoint has connections for open one each.
+/// in which more hosts than an endpoint has connections for open one each, or divide an account's
+/// rate into fractions of an operation.
 #[parameterized(
     small_few = { 8, 7, 16, 0 },
     small_many = { 11, 7, 38, 0 },
-    large_few = { 59, 71, 32, 3 },
-    large_many = { 91, 87, 342, 31 },
+    large_few = { 59, 71, 32, 7 },
+    large_many = { 91, 87, 342, 11 },
+    large_plenty = { 30, 7, 10_000, 8 },
 )]
 fn homes_are_as_many_as_the_connections_allow(
     hosts: usize,
@@ -55,11 +67,11 @@
 fn homes_are_stable() {
     let mut rig = rig(59, 71, 32);
     let before = homes(&rig, 71);
-    rig.core.set_reachable((2..=59).rev().map(|number| id(&format!("h{number}"))).collect());
+    set_present(&mut rig, (2..=59).rev().map(|number| candidate(number, 250)).collect());
     assert_eq!(homes(&rig, 71), before);
     let gone = before[0].clone().expect("a home");
-    let left = (2..=59).map(|number| id(&format!("h{number}")));
-    rig.core.set_reachable(left.filter(|host| *host != gone).collect());
+    let left = (2..=59).map(|number| candidate(number, 250));
+    set_present(&mut rig, left.filter(|one| one.host != gone).collect());
     let known: BTreeSet<_> = before.iter().flatten().cloned().collect();
     for (old, new) in before.iter().zip(homes(&rig, 71)) {
         // Another host takes the place of the one that went, and accounts of its own with it.
@@ -67,3 +79,14 @@
         assert!(*old == Some(gone.clone()) || *old == new || newcomer, "{old:?} to {new:?}");
     }
 }
+
+/// Guards against a weak host that runs the sessions of many while strong ones relay to it.
+#[test]
+fn the_strongest_hosts_are_homes() {
+    let mut rig = rig(2, 71, 32);
+    let present = (2..=59).map(|number| candidate(number, if number < 10 { 500 } else { 120 }));
+    set_present(&mut rig, present.collect());
+    let strong: BTreeSet<HostId> = (2..10).map(|number| candidate(number, 500).host).collect();
+    let found: BTreeSet<HostId> = homes(&rig, 71).into_iter().flatten().collect();
+    assert!(found.len() > 4 && found.is_subset(&strong), "{found:?}");
+}
--- a/tests/proxy_quota.rs
+++ b/tests/proxy_quota.rs
@@ -26,8 +26,13 @@
 
 impl Fleet {
     fn new(now: Timestamp) -> Self {
+        Self::of(now, HOSTS)
+    }
+
+    /// A fleet of `hosts`.
+    fn of(now: Timestamp, hosts: usize) -> Self {
         let names: Vec<HostId> =
-            (0..HOSTS).map(|n| format!("h{n}").parse().expect("a host")).collect();
+            (0..hosts).map(|n| format!("h{n}").parse().expect("a host")).collect();
         let plan = AccountPlan { rate_per_s: RatePerS(RATE), burst: Burst(BURST) };
         let plans = BTreeMap::from([(account(), plan)]);
         let host = |name: &HostId| {
@@ -40,10 +45,19 @@
         Self { hosts: names.iter().map(host).collect(), cut: Vec::new(), now }
     }
 
+    /// Makes the hosts among `seeing` believe that `home` is the account's home.
+    fn set_home(&mut self, home: usize, seeing: impl Iterator<Item = usize>) {
+        let home = self.hosts[home].0.clone();
+        for place in seeing {
+            let (own, quota) = &mut self.hosts[place];
+            quota.set_homes(self.now, own, BTreeMap::from([(account(), home.clone())]));
+        }
+    }
+
     /// Operations that were admitted within `ms`, with `asked(host)` a second at each host.
     fn run(&mut self, ms: u64, asked: fn(usize) -> u64) -> u64 {
         let mut admitted = 0;
-        let mut owed = [0_u64; HOSTS];
+        let mut owed = vec![0_u64; self.hosts.len()];
         for _ in 0..ms / 10 {
             self.now = Timestamp(self.now.0 + 10_000);
             for (place, (_, quota)) in self.hosts.iter_mut().enumerate() {
@@ -64,7 +78,7 @@
         for (from, report) in reports.into_iter().enumerate() {
             let Some(report) = report else { continue };
             let name = self.hosts[from].0.clone();
-            for to in 0..HOSTS {
+            for to in 0..self.hosts.len() {
                 let cut = self.cut.contains(&from) != self.cut.contains(&to);
                 if to != from && !cut {
                     self.hosts[to].1.on_report(now, name.clone(), report.clone());
@@ -132,3 +146,37 @@
     let most = RATE + BURST + RATE / 10;
     assert!(admitted <= most, "{admitted} of {most} in a second");
 }
+
+/// Hosts of a large fleet.
+const MANY: usize = 91;
+
+/// Guards against refusals below the limit at the home of an account: on a fleet of 91 hosts a
+/// quarter of the operations was refused on a quiet day, 60% in its first two seconds.
+#[test]
+fn a_home_admits_the_usual_demand_from_the_start() {
+    let mut fleet = Fleet::of(START, MANY);
+    fleet.set_home(0, 0..MANY);
+    // The hosts exchange reports before callers come.
+    fleet.run(1_000, |_| 0);
+    let admitted = fleet.run(2_000, |host| if host == 0 { RATE * 6 / 10 } else { 0 });
+    assert!(admitted + 2 >= RATE * 6 / 10 * 2, "{admitted}");
+}
+
+/// Guards against a home, or two hosts that both are taken for the home, that exceed the limit.
+#[parameterized(
+    one_home = { &[], 0 },
+    two_views = { &[], 50 },
+    cut_off_with_a_home_of_its_own = { &[50, 51, 52, 53, 54, 55, 56, 57, 58, 59], 50 },
+)]
+fn homes_keep_the_limit(cut: &[usize], second: usize) {
+    let mut fleet = Fleet::of(START, MANY);
+    fleet.set_home(0, 0..MANY);
+    fleet.run(3_000, |host| if host == 0 { RATE * 3 } else { 0 });
+    fleet.cut = cut.to_vec();
+    fleet.set_home(second, second..MANY.min(second + 10));
+    for _ in 0..4 {
+        let ask = |host| if host == 0 || host == 50 { RATE * 3 } else { 0 };
+        let admitted = fleet.run(WINDOW_S * 1_000, ask);
+        assert!(admitted <= allowed(), "{admitted} of {} in a window", allowed());
+    }
+}
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -15,7 +15,7 @@
 use medlarstile::core::proxy::{Answer, LossReport, Proxy, ProxyEffect, ProxySpec};
 use medlarstile::core::transaction::TransactionState;
 use medlarstile::types::{
-    Burst, ConnectionCount, ConnectionId, DurationMs, EndpointId, GroupId, Position, RatePerS,
+    Burst, ConnectionCount, ConnectionId, DurationMs, EndpointId, GroupId, MilliCores, Position, RatePerS,
     RowVersion, SessionId, TableVersion, Term, Timestamp,
 };
 use rand::SeedableRng;
@@ -97,6 +97,7 @@
         let spec = ProxySpec {
             host: id("h1"),
             home: id("north"),
+            processor: MilliCores(250),
             drain: DrainTimes { notice_ms: DurationMs(2_000), limit_ms: DurationMs(2_000) },
         };
         let mut rig = Self {
@@ -111,6 +112,7 @@
             open: std::collections::BTreeMap::new(),
             next_query: 0,
         };
+        rig.core.set_hosts(rig.now, Vec::new(), Vec::new());
         rig.core.set_catalog(rig.now, catalog(1));
         rig.core.set_entries(rig.now, vec![entry("a", true), entry("b", false), entry("c", false)]);
         rig.pass(20);
