Link hosts that relay to the homes alone, and let them read the store at a distance

Cause: with 59 to 91 hosts, reports between all hosts were most of the bytes between failure domains and of the processor time, and every host read all tables of the store as often as the homes do. Hosts that relay now keep links to the homes, which tell them of a newer configuration, and wait longer at the store; a feed that has to follow closely asks at once. Homes present are chosen among the strongest places, so that the loss of one moves its accounts only.

--- a/src/core/proxy/home.rs
+++ b/src/core/proxy/home.rs
@@ -4,7 +4,8 @@
 //! divided by the hosts is a fraction of one operation. There, all sessions of an account run on
 //! one host, its home, and the other hosts relay their callers' lines to it. Homes are the
 //! strongest hosts; accounts are spread over them by weighted rendezvous hashing, so that few
-//! sessions change their home when a host comes or goes.
+//! sessions change their home when a host comes or goes. Hosts that only relay keep links to the
+//! homes alone.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -28,6 +29,9 @@
 /// Part of an endpoint's connections, in percent, that homes divide; the rest is for hosts that
 /// cannot reach a home.
 const HOME_PERCENT: u64 = 88;
+/// Homes that have to be present before no further hosts are considered. The accounts of a lost
+/// home go to the others, so that one loss makes no host a home that was none.
+const LEAST_PRESENT: usize = 2;
 
 /// A host that may run sessions of others.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -39,25 +43,47 @@
 }
 
 /// The hosts that run sessions; none if each one serves its own callers.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, PartialEq, Eq)]
 pub(super) struct Homes {
+    /// Homes that are present.
     candidates: Vec<Candidate>,
+    /// Homes to choose, present or not.
+    wanted: u64,
 }
 
 impl Homes {
-    /// Chooses the homes among `all`, for endpoints that accept at least `connections` and
-    /// `accounts` client accounts.
-    pub(super) fn choose(mut all: Vec<Candidate>, connections: u64, accounts: u64) -> Self {
-        let hosts = all.len() as u64;
+    /// Number of homes for `hosts`, for endpoints that accept `connections` and `accounts` client
+    /// accounts; none if every host is to serve its own callers.
+    fn wanted(hosts: u64, connections: u64, accounts: u64) -> Option<u64> {
         let scarce = connections / hosts.max(1) < accounts / ACCOUNTS_PER_CONNECTION;
         if !scarce && hosts < HOMES_FROM {
-            return Self::default();
+            return None;
         }
         let most = connections * HOME_PERCENT / 100 / LEAST_HOME_SHARE;
-        let wanted = (hosts / HOSTS_PER_HOME).max(LEAST_HOMES).min(most).max(1);
+        Some((hosts / HOSTS_PER_HOME).max(LEAST_HOMES).min(most).max(1))
+    }
+
+    /// Chooses `wanted` homes among `all`, the strongest ones first. Returns them, and the hosts
+    /// that were considered, absent ones included.
+    fn choose(
+        mut all: Vec<Candidate>,
+        wanted: u64,
+        is_present: &mut dyn FnMut(&HostId) -> bool,
+    ) -> (Self, Vec<HostId>) {
         all.sort_by_cached_key(|one| (Reverse(one.processor), hash(&one.host), one.host.clone()));
-        all.truncate(usize::try_from(wanted).unwrap_or(usize::MAX));
-        Self { candidates: all }
+        let places = usize::try_from(wanted).unwrap_or(usize::MAX);
+        let mut homes = Self { candidates: Vec::new(), wanted };
+        let mut considered = Vec::new();
+        for one in all {
+            if considered.len() >= places && homes.candidates.len() >= LEAST_PRESENT.min(places) {
+                break;
+            }
+            considered.push(one.host.clone());
+            if is_present(&one.host) {
+                homes.candidates.push(one);
+            }
+        }
+        (homes, considered)
     }
 
     /// Whether sessions run at homes.
@@ -81,25 +107,47 @@
 }
 
 impl Proxy {
-    /// Sets the other hosts of the fleet: those that are listed, and those among them that share
-    /// the work.
-    pub fn set_hosts(&mut self, now: Timestamp, listed: Vec<HostId>, present: Vec<Candidate>) {
+    /// Sets the other hosts of the fleet. `is_present` is asked whether a host shares the work where
+    /// that matters. Returns the hosts that this one needs a link to.
+    pub fn set_hosts(
+        &mut self,
+        now: Timestamp,
+        listed: Vec<Candidate>,
+        mut is_present: impl FnMut(&HostId) -> bool,
+    ) -> Vec<HostId> {
         self.listed_known = true;
-        self.quota.set_hosts(now, listed);
-        if self.present != present {
-            self.present = present;
-            self.choose_homes(now);
+        self.quota.set_hosts(now, listed.iter().map(|one| one.host.clone()).collect());
+        let own = self.spec.host.clone();
+        let mut is_present = |host: &HostId| *host == own || is_present(host);
+        let candidate = Candidate { host: own.clone(), processor: self.spec.processor };
+        let others: Vec<HostId> = listed.iter().map(|one| one.host.clone()).collect();
+        let all: Vec<Candidate> = listed.into_iter().chain([candidate]).collect();
+        let Some(catalog) = &self.catalog else {
+            // Another host may have to tell the configuration.
+            return Homes::choose(all, LEAST_HOMES, &mut is_present).1;
+        };
+        let connections = catalog.groups.values().map(|plan| u64::from(plan.connections.0)).min();
+        let connections = connections.unwrap_or(u64::from(u32::MAX));
+        let accounts = catalog.accounts.len() as u64;
+        let Some(wanted) = Homes::wanted(all.len() as u64, connections, accounts) else {
+            self.present = others.iter().filter(|host| is_present(host)).count() as u64;
+            self.adopt_homes(now, Homes::default());
+            return others;
+        };
+        let (homes, considered) = Homes::choose(all, wanted, &mut is_present);
+        self.adopt_homes(now, homes);
+        if self.homes.contains(&self.spec.host) {
+            return others;
         }
+        considered
     }
 
-    /// Chooses the homes anew, after a change of the hosts or the configuration.
-    pub(super) fn choose_homes(&mut self, now: Timestamp) {
+    fn adopt_homes(&mut self, now: Timestamp, homes: Homes) {
         let Some(catalog) = &self.catalog else { return };
-        let own = Candidate { host: self.spec.host.clone(), processor: self.spec.processor };
-        let all = self.present.iter().cloned().chain([own]).collect();
-        let connections = catalog.groups.values().map(|plan| u64::from(plan.connections.0)).min();
-        let accounts = catalog.accounts.len() as u64;
-        let homes = Homes::choose(all, connections.unwrap_or(u64::MAX / 100), accounts);
+        if self.homes != homes {
+            let names: Vec<&str> = homes.candidates.iter().map(|one| one.host.as_str()).collect();
+            tracing::info!(homes = names.join(" "), wanted = homes.wanted, "homes: changed");
+        }
         let of = |account: &AccountId| Some((account.clone(), homes.of(account)?.clone()));
         let by_account: BTreeMap<AccountId, HostId> =
             catalog.accounts.keys().filter_map(of).collect();
@@ -112,6 +160,13 @@
         self.homes.of(account).cloned()
     }
 
+    /// Whether this host runs sessions, as a home or because it cannot reach one.
+    pub fn runs_sessions(&self) -> bool {
+        !self.homes.are_used()
+            || self.homes.contains(&self.spec.host)
+            || !self.sessions.is_empty()
+    }
+
     /// Whether this host runs sessions in a group, as a home or because it cannot reach one.
     pub(super) fn serves(&self, group: &GroupId) -> bool {
         let used = |group: &super::group::GroupState| {
@@ -126,9 +181,11 @@
     pub(super) fn share(&self, group: &GroupId) -> u64 {
         let limit = self.groups.get(group).map_or(1, |group| u64::from(group.plan.connections.0));
         let share = if !self.homes.are_used() {
-            limit / (self.present.len() as u64 + 1)
+            limit / (self.present + 1)
         } else if self.homes.contains(&self.spec.host) {
-            limit * HOME_PERCENT / 100 / self.homes.candidates.len() as u64
+            // In a part of the fleet that is cut off, few homes do not take everything.
+            let sharers = (self.homes.candidates.len() as u64).max(self.homes.wanted / 2);
+            limit * HOME_PERCENT / 100 / sharers
         } else {
             0
         };
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -35,7 +35,7 @@
 pub use events::LossReport;
 use failover::{Claim, Failover};
 use group::{EndpointEntry, GroupState};
-use home::{Candidate, Homes};
+use home::Homes;
 use job::{Job, Order, Refusal};
 use quota::{Demand, Quota};
 pub use request::ProxyMoment;
@@ -143,8 +143,8 @@
     quota: Quota,
     /// Whether the hosts of the fleet are known.
     listed_known: bool,
-    /// Other hosts that share the work.
-    present: Vec<Candidate>,
+    /// Other hosts that share the endpoints' connections, where homes are not used.
+    present: u64,
     homes: Homes,
     relayed: usize,
     groups: BTreeMap<GroupId, GroupState>,
@@ -171,7 +171,7 @@
             discovered: false,
             quota: Quota::default(),
             listed_known: false,
-            present: Vec::new(),
+            present: 0,
             homes: Homes::default(),
             relayed: 0,
             groups: BTreeMap::new(),
@@ -249,7 +249,6 @@
             }
         }
         self.catalog = Some(catalog);
-        self.choose_homes(now);
         self.drop_foreign_connections();
         self.apply_entries(now);
         self.settle(now);
--- a/src/net/proxy/feed.rs
+++ b/src/net/proxy/feed.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use stakker::{actor, after, call, fwd, ret_nop, ret_some_to, ActorOwn, Fwd, CX};
+use stakker::{actor, after, call, fwd, ret_nop, ret_some_to, ActorOwn, FixedTimerKey, Fwd, CX};
 
 use super::http::{CallResult, HttpClient};
 use crate::platform::store::{self, RowsAnswer, StoreRow, StoreRows};
@@ -12,21 +12,28 @@
 
 /// Time for an answer beyond the time that the store may wait for a change.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
-/// Most by which a wait for changes is lengthened; a longer one would notice a silent connection
-/// later than a version of the configuration has to be in force.
-const MOST_WAIT_PACE: u64 = 2;
 /// Pause after a call that failed; the store may be down for seconds, and every call has a price.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
+/// Times between calls.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    /// Longest time for which the store waits for a change. A silent connection is noticed after
+    /// it.
+    pub wait_ms: DurationMs,
+    /// Pause after a change, in which further changes gather.
+    pub pause_ms: DurationMs,
+}
+
 /// How a table is followed.
 #[derive(Debug, Clone, Copy)]
 pub struct FeedPlan {
     /// The table.
     pub table: &'static str,
-    /// Longest time for which the store waits for a change.
-    pub wait_ms: DurationMs,
-    /// Pause after a change, in which further changes gather.
-    pub pause_ms: DurationMs,
+    /// Pace of a host that runs sessions.
+    pub close: Pace,
+    /// Pace of a host that only relays sessions; other hosts tell it of a newer configuration.
+    pub distant: Pace,
 }
 
 /// Rows of a table.
@@ -58,7 +65,9 @@
     newest: RowVersion,
     page: Vec<StoreRow>,
     reachable: bool,
-    pace: u64,
+    is_close: bool,
+    /// Runs out when the pause before the next call ends.
+    pause: Option<FixedTimerKey>,
 }
 
 impl TableFeed {
@@ -71,23 +80,37 @@
     ) -> Option<Self> {
         let client = actor!(cx, HttpClient::init(address), ret_nop!());
         call!([cx], read_all(None));
-        let (known, newest) = (None, RowVersion(0));
-        Some(Self { plan, hub, client, known, newest, page: Vec::new(), reachable: true, pace: 1 })
-    }
-
-    /// Makes pauses and waits `pace` times as long as planned, so that the calls of a large fleet
-    /// do not grow with its hosts.
-    pub fn set_pace(&mut self, _: CX![], pace: u64) {
-        self.pace = pace;
+        Some(Self {
+            plan,
+            hub,
+            client,
+            known: None,
+            newest: RowVersion(0),
+            page: Vec::new(),
+            reachable: true,
+            is_close: false,
+            pause: None,
+        })
     }
 
-    fn pause(&self) -> Duration {
-        self.plan.pause_ms.to_std() * u32::try_from(self.pace).unwrap_or(u32::MAX)
+    /// Follows closely, or at a distance, which takes few calls. A feed that becomes close asks at
+    /// once.
+    pub fn set_close(&mut self, cx: CX![], is_close: bool) {
+        let before = std::mem::replace(&mut self.is_close, is_close);
+        if is_close && !before {
+            if let Some(pause) = self.pause.take() {
+                cx.timer_del(pause);
+                self.follow(cx);
+            }
+        }
     }
 
-    /// Changes are told at once; only a silent connection is noticed later.
-    fn wait_ms(&self) -> DurationMs {
-        DurationMs(self.plan.wait_ms.0 * self.pace.min(MOST_WAIT_PACE))
+    fn pace(&self) -> Pace {
+        if self.is_close {
+            self.plan.close
+        } else {
+            self.plan.distant
+        }
     }
 
     /// Reads the rows behind the key `after`, or all.
@@ -112,20 +135,22 @@
                     self.known = Some(version);
                     self.newest = version;
                 }
-                self.follow_later(cx, self.pause());
+                self.follow_later(cx, self.pace().pause_ms.to_std());
             }
         }
     }
 
     fn follow_later(&mut self, cx: CX![], pause: Duration) {
-        after!(pause, [cx], follow());
+        self.pause = Some(after!(pause, [cx], follow()));
     }
 
     fn follow(&mut self, cx: CX![]) {
+        self.pause = None;
         let Some(known) = self.known else { return self.read_all(cx, None) };
-        let request = store::get_changes(self.plan.table, known, self.wait_ms());
+        let wait = self.pace().wait_ms;
+        let request = store::get_changes(self.plan.table, known, wait);
         let ret = ret_some_to!([cx], changes_read() as (CallResult));
-        let limit = self.wait_ms().to_std() + ANSWER_LIMIT;
+        let limit = wait.to_std() + ANSWER_LIMIT;
         call!([self.client], call(request, limit, ret));
     }
 
@@ -138,7 +163,7 @@
         if changed {
             self.pass_on(rows.rows, false);
         }
-        let pause = if changed { self.pause() } else { Duration::ZERO };
+        let pause = if changed { self.pace().pause_ms.to_std() } else { Duration::ZERO };
         self.follow_later(cx, pause);
     }
 
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -18,7 +18,7 @@
 
 use super::caller::LineCaller;
 use super::endpoint::{EndpointEvent, LineEndpoint, Target};
-use super::feed::{FeedEvent, FeedPlan, TableFeed};
+use super::feed::{FeedEvent, FeedPlan, Pace, TableFeed};
 use super::http::{HttpServer, Respond};
 use super::peers::Peers;
 use super::report::Report;
@@ -44,18 +44,22 @@
 /// that a version has to be in force.
 const CONFIGURATION_FEED: FeedPlan = FeedPlan {
     table: store::CONFIGURATION_TABLE,
-    wait_ms: DurationMs(1_500),
-    pause_ms: DurationMs(50),
+    close: Pace { wait_ms: DurationMs(1_500), pause_ms: DurationMs(50) },
+    distant: Pace { wait_ms: DurationMs(10_000), pause_ms: DurationMs(400) },
 };
 /// How the endpoints' entries are followed; every heartbeat changes one, so changes are gathered.
+/// A host at a distance reads them for the case that it cannot reach a home.
 const ENDPOINT_FEED: FeedPlan = FeedPlan {
     table: store::ENDPOINT_TABLE,
-    wait_ms: DurationMs(1_500),
-    pause_ms: DurationMs(700),
+    close: Pace { wait_ms: DurationMs(1_500), pause_ms: DurationMs(700) },
+    distant: Pace { wait_ms: DurationMs(10_000), pause_ms: DurationMs(5_000) },
 };
 /// How the hosts' own rows are followed.
-const OWN_FEED: FeedPlan =
-    FeedPlan { table: OWN_TABLE, wait_ms: DurationMs(3_000), pause_ms: DurationMs(50) };
+const OWN_FEED: FeedPlan = FeedPlan {
+    table: OWN_TABLE,
+    close: Pace { wait_ms: DurationMs(3_000), pause_ms: DurationMs(50) },
+    distant: Pace { wait_ms: DurationMs(10_000), pause_ms: DurationMs(3_000) },
+};
 
 /// A host that serves sessions over pooled connections.
 pub struct ProxyHost {
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -14,20 +14,15 @@
 use crate::net::peer::{PeerActor, PeerEvent, PeerSpec, PeerTarget};
 use crate::net::reactor::suspend_aware_clock;
 use crate::platform::store::{self, StoreRow};
-use crate::types::{DurationMs, HostId, MilliCores, RowVersion, TableVersion, Timestamp};
+use crate::types::{DurationMs, HostId, RowVersion, TableVersion, Timestamp};
 use crate::wire::fleet_rows::HostRow;
 
 /// Random bytes of the secret that all hosts share.
 const SECRET_BYTES: usize = 32;
 
-/// Hosts up to which each one reads the store as often as planned.
-const HOSTS_AT_FULL_PACE: u64 = 12;
-/// Most by which reads of the store are spread; endpoints that leave are noticed within 3 s then.
-const MOST_PACE: u64 = 4;
-
-/// Time in which the link to a host whose row is new is expected to open; a row may be that of a
-/// host that was removed for good.
-const LINK_GRACE: DurationMs = DurationMs(10_000);
+/// Time in which a link that is wanted is expected to open, a start of all hosts included; the row
+/// may be that of a host that was removed for good.
+const LINK_GRACE: DurationMs = DurationMs(3_000);
 
 /// Time for which another host's newer configuration is left to the store's feed; well below the
 /// time in which a version has to be in force.
@@ -39,9 +34,11 @@
     open: BTreeSet<HostId>,
     /// Hosts whose link ended and has not come back.
     lost: BTreeSet<HostId>,
-    /// When the row of each host was first seen.
-    first_seen: BTreeMap<HostId, Timestamp>,
+    /// Since when a link to each host is wanted.
+    wanted_since: BTreeMap<HostId, Timestamp>,
     last_number: u64,
+    /// Hosts that links are kept to.
+    targets: Vec<PeerTarget>,
     /// Since when another host is known to have a newer configuration.
     behind_since: Option<Timestamp>,
 }
@@ -54,8 +51,8 @@
 
     /// Whether a listed host counts: its link is open, or is expected to open.
     fn is_present(&mut self, now: Timestamp, host: &HostId) -> bool {
-        let seen = *self.first_seen.entry(host.clone()).or_insert(now);
-        let expected = !self.lost.contains(host) && now < seen + LINK_GRACE;
+        let since = *self.wanted_since.entry(host.clone()).or_insert(now);
+        let expected = !self.lost.contains(host) && now < since + LINK_GRACE;
         self.open.contains(host) || expected
     }
 
@@ -112,51 +109,46 @@
             link,
             open: BTreeSet::new(),
             lost: BTreeSet::new(),
-            first_seen: BTreeMap::new(),
+            wanted_since: BTreeMap::new(),
             last_number: 0,
+            targets: Vec::new(),
             behind_since: None,
         });
     }
 
-    /// Dials the hosts whose rows are known.
-    pub(super) fn set_peer_targets(&mut self) {
-        let others = self.hosts.iter().filter(|(host, _)| **host != self.settings.host);
-        let target = |(host, row): (&HostId, &HostRow)| PeerTarget {
-            host: host.clone(),
-            incarnation: row.incarnation,
-            address: row.address,
-        };
-        let targets: Vec<PeerTarget> = others.map(target).collect();
-        if let Some(peers) = &self.peers {
-            call!([peers.link], set_targets(targets));
-        }
-        self.count_hosts();
-    }
-
-    /// Tells the core who is listed, and how many of them share the endpoints.
-    fn count_hosts(&mut self) {
+    /// Tells the core who is listed, and keeps links to the hosts that matter to this one.
+    pub(super) fn count_hosts(&mut self) {
         if !self.hosts_read {
             return;
         }
-        let others = self.hosts.keys().filter(|host| **host != self.settings.host);
-        let others: Vec<HostId> = others.cloned().collect();
-        let pace = (self.hosts.len() as u64 / HOSTS_AT_FULL_PACE).clamp(1, MOST_PACE);
-        for feed in &self.feeds {
-            call!([feed], set_pace(pace));
-        }
         // A host counts from its row on, not only once the link is open: after a start of all hosts
         // each would take the whole of the endpoints' connections.
         let now = suspend_aware_clock();
-        let mut present = others.clone();
+        let others = self.hosts.iter().filter(|(host, _)| **host != self.settings.host);
+        let candidate = |(host, row): (&HostId, &HostRow)| Candidate {
+            host: host.clone(),
+            processor: row.processor,
+        };
+        let listed = others.map(candidate).collect();
+        let peers = &mut self.peers;
+        let wanted = self.core.set_hosts(now, listed, |host| {
+            peers.as_mut().is_none_or(|peers| peers.is_present(now, host))
+        });
+        let target = |host: HostId| {
+            let row = self.hosts.get(&host)?;
+            Some(PeerTarget { host, incarnation: row.incarnation, address: row.address })
+        };
+        let targets: Vec<PeerTarget> = wanted.into_iter().filter_map(target).collect();
         if let Some(peers) = &mut self.peers {
-            present.retain(|host| peers.is_present(now, host));
+            if peers.targets != targets {
+                peers.targets.clone_from(&targets);
+                call!([peers.link], set_targets(targets));
+            }
+        }
+        let is_close = self.core.runs_sessions();
+        for feed in &self.feeds {
+            call!([feed], set_close(is_close));
         }
-        let candidate = |host: HostId| {
-            let processor = self.hosts.get(&host).map_or(MilliCores(0), |row| row.processor);
-            Candidate { host, processor }
-        };
-        let present = present.into_iter().map(candidate).collect();
-        self.core.set_hosts(now, others, present);
     }
 
     fn peer_event(&mut self, cx: CX![], event: PeerEvent) {
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -116,6 +116,7 @@
             self.forget_behind();
         }
         self.core.set_catalog(suspend_aware_clock(), catalog);
+        self.count_hosts();
     }
 
     fn take_entries(&mut self, rows: &FeedRows) {
@@ -166,7 +167,7 @@
         {
             self.propose_secret(cx);
         }
-        self.set_peer_targets();
+        self.count_hosts();
     }
 
     fn take_host(&mut self, host: &str, row: &StoreRow) {
--- a/tests/proxy_home.rs
+++ b/tests/proxy_home.rs
@@ -31,8 +31,7 @@
 }
 
 fn set_present(rig: &mut Rig, present: Vec<Candidate>) {
-    let listed = present.iter().map(|one| one.host.clone()).collect();
-    rig.core.set_hosts(rig.now, listed, present);
+    rig.core.set_hosts(rig.now, present, |_| true);
 }
 
 fn homes(rig: &Rig, accounts: usize) -> Vec<Option<HostId>> {
@@ -90,3 +89,27 @@
     let found: BTreeSet<HostId> = homes(&rig, 71).into_iter().flatten().collect();
     assert!(found.len() > 4 && found.is_subset(&strong), "{found:?}");
 }
+
+/// Guards against links between all hosts of a large fleet: their reports to each other were most
+/// of the bytes between failure domains.
+#[test]
+fn only_homes_keep_links_to_all() {
+    let mut rig = rig(2, 71, 32);
+    let listed: Vec<Candidate> = (2..=59).map(|number| candidate(number, 500)).collect();
+    let links = rig.core.set_hosts(rig.now, listed, |_| true);
+    assert_eq!(links.len(), 7, "h1 is weaker and relays");
+    let listed: Vec<Candidate> = (2..=59).map(|number| candidate(number, 120)).collect();
+    let links = rig.core.set_hosts(rig.now, listed, |_| true);
+    assert_eq!(links.len(), 58, "h1 is the strongest host and a home");
+}
+
+/// Guards against a part of the fleet that is cut off from all homes and goes on without one.
+#[test]
+fn a_part_without_a_home_gets_one() {
+    let mut rig = rig(2, 71, 32);
+    let listed: Vec<Candidate> = (2..=59).map(|number| candidate(number, 500)).collect();
+    let far = rig.core.set_hosts(rig.now, listed.clone(), |_| true);
+    rig.core.set_hosts(rig.now, listed, |host| !far.contains(host));
+    let found: BTreeSet<HostId> = homes(&rig, 71).into_iter().flatten().collect();
+    assert!(!found.is_empty() && found.iter().all(|home| !far.contains(home)), "{found:?}");
+}
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -112,7 +112,7 @@
             open: std::collections::BTreeMap::new(),
             next_query: 0,
         };
-        rig.core.set_hosts(rig.now, Vec::new(), Vec::new());
+        rig.core.set_hosts(rig.now, Vec::new(), |_| true);
         rig.core.set_catalog(rig.now, catalog(1));
         rig.core.set_entries(rig.now, vec![entry("a", true), entry("b", false), entry("c", false)]);
         rig.pass(20);
