Keep the timer of the links out of the past

Cause: after a pause of any host a time-out of a link can lie in the past when the timer is set. stakker's timer_min_upd does not clamp it as timer_min_add does: its time overflows, which ends a debug build, and in a release build moves the timer centuries ahead, so that no link of the host times out, repeats a datagram or is dialed again. Ruled out: ports that another process took (the same after ports outside of the outgoing range).

--- a/src/net/peer/actor.rs
+++ b/src/net/peer/actor.rs
@@ -31,6 +31,8 @@
 const REDIAL_MIN: Duration = Duration::from_millis(100);
 /// Longest time between two dials; as long as a host may serve without a fresh view.
 const REDIAL_MAX: Duration = Duration::from_secs(3);
+/// Shortest time until a timer; stakker counts in units of 1/65,536 s.
+const LEAST_DELAY: Duration = Duration::from_millis(1);
 /// Connections of hosts that have not proven themselves, above which new ones are refused.
 const MAX_UNPROVEN: usize = 256;
 
@@ -370,6 +372,9 @@
         let busy = |host: &HostId| self.open.contains_key(host) || self.dialing.contains_key(host);
         let dials = self.dials.iter().filter(|(host, _)| !busy(host)).map(|(_, dial)| dial.next);
         if let Some(next) = links.chain(dials).min() {
+            // Stakker computes a wrong time for a timer that is moved to the past, which a time-out
+            // is in after the process was paused.
+            let next = next.max(cx.now() + LEAST_DELAY);
             timer_min!(&mut self.timer, next, [cx], on_timer());
         }
     }
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -123,3 +123,25 @@
     let line = refused.wait_for("configuration: version is in use");
     assert!(line.contains(r#""version":"8""#), "{line}");
 }
+
+/// Guards against a host that ends, or whose links time out no more, when another host was paused.
+/// The soak found it with seeds 1, 2 and 5: the timer was moved to a time in the past.
+#[test]
+fn hosts_go_on_after_a_pause() {
+    let store = Store::default();
+    store.put("op", "config", configuration(3).as_bytes());
+    let mut hosts = ["h1", "h2", "h3", "h4"].map(|name| Host::start(name, store.serve(None)));
+    for host in &mut hosts {
+        host.wait_for("peer: link is open");
+    }
+    for pause_ms in [300, 600, 900, 1_500] {
+        hosts[0].signal(Signal::STOP);
+        std::thread::sleep(Duration::from_millis(pause_ms));
+        hosts[0].signal(Signal::CONT);
+        std::thread::sleep(Duration::from_millis(250));
+    }
+    for host in &mut hosts {
+        host.signal(Signal::HUP);
+        host.wait_for("host: settings were read again");
+    }
+}
