Add a randomized soak of real host processes

Four hosts run as processes behind loopback proxies that delay, silence, cut one way and reset their connections to three emulated endpoints and the emulated platform; they are paused, killed, stopped and hung up, endpoints crash and fall behind, the store refuses, loses answers and carries promotions out late. Callers check what they are told against what the endpoints ran: STALE, TWICE, REFUSED, MIXED, PINNED, UNASKED, ONE, QUOTA, CONFIG, RECOVER and exits.

--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -15,8 +15,8 @@
 use medlarstile::core::proxy::{Answer, LossReport, Proxy, ProxyEffect, ProxySpec};
 use medlarstile::core::transaction::TransactionState;
 use medlarstile::types::{
-    Burst, ConnectionCount, ConnectionId, DurationMs, EndpointId, GroupId, MilliCores, Position, RatePerS,
-    RowVersion, SessionId, TableVersion, Term, Timestamp,
+    Burst, ConnectionCount, ConnectionId, DurationMs, EndpointId, GroupId, MilliCores, Position,
+    RatePerS, RowVersion, SessionId, TableVersion, Term, Timestamp,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
--- /dev/null
+++ b/tests/soak/caller.rs
@@ -0,0 +1,272 @@
+//! Callers: sessions that read, write and run transactions, and note what they were told.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use medlarstile::platform::line::{read_endpoint, EndpointMessage};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::world::{Asked, Shared, ACCOUNTS};
+
+/// Databases with the age that their reads may have.
+pub const DATABASES: [(&str, Option<u64>); 3] =
+    [("orders", None), ("lookups", Some(1_500)), ("plans", Some(2_500))];
+/// Longest wait of a caller for an answer.
+const PATIENCE: Duration = Duration::from_secs(4);
+/// Codes that promise that nothing of the attempt is kept.
+const PROMISES: [&str; 6] = ["BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"];
+
+/// How a statement ended.
+enum End {
+    Done(String),
+    /// A code.
+    Refused(String),
+    /// The connection is gone, or there was no answer.
+    Unknown,
+}
+
+struct Session {
+    shared: Shared,
+    name: String,
+    account: &'static str,
+    key: &'static str,
+    database: &'static str,
+    max_age: Option<u64>,
+    tag: String,
+    stream: TcpStream,
+    lines: BufReader<TcpStream>,
+    next: u64,
+}
+
+/// Starts a caller that opens sessions at `hosts` until `stop` is set.
+pub fn start(
+    shared: &Shared,
+    number: u64,
+    seed: u64,
+    hosts: &[SocketAddr],
+    stop: &Arc<AtomicBool>,
+) -> JoinHandle<()> {
+    let (shared, hosts, stop) = (shared.clone(), hosts.to_vec(), Arc::clone(stop));
+    thread::spawn(move || {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (number << 32));
+        let mut sessions = 0;
+        while !stop.load(Ordering::Relaxed) {
+            sessions += 1;
+            let name = format!("c{number}-{sessions}");
+            let host = hosts.choose(&mut rng).expect("a host");
+            match Session::open(&shared, name, number, *host, &mut rng) {
+                Some(mut session) => {
+                    while !stop.load(Ordering::Relaxed) && session.act(&mut rng) {}
+                }
+                None => thread::sleep(Duration::from_millis(30)),
+            }
+        }
+    })
+}
+
+impl Session {
+    fn open(
+        shared: &Shared,
+        name: String,
+        number: u64,
+        host: SocketAddr,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<Self> {
+        let (account, key, _) =
+            ACCOUNTS[usize::try_from(number).expect("a number") % ACCOUNTS.len()];
+        let (database, max_age) = *DATABASES.choose(rng).expect("a database");
+        let stream = TcpStream::connect_timeout(&host, PATIENCE).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        let lines = BufReader::new(stream.try_clone().ok()?);
+        let (shared, tag) = (shared.clone(), String::new());
+        let mut session =
+            Self { shared, name, account, key, database, max_age, tag, stream, lines, next: 0 };
+        session.stream.write_all(format!("STARTUP {database} {key}\r\n").as_bytes()).ok()?;
+        matches!(session.message()?, EndpointMessage::Ready(..)).then_some(session)
+    }
+
+    fn message(&mut self) -> Option<EndpointMessage> {
+        let mut line = String::new();
+        if self.lines.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        read_endpoint(&Bytes::from(line.trim_end().to_owned())).ok()
+    }
+
+    /// Sends a statement and reads its answer; the second value is false if the session is over.
+    fn ask(&mut self, text: &str) -> (String, End, bool) {
+        self.next += 1;
+        let id = format!("{}.{}", self.name, self.next);
+        let asked = Asked {
+            session: self.name.clone(),
+            account: self.account,
+            key: self.key,
+            tag: self.tag.clone(),
+            sent: Instant::now(),
+        };
+        self.shared.lock().asked.insert(id.clone(), asked);
+        if self.stream.write_all(format!("QUERY {id} {text}\r\n").as_bytes()).is_err() {
+            return (id, End::Unknown, false);
+        }
+        let mut end = None;
+        loop {
+            match self.line() {
+                Some((EndpointMessage::Row(_), _)) => {}
+                Some((EndpointMessage::Complete(signature), _)) => {
+                    end = Some(End::Done(signature.to_string()));
+                }
+                Some((EndpointMessage::Error(..), code)) => end = Some(End::Refused(code)),
+                Some((EndpointMessage::Ready(..), _)) => {
+                    return (id, end.unwrap_or(End::Unknown), true);
+                }
+                None => return (id, end.unwrap_or(End::Unknown), false),
+            }
+        }
+    }
+
+    /// A message, and the code if it is an error.
+    fn line(&mut self) -> Option<(EndpointMessage, String)> {
+        let mut line = String::new();
+        if self.lines.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end();
+        let code = line.split(' ').nth(1).unwrap_or("").to_owned();
+        Some((read_endpoint(&Bytes::from(line.to_owned())).ok()?, code))
+    }
+
+    /// One operation; false ends the session.
+    fn act(&mut self, rng: &mut ChaCha8Rng) -> bool {
+        thread::sleep(Duration::from_millis(rng.random_range(0..15)));
+        match rng.random_range(0..100) {
+            0..50 => self.read(Instant::now(), false, rng),
+            50..75 => self.write(rng),
+            75..90 => self.transact(rng),
+            90..97 => self.set(rng),
+            // The session rests, then goes on.
+            97 => {
+                thread::sleep(Duration::from_millis(300));
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn set(&mut self, rng: &mut ChaCha8Rng) -> bool {
+        let tag = format!("t{}", rng.random_range(0..4));
+        let (_, end, alive) = self.ask(&format!("SET tag {tag}"));
+        if matches!(end, End::Done(_)) {
+            self.tag = tag;
+            return alive;
+        }
+        false
+    }
+
+    /// A read; `began` is the time at which it, or its transaction, was sent.
+    fn read(&mut self, began: Instant, inside: bool, rng: &mut ChaCha8Rng) -> bool {
+        let prepared = !inside && rng.random_bool(0.2);
+        let text = if prepared { "EXECUTE s 1" } else { "READ 1" };
+        if prepared {
+            let (_, end, alive) = self.ask("PREPARE s READ shape");
+            if !alive || !matches!(end, End::Done(_)) {
+                return false;
+            }
+        }
+        let began = if inside { began } else { Instant::now() };
+        let (id, end, alive) = self.ask(text);
+        let End::Done(signature) = end else { return alive && !inside };
+        let mut world = self.shared.lock();
+        world.served += 1;
+        if world.count_after.is_some_and(|after| began > after) {
+            world.served_after += 1;
+        }
+        match world.runs.get(&signature).cloned() {
+            Some(run) if run.query == id => {
+                let age = Duration::from_millis(self.max_age.unwrap_or(0));
+                let own = (self.database == "plans").then_some(self.name.as_str());
+                world.check_fresh(&id, run.applied, began, age, own);
+            }
+            _ => world.violation(format!("MIXED: {id} was answered with {signature}")),
+        }
+        alive
+    }
+
+    fn write(&mut self, rng: &mut ChaCha8Rng) -> bool {
+        let data = format!("{}-{}", self.name, rng.random::<u64>());
+        let (id, end, alive) = self.ask(&format!("WRITE 1 {data}"));
+        self.note_commit(&id, &end, &[data]);
+        alive
+    }
+
+    fn transact(&mut self, rng: &mut ChaCha8Rng) -> bool {
+        let began = Instant::now();
+        let read_only = rng.random_bool(0.4);
+        let (_, end, alive) = self.ask(if read_only { "BEGIN READ" } else { "BEGIN" });
+        if !alive || !matches!(end, End::Done(_)) {
+            return alive;
+        }
+        let mut data = Vec::new();
+        for _ in 0..rng.random_range(1..5) {
+            thread::sleep(Duration::from_millis(rng.random_range(0..10)));
+            let alive = if read_only || rng.random_bool(0.5) {
+                self.read(began, true, rng)
+            } else {
+                let one = format!("{}-{}", self.name, rng.random::<u64>());
+                let (_, end, alive) = self.ask(&format!("WRITE 1 {one}"));
+                data.push(one);
+                alive && matches!(end, End::Done(_))
+            };
+            if !alive {
+                // The caller leaves; its commit was never asked for.
+                self.shared.lock().promised.extend(data);
+                return false;
+            }
+        }
+        if rng.random_bool(0.1) {
+            self.shared.lock().promised.extend(data);
+            return self.ask("ROLLBACK").2;
+        }
+        let (id, end, alive) = self.ask("COMMIT");
+        self.note_commit(&id, &end, &data);
+        alive
+    }
+
+    /// Notes what the caller was told of a write or commit.
+    fn note_commit(&self, id: &str, end: &End, data: &[String]) {
+        let mut world = self.shared.lock();
+        match end {
+            End::Done(signature) => {
+                world.served += 1;
+                let run = world.runs.get(signature).cloned().filter(|run| run.query == id);
+                let Some(run) = run else {
+                    return world.violation(format!("MIXED: {id} was answered with {signature}"));
+                };
+                let number = run.commit.and_then(|number| usize::try_from(number).ok());
+                let now = Instant::now();
+                let commit = number.and_then(|number| world.log.get_mut(number - 1));
+                // A promotion may have rolled it back already.
+                if let Some(commit) = commit.filter(|commit| commit.data == data) {
+                    commit.acknowledged = Some(now);
+                }
+            }
+            End::Refused(code) if PROMISES.contains(&code.as_str()) => {
+                let kept: Vec<&String> =
+                    data.iter().filter(|one| world.committed.contains(*one)).collect();
+                if !kept.is_empty() {
+                    let text = format!("REFUSED: {id} was answered with {code} but is kept");
+                    world.violation(text);
+                }
+                world.promised.extend(data.iter().cloned());
+            }
+            End::Refused(_) | End::Unknown => {}
+        }
+    }
+}
