--- a/src/core/proxy/home.rs
+++ b/src/core/proxy/home.rs
@@ -1,8 +1,8 @@
 //! Which host runs a session.
 //!
-//! In a large fleet an endpoint has too few connections for every host, and a client account's rate
-//! divided by the hosts is a fraction of one operation. There, all sessions of an account run on
-//! one host, its home, and the other hosts relay their callers' lines to it. Homes are the
+//! An endpoint has few connections for each host, and a client account's rate divided by the hosts
+//! leaves each of them a small part that its demand exceeds by chance; in a large fleet it is a
+//! fraction of one operation. All sessions of an account therefore run on one host, its home, and the other hosts relay their callers' lines to it. Homes are the
 //! strongest hosts; accounts are spread over them by weighted rendezvous hashing, so that few
 //! sessions change their home when a host comes or goes. Hosts that only relay keep links to the
 //! homes alone.
@@ -18,9 +18,9 @@
 /// A host serves its own callers while its part of an endpoint's connections reaches for one in
 /// this many client accounts; connections of idle accounts make room for the others.
 const ACCOUNTS_PER_CONNECTION: u64 = 8;
-/// Hosts from which on homes are used in any case: with more, an account's rate divided by the
-/// hosts no longer reaches for the operations that meet on one of them.
-const HOMES_FROM: u64 = 24;
+/// Hosts from which on homes are used in any case: an account's rate is divided by fewer hosts than
+/// its callers meet, and its demand on each host varies most where it is small.
+const HOMES_FROM: u64 = 4;
 /// Hosts for each home. A home spends about four times the processor time of a host that relays.
 const HOSTS_PER_HOME: u64 = 8;
 /// Least number of homes, so that the loss of one moves few accounts.
