--- a/src/core/proxy/order.rs
+++ b/src/core/proxy/order.rs
@@ -81,12 +81,7 @@
             }
         }
         if before != group.leader {
-            log_leader(
-                &group_id,
-                group,
-                &endpoint,
-                "group: an endpoint's status changed the leader",
-            );
+            log_leader(&group_id, group, &endpoint);
         }
         let effects = group.failover.on_status(now, &endpoint, status);
         self.failover_effects(&group_id, effects);
@@ -190,12 +185,12 @@
     }
 }
 
-fn log_leader(id: &GroupId, group: &GroupState, endpoint: &EndpointId, message: &str) {
+fn log_leader(id: &GroupId, group: &GroupState, endpoint: &EndpointId) {
     tracing::info!(
         group = id.as_str(),
         endpoint = endpoint.as_str(),
         leader = group.leader.as_ref().map(EndpointId::as_str),
         term = group.term.0,
-        "{message}"
+        "group: an endpoint's status changed the leader"
     );
 }
--- a/src/net/peer/actor.rs
+++ b/src/net/peer/actor.rs
@@ -210,7 +210,8 @@
                     self.dialing.insert(host, handle.0);
                     self.drive(now, handle.0);
                 }
-                Err(error) => tracing::warn!("peer: {host} at {address} can't be dialed: {error}"),
+                Err(error) => tracing::warn!(peer = host.as_str(), %address, %error,
+                    "peer: host cannot be dialed"),
             }
         }
     }
@@ -223,7 +224,7 @@
                 Ok((length, from)) => touched.extend(self.datagram(now, length, from)),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 // An ICMP answer to an earlier datagram, for example; the connection times out.
-                Err(error) => tracing::debug!("peer: receive failed: {error}"),
+                Err(error) => tracing::debug!(%error, "peer: receive failed"),
             }
         }
         for handle in touched {
@@ -266,7 +267,7 @@
                 Some(handle.0)
             }
             Err(error) => {
-                tracing::debug!("peer: no connection accepted: {}", error.cause);
+                tracing::debug!(cause = %error.cause, "peer: no connection accepted");
                 if let Some(transmit) = error.response {
                     send_to(&self.socket, &answer[..transmit.size], transmit.destination);
                 }
@@ -318,7 +319,7 @@
             }
             Report::Closed if current == Some(handle) => {
                 let (age, counters) = (link.age(now).as_secs_f64(), link.counters);
-                tracing::info!("peer: {} was connected for {age:.1} s, {counters}", peer.host);
+                tracing::info!(peer = peer.host.as_str(), age_s = age, %counters, "peer: connection ended");
                 self.open.remove(&peer.host);
                 if let Some(dial) = self.dials.get_mut(&peer.host) {
                     dial.next = now + REDIAL_MIN;
@@ -339,7 +340,7 @@
             }
             self.refuse(now, older, &Refusal::Replaced);
         }
-        tracing::info!("peer: connected to {peer}");
+        tracing::info!(%peer, "peer: connected");
         self.open.insert(peer.host.clone(), handle);
         fwd!([self.events], PeerEvent::Opened(peer));
     }
@@ -396,6 +397,6 @@
 /// Sends a datagram. One that the system does not take counts as lost; QUIC repeats its content.
 fn send_to(socket: &MioUdpSocket, data: &[u8], to: SocketAddr) {
     if let Err(error) = socket.send_to(data, to) {
-        tracing::debug!("peer: datagram to {to} was not sent: {error}");
+        tracing::debug!(%to, %error, "peer: datagram was not sent");
     }
 }
--- a/src/net/peer/link.rs
+++ b/src/net/peer/link.rs
@@ -197,7 +197,7 @@
             return;
         }
         if let Err(fault) = put_frame(&mut self.output, envelope) {
-            tracing::error!("peer: a message was not sent: {fault}");
+            tracing::error!(%fault, "peer: a message was not sent");
         }
         self.flush(now);
     }
@@ -210,9 +210,9 @@
         let from = self.name();
         match refusal {
             Refusal::Replaced | Refusal::Outdated | Refusal::Stopping => {
-                tracing::info!("peer: connection to {from} is closed: {refusal}");
+                tracing::info!(%from, cause = %refusal, "peer: connection is closed");
             }
-            _ => tracing::warn!("peer: connection to {from} is refused: {refusal}"),
+            _ => tracing::warn!(%from, cause = %refusal, "peer: connection is refused"),
         }
         self.fire(now, PeerStep::Refused);
     }
@@ -231,9 +231,9 @@
         }
         let name = self.name();
         if self.is_open() {
-            tracing::info!("peer: connection to {name} ended: {reason}");
+            tracing::info!(%name, cause = %reason, "peer: connection was lost");
         } else {
-            tracing::debug!("peer: no connection to {name}: {reason}");
+            tracing::debug!(%name, cause = %reason, "peer: no connection");
         }
         self.fire(now, PeerStep::Lost);
     }
@@ -279,7 +279,7 @@
         let message = PeerMessage::Hello(hello.clone(), proof);
         let envelope = Envelope { number: MessageNumber(0), answers: None, message };
         if let Err(fault) = put_frame(&mut self.output, &envelope) {
-            tracing::error!("peer: the greeting was not sent: {fault}");
+            tracing::error!(%fault, "peer: the greeting was not sent");
         }
         self.flush(now);
     }
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -155,13 +155,11 @@
         let Some(peers) = &mut self.peers else { return };
         match event {
             PeerEvent::Opened(hello) => {
-                tracing::info!(peer = hello.host.as_str(), "peer: link is open");
                 peers.lost.remove(&hello.host);
                 peers.open.insert(hello.host);
                 self.count_hosts();
             }
             PeerEvent::Closed(host, _) => {
-                tracing::info!(peer = host.as_str(), "peer: link is closed");
                 peers.open.remove(&host);
                 peers.lost.insert(host);
                 self.count_hosts();
