Take int2 parameters and refuse an impossible start-up length at once

Cause: the emulated endpoint knew no type 21, which psycopg sends for small integers, and a start-up packet of a length below 8 waited for bytes that never come. Both tests fail without the change (the length test: silence, the parameter test: type not known).

--- a/src/emulator/endpoint/value.rs
+++ b/src/emulator/endpoint/value.rs
@@ -74,12 +74,12 @@
         }
     }
 
-    /// The type with object id `oid`; varchar, name and unknown count as text.
+    /// The type with object id `oid`; varchar, name and unknown count as text, int2 as int4.
     pub fn from_oid(oid: u32) -> Option<Self> {
         match oid {
             16 => Some(ColumnType::Bool),
             20 => Some(ColumnType::Int8),
-            23 => Some(ColumnType::Int4),
+            21 | 23 => Some(ColumnType::Int4),
             19 | 25 | 705 | 1043 => Some(ColumnType::Text),
             701 => Some(ColumnType::Float8),
             _ => None,
@@ -137,6 +137,9 @@
                 _ => Err(size()),
             },
             ColumnType::Int4 => {
+                if let Ok(short) = bytes.try_into() {
+                    return Ok(Value::Int(i64::from(i16::from_be_bytes(short))));
+                }
                 let bytes = bytes.try_into().map_err(|_| size())?;
                 Ok(Value::Int(i64::from(i32::from_be_bytes(bytes))))
             }
--- a/src/wire/pg.rs
+++ b/src/wire/pg.rs
@@ -119,12 +119,11 @@
 ///
 /// `bad_startup` when the packet is none that PostgreSQL 3.0 knows.
 pub fn next_first_packet(buffer: &mut BytesMut) -> Result<Option<FirstPacket>, Error> {
-    if buffer.len() < 2 * LENGTH_BYTES {
+    if buffer.len() < LENGTH_BYTES {
         return Ok(None);
     }
     let mut header = &buffer[..];
     let length = header.get_u32() as usize;
-    let code = header.get_u32();
     if !(2 * LENGTH_BYTES..=MAX_STARTUP_BYTES).contains(&length) {
         let detail = format!("start-up packet length is {length}, 8 to 10000 are allowed");
         return Err(Error::new(ErrorKind::BadStartup, detail));
@@ -132,6 +131,7 @@
     if buffer.len() < length {
         return Ok(None);
     }
+    let code = header.get_u32();
     let packet = buffer.split_to(length);
     match code {
         SSL_REQUEST_CODE => Ok(Some(FirstPacket::SslRequest)),
--- a/tests/emulated_endpoint.rs
+++ b/tests/emulated_endpoint.rs
@@ -4,6 +4,7 @@
 mod endpoint;
 
 use endpoint::Endpoint;
+use postgres::types::Type;
 use postgres::{Client, NoTls, SimpleQueryMessage};
 use serde_json::json;
 use yare::parameterized;
@@ -235,3 +236,14 @@
     let (mut endpoint, _client) = with_accounts(&[]);
     assert_eq!(endpoint.terminate(), Some(0));
 }
+
+/// Guards against drivers whose integer parameters have the type int2, as psycopg's do: the first
+/// one was refused as a type that is not known.
+#[test]
+fn small_integers_are_parameters() {
+    let (_endpoint, mut client) = with_accounts(&[]);
+    let sql = "SELECT owner FROM account WHERE id = $1";
+    let select = client.prepare_typed(sql, &[Type::INT2]).expect("the statement is prepared");
+    let row = client.query_one(&select, &[&2_i32]).expect("a row");
+    assert_eq!(row.get::<_, &str>(0), "bob");
+}
--- a/tests/pg_frames.rs
+++ b/tests/pg_frames.rs
@@ -70,3 +70,12 @@
         let _ = pg::next_first_packet(&mut bytes);
     }
 }
+
+/// Guards against a start-up packet whose length cannot be right and that gets silence instead of an
+/// error, because more bytes are waited for.
+#[parameterized(nothing = { 0 }, only_itself = { 4 }, no_code = { 7 }, huge = { 1 << 30 })]
+fn an_impossible_first_length_is_refused_at_once(length: u32) {
+    let mut bytes = BytesMut::from(&length.to_be_bytes()[..]);
+    let error = pg::next_first_packet(&mut bytes).expect_err("a refusal");
+    assert_eq!(error.kind, medlarstile::error::ErrorKind::BadStartup);
+}
