Make fewer calls to the store at a distance, at the start and in outages

A host counted as one that runs sessions until it had read the configuration, and followed the tables closely at its start; hosts at a distance asked a store that refused them 7.5 times a second. They double their pause now, and close feeds wait and rest longer where other hosts tell of changes.

--- a/src/core/proxy/home.rs
+++ b/src/core/proxy/home.rs
@@ -197,7 +197,7 @@
 
     /// Whether this host runs sessions, as a home or because it cannot reach one.
     pub fn runs_sessions(&self) -> bool {
-        self.is_home() || !self.sessions.is_empty()
+        (self.catalog.is_some() && self.is_home()) || !self.sessions.is_empty()
     }
 
     /// Whether this host runs sessions in a group, as a home or because it cannot reach one.
--- a/src/net/proxy/feed.rs
+++ b/src/net/proxy/feed.rs
@@ -14,6 +14,9 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause after a call that failed; the store may be down for seconds, and every call has a price.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Longest such pause at a distance, where it doubles with each failure. Other hosts tell of a newer
+/// configuration meanwhile.
+const MOST_RETRY_PAUSE: Duration = Duration::from_millis(3_200);
 
 /// Times between calls.
 #[derive(Debug, Clone, Copy)]
@@ -66,6 +69,7 @@
     page: Vec<StoreRow>,
     reachable: bool,
     is_close: bool,
+    retry_pause: Duration,
     /// Runs out when the pause before the next call ends.
     pause: Option<FixedTimerKey>,
 }
@@ -89,6 +93,7 @@
             page: Vec::new(),
             reachable: true,
             is_close: false,
+            retry_pause: RETRY_PAUSE,
             pause: None,
         })
     }
@@ -174,6 +179,7 @@
         let table = self.plan.table;
         match answer {
             Ok(RowsAnswer::Rows(rows)) => {
+                self.retry_pause = RETRY_PAUSE;
                 if !std::mem::replace(&mut self.reachable, true) {
                     tracing::info!(table, "store: answers again");
                     fwd!([self.hub], FeedEvent::Reachable(table, true));
@@ -195,7 +201,10 @@
             }
         }
         self.page.clear();
-        self.follow_later(cx, RETRY_PAUSE);
+        self.follow_later(cx, self.retry_pause);
+        if !self.is_close {
+            self.retry_pause = (self.retry_pause * 2).min(MOST_RETRY_PAUSE);
+        }
         None
     }
 
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -41,10 +41,10 @@
 /// Key of the row with the secret that all hosts share.
 pub(super) const SECRET_KEY: &str = "fleet.secret";
 /// How the operator's configuration is followed; a silent connection is noticed within the time
-/// that a version has to be in force.
+/// that a version has to be in force after the connections of a host were disturbed.
 const CONFIGURATION_FEED: FeedPlan = FeedPlan {
     table: store::CONFIGURATION_TABLE,
-    close: Pace { wait_ms: DurationMs(1_500), pause_ms: DurationMs(50) },
+    close: Pace { wait_ms: DurationMs(3_000), pause_ms: DurationMs(50) },
     distant: Pace { wait_ms: DurationMs(20_000), pause_ms: DurationMs(400) },
 };
 /// How the endpoints' entries are followed; every heartbeat changes one, so changes are gathered.
@@ -52,7 +52,7 @@
 /// is shorter than the store's history.
 const ENDPOINT_FEED: FeedPlan = FeedPlan {
     table: store::ENDPOINT_TABLE,
-    close: Pace { wait_ms: DurationMs(1_500), pause_ms: DurationMs(700) },
+    close: Pace { wait_ms: DurationMs(1_500), pause_ms: DurationMs(1_000) },
     distant: Pace { wait_ms: DurationMs(10_000), pause_ms: DurationMs(15_000) },
 };
 /// How the hosts' own rows are followed.
