Remove the rows of hosts that have been away for two hours

Cause: the row of a host that was removed for good stayed in the store; a part of every account's rate was kept for it, homes were counted with it, and every home went on dialing it. Who is present and who is gone is decided in core/proxy/roster now, with tests on a moved clock; a host that finds its own row removed writes it again. A new row of a host that starts again makes it expected at once, where it was waited for its link before.

--- a/src/core/proxy/home.rs
+++ b/src/core/proxy/home.rs
@@ -209,6 +209,11 @@
         self.is_home() || strays
     }
 
+    /// Whether this host keeps links to all others, so that it can tell which of them are gone.
+    pub fn keeps_all_links(&self) -> bool {
+        self.catalog.is_some() && self.is_home()
+    }
+
     /// Whether sessions are to run here.
     pub(super) fn is_home(&self) -> bool {
         !self.homes.are_used() || self.homes.contains(&self.spec.host)
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -18,6 +18,7 @@
 mod pool;
 pub mod quota;
 pub mod request;
+pub mod roster;
 pub mod session;
 pub mod statement;
 mod tick;
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -26,6 +26,7 @@
 use crate::core::life::DrainTimes;
 use crate::core::proxy::group::EndpointEntry;
 use crate::core::proxy::job::Job;
+use crate::core::proxy::roster::Roster;
 use crate::core::proxy::{Proxy, ProxyEffect, ProxySpec};
 use crate::net::host::HostNotice;
 use crate::net::reactor::suspend_aware_clock;
@@ -85,6 +86,9 @@
     /// The operator's configuration in use, as it was read.
     pub(super) configuration: Option<Bytes>,
     pub(super) hosts: BTreeMap<HostId, HostRow>,
+    pub(super) roster: Roster,
+    /// Removals of hosts' rows that were not answered yet.
+    pub(super) removing: BTreeSet<HostId>,
     /// Whether the hosts' rows were read.
     pub(super) hosts_read: bool,
     pub(super) peers: Option<Peers>,
@@ -156,6 +160,8 @@
             entries: BTreeMap::new(),
             configuration: None,
             hosts: BTreeMap::new(),
+            roster: Roster::default(),
+            removing: BTreeSet::new(),
             hosts_read: false,
             peers: None,
             incarnation,
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -1,6 +1,5 @@
 //! The link to the other hosts.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::net::UdpSocket;
 
 use stakker::{actor, call, fwd_to, ret_nop, ActorOwn, CX};
@@ -9,21 +8,16 @@
 use super::store::CallPurpose;
 use crate::auth::Secret;
 use crate::core::peer::{Envelope, Hello, MessageNumber, PeerMessage};
-use crate::core::proxy::home::Candidate;
 use crate::core::proxy::quota::Demand;
+use crate::core::proxy::roster::Roster;
 use crate::net::peer::{PeerActor, PeerEvent, PeerSpec, PeerTarget};
 use crate::net::reactor::suspend_aware_clock;
 use crate::platform::store::{self, StoreRow};
 use crate::types::{DurationMs, HostId, RowVersion, TableVersion, Timestamp};
-use crate::wire::fleet_rows::HostRow;
 
 /// Random bytes of the secret that all hosts share.
 const SECRET_BYTES: usize = 32;
 
-/// Time in which a link that is wanted is expected to open, a start of all hosts included; the row
-/// may be that of a host that was removed for good.
-const LINK_GRACE: DurationMs = DurationMs(3_000);
-
 /// Time for which another host's newer configuration is left to the store's feed; well below the
 /// time in which a version has to be in force.
 const BEHIND_LIMIT: DurationMs = DurationMs(800);
@@ -31,11 +25,6 @@
 /// The other hosts as this host knows them.
 pub struct Peers {
     link: ActorOwn<PeerActor>,
-    open: BTreeSet<HostId>,
-    /// Hosts whose link ended and has not come back.
-    lost: BTreeSet<HostId>,
-    /// Since when a link to each host is wanted.
-    wanted_since: BTreeMap<HostId, Timestamp>,
     last_number: u64,
     /// Hosts that links are kept to.
     targets: Vec<PeerTarget>,
@@ -49,17 +38,9 @@
         call!([self.link], close());
     }
 
-    /// Whether a listed host counts: its link is open, or is expected to open.
-    fn is_present(&mut self, now: Timestamp, host: &HostId) -> bool {
-        let since = *self.wanted_since.entry(host.clone()).or_insert(now);
-        let expected = !self.lost.contains(host) && now < since + LINK_GRACE;
-        self.open.contains(host) || expected
-    }
-
-    fn broadcast(&mut self, message: &PeerMessage) {
-        let open: Vec<HostId> = self.open.iter().cloned().collect();
-        for host in open {
-            self.send(host, message.clone());
+    fn broadcast(&mut self, roster: &Roster, message: &PeerMessage) {
+        for host in roster.open() {
+            self.send(host.clone(), message.clone());
         }
     }
 
@@ -105,15 +86,7 @@
         let spec = PeerSpec { socket, hello, secret: Secret::new(secret) };
         let events = fwd_to!([cx], peer_event() as (PeerEvent));
         let link = actor!(cx, PeerActor::init(spec, events), ret_nop!());
-        self.peers = Some(Peers {
-            link,
-            open: BTreeSet::new(),
-            lost: BTreeSet::new(),
-            wanted_since: BTreeMap::new(),
-            last_number: 0,
-            targets: Vec::new(),
-            behind_since: None,
-        });
+        self.peers = Some(Peers { link, last_number: 0, targets: Vec::new(), behind_since: None });
     }
 
     /// Tells the core who is listed, and keeps links to the hosts that matter to this one.
@@ -124,16 +97,10 @@
         // A host counts from its row on, not only once the link is open: after a start of all hosts
         // each would take the whole of the endpoints' connections.
         let now = suspend_aware_clock();
-        let others = self.hosts.iter().filter(|(host, _)| **host != self.settings.host);
-        let candidate = |(host, row): (&HostId, &HostRow)| Candidate {
-            host: host.clone(),
-            processor: row.processor,
-        };
-        let listed = others.map(candidate).collect();
-        let peers = &mut self.peers;
-        let wanted = self.core.set_hosts(now, listed, |host| {
-            peers.as_mut().is_none_or(|peers| peers.is_present(now, host))
-        });
+        let (listed, linked) = (self.roster.candidates(), self.peers.is_some());
+        let roster = &mut self.roster;
+        let wanted =
+            self.core.set_hosts(now, listed, |host| roster.is_present(now, host) || !linked);
         let target = |host: HostId| {
             let row = self.hosts.get(&host)?;
             Some(PeerTarget { host, incarnation: row.incarnation, address: row.address })
@@ -145,6 +112,9 @@
                 call!([peers.link], set_targets(targets));
             }
         }
+        if self.core.keeps_all_links() {
+            self.remove_absent(now);
+        }
         let is_close = self.core.runs_sessions();
         for feed in &self.feeds {
             call!([feed], set_close(is_close));
@@ -152,16 +122,13 @@
     }
 
     fn peer_event(&mut self, cx: CX![], event: PeerEvent) {
-        let Some(peers) = &mut self.peers else { return };
         match event {
             PeerEvent::Opened(hello) => {
-                peers.lost.remove(&hello.host);
-                peers.open.insert(hello.host);
+                self.roster.on_opened(hello.host);
                 self.count_hosts();
             }
             PeerEvent::Closed(host, _) => {
-                peers.open.remove(&host);
-                peers.lost.insert(host);
+                self.roster.on_closed(suspend_aware_clock(), &host);
                 self.count_hosts();
             }
             PeerEvent::Message(host, envelope) => match envelope.message {
@@ -185,7 +152,7 @@
         self.count_hosts();
         if let Some(peers) = &mut self.peers {
             let version = self.core.catalog().map(|catalog| catalog.version);
-            peers.broadcast(&PeerMessage::Demand(demand.clone(), version));
+            peers.broadcast(&self.roster, &PeerMessage::Demand(demand.clone(), version));
         }
     }
 
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -1,5 +1,6 @@
 //! What a host reads from the store and writes into it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,7 +14,7 @@
 use crate::net::reactor::suspend_aware_clock;
 use crate::platform::store::{self, StoreRow, WriteAnswer};
 use crate::platform::{configuration, discovery};
-use crate::types::{GroupId, HostId, RowVersion};
+use crate::types::{GroupId, HostId, RowVersion, Timestamp};
 use crate::wire::fleet_rows::{HostRow, WireClaim};
 
 /// Beginning of the keys of the hosts' rows.
@@ -57,6 +58,11 @@
                 tracing::info!(group = group.as_str(), ?result, "failover: claim was answered");
                 self.core.on_claimed(now, &group, result);
             }
+            // Done by this host or another one, or the host is back; else it is tried again.
+            CallEnd::Written(CallPurpose::Remove(host), answer) => {
+                tracing::info!(removed = host.as_str(), ?answer, "store: removal of a row ended");
+                self.removing.remove(&host);
+            }
             // Done, or another host's secret was first: the feed brings it.
             CallEnd::Written(
                 CallPurpose::Agree,
@@ -141,12 +147,15 @@
     fn take_own_rows(&mut self, cx: CX![], rows: &FeedRows) {
         let now = suspend_aware_clock();
         if rows.whole {
-            self.hosts.clear();
+            let name = |row: &StoreRow| row.key.strip_prefix(HOST_KEY)?.parse().ok();
+            let listed: BTreeSet<HostId> = rows.rows.iter().filter_map(name).collect();
+            self.hosts.retain(|host, _| listed.contains(host));
+            self.roster.keep(&listed);
             self.hosts_read = true;
         }
         for row in &rows.rows {
             if let Some(host) = row.key.strip_prefix(HOST_KEY) {
-                self.take_host(host, row);
+                self.take_host(cx, host, row);
             } else if row.key == SECRET_KEY {
                 self.take_secret(cx, row);
             } else if let Some(group) = row.key.strip_prefix(GROUP_KEY) {
@@ -166,7 +175,7 @@
         self.count_hosts();
     }
 
-    fn take_host(&mut self, host: &str, row: &StoreRow) {
+    fn take_host(&mut self, cx: CX![], host: &str, row: &StoreRow) {
         let host = match host.parse::<HostId>() {
             Ok(host) => host,
             Err(error) => {
@@ -176,13 +185,32 @@
         };
         match row.value.as_deref().map(HostRow::read) {
             Some(Ok(known)) => {
+                if host != self.settings.host {
+                    let now = suspend_aware_clock();
+                    self.roster.list(now, host.clone(), known.processor, row.version);
+                }
                 self.hosts.insert(host, known);
             }
             Some(Err(error)) => {
                 tracing::warn!(host = host.as_str(), %error, "store: row of a host")
             }
             None => {
-                self.hosts.remove(&host);
+                self.roster.unlist(&host);
+                if self.hosts.remove(&host).is_some() && host == self.settings.host {
+                    // The others could not reach this host for hours.
+                    self.register(cx);
+                }
+            }
+        }
+    }
+
+    /// Removes the rows of hosts that have been away for long.
+    pub(super) fn remove_absent(&mut self, now: Timestamp) {
+        for (host, version) in self.roster.gone(now) {
+            if self.removing.insert(host.clone()) {
+                let key = format_compact!("{HOST_KEY}{host}");
+                let request = store::put_row(OWN_TABLE, &key, Some(version), None);
+                call!([self.calls], call(CallPurpose::Remove(host), request));
             }
         }
     }
--- a/src/net/proxy/store.rs
+++ b/src/net/proxy/store.rs
@@ -9,7 +9,7 @@
 use super::http::{CallFault, CallResult, HttpClient};
 use crate::core::proxy::failover::PromoteAnswer;
 use crate::platform::store::{self, HttpRequest, WriteAnswer};
-use crate::types::GroupId;
+use crate::types::{GroupId, HostId};
 
 /// Longest wait for an answer; the store answers within tens of milliseconds.
 const CALL_LIMIT: Duration = Duration::from_millis(1_000);
@@ -19,6 +19,8 @@
 pub enum CallPurpose {
     /// The row of this host.
     Register,
+    /// Removal of the row of a host that is gone.
+    Remove(HostId),
     /// A row that all hosts agree on.
     Agree,
     /// A group's row.
--- /dev/null
+++ b/tests/proxy_roster.rs
@@ -0,0 +1,74 @@
+//! Which hosts count as present, and whose rows are removed.
+
+use std::collections::BTreeSet;
+
+use medlarstile::core::proxy::roster::Roster;
+use medlarstile::types::{HostId, MilliCores, RowVersion, Timestamp};
+use yare::parameterized;
+
+const START: Timestamp = Timestamp(1_000_000);
+const SECOND_US: u64 = 1_000_000;
+const HOUR_US: u64 = 3_600 * SECOND_US;
+
+fn host(name: &str) -> HostId {
+    name.parse().expect("a host")
+}
+
+fn later(us: u64) -> Timestamp {
+    Timestamp(START.0 + us)
+}
+
+/// A roster with the host `h2`, whose row has version 5.
+fn roster() -> Roster {
+    let mut roster = Roster::default();
+    roster.list(START, host("h2"), MilliCores(250), RowVersion(5));
+    roster
+}
+
+/// Guards against a removed host that counts for ever, and against a starting one that does not
+/// count before its link is open.
+#[parameterized(
+    expected = { |_| {}, 2, true },
+    never_came = { |_| {}, 4, false },
+    open = { |roster| roster.on_opened(host("h2")), 60, true },
+    lost = { |roster| { roster.on_opened(host("h2")); roster.on_closed(START, &host("h2")) }, 1, false },
+    started_again = { |roster| {
+        roster.on_closed(START, &host("h2"));
+        roster.list(later(SECOND_US), host("h2"), MilliCores(250), RowVersion(9));
+    }, 2, true },
+    unlisted = { |roster| roster.unlist(&host("h2")), 1, false },
+)]
+fn presence(prepare: fn(&mut Roster), seconds: u64, expected: bool) {
+    let mut roster = roster();
+    roster.is_present(START, &host("h2"));
+    prepare(&mut roster);
+    assert_eq!(roster.is_present(later(seconds * SECOND_US), &host("h2")), expected);
+}
+
+/// Guards against rows of removed hosts that stay in the store, for each of which a part of every
+/// account's rate is kept, and against the removal of a host that is only cut off for an hour.
+#[parameterized(
+    an_hour = { |_| {}, 1, false },
+    two_hours = { |_| {}, 2, true },
+    open = { |roster| roster.on_opened(host("h2")), 5, false },
+    closed_lately = { |roster| roster.on_closed(later(HOUR_US), &host("h2")), 2, false },
+    started_again = { |roster| {
+        roster.list(later(HOUR_US), host("h2"), MilliCores(250), RowVersion(9));
+    }, 2, false },
+)]
+fn rows_of_absent_hosts_are_removed(prepare: fn(&mut Roster), hours: u64, removed: bool) {
+    let mut roster = roster();
+    prepare(&mut roster);
+    let gone = roster.gone(later(hours * HOUR_US));
+    assert_eq!(gone, if removed { vec![(host("h2"), RowVersion(5))] } else { Vec::new() });
+}
+
+/// Guards against hosts that stay listed after their rows were removed while nobody looked.
+#[test]
+fn a_whole_read_forgets_the_others() {
+    let mut roster = roster();
+    roster.list(START, host("h3"), MilliCores(250), RowVersion(6));
+    roster.keep(&BTreeSet::from([host("h3")]));
+    let listed: Vec<HostId> = roster.candidates().into_iter().map(|one| one.host).collect();
+    assert_eq!(listed, [host("h3")]);
+}
