--- a/src/core/proxy/home.rs
+++ b/src/core/proxy/home.rs
@@ -21,8 +21,9 @@
 /// Hosts from which on homes are used in any case: an account's rate is divided by fewer hosts than
 /// its callers meet, and its demand on each host varies most where it is small.
 const HOMES_FROM: u64 = 4;
-/// Hosts for each home. A home spends about four times the processor time of a host that relays.
-const HOSTS_PER_HOME: u64 = 8;
+/// Hosts for each home. Links grow with hosts times homes, and with an eighth of 300 hosts as homes
+/// the handshakes of a start took all of the small hosts' processors.
+const HOSTS_PER_HOME: u64 = 24;
 /// Least number of homes, so that the loss of one moves few accounts.
 const LEAST_HOMES: u64 = 8;
 /// Least part of an endpoint's connections that a home has; several accounts use them in turn.
