--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -1,7 +1,7 @@
 //! The process of a host on the platform: its signals and its settings.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
@@ -12,17 +12,14 @@
 use yare::parameterized;
 
 mod platform_store_double;
+mod ports;
 
 use platform_store_double::Store;
+use ports::free_port;
 
 /// Time after which a host that does not do what a test waits for is ended.
 const LIMIT: Duration = Duration::from_secs(20);
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address").port()
-}
-
 /// A running host. It is ended when it is dropped, or after [`LIMIT`].
 struct Host {
     child: Arc<Mutex<Child>>,
--- /dev/null
+++ b/tests/ports/mod.rs
@@ -0,0 +1,38 @@
+//! Ports for processes that tests start.
+
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::OnceLock;
+
+/// First of the ports that test programs take, below those that the system gives to outgoing
+/// connections, which could take the port of a host that is down.
+const FIRST_PORT: u16 = 20_000;
+/// Ports of one test program; enough for fifty seeds of the soak.
+const RANGE: u16 = 2_000;
+/// Ranges, and so test programs at the same time.
+const RANGES: u16 = 6;
+
+/// The range of this process, which it holds by listening at its first port: another one would
+/// take the port of a host that is not up yet, or down.
+fn range() -> u16 {
+    static HELD: OnceLock<(u16, TcpListener)> = OnceLock::new();
+    let hold = || {
+        let first = (0..RANGES).map(|place| FIRST_PORT + place * RANGE);
+        let mut held = first.filter_map(|port| {
+            TcpListener::bind(("127.0.0.1", port)).ok().map(|listener| (port, listener))
+        });
+        held.next().expect("fewer test programs at once")
+    };
+    HELD.get_or_init(hold).0
+}
+
+/// A port that nobody else takes.
+pub fn free_port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let port = range() + 1 + NEXT.fetch_add(1, Ordering::Relaxed) % (RANGE - 1);
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
+}
--- a/tests/soak/host.rs
+++ b/tests/soak/host.rs
@@ -1,14 +1,14 @@
 //! A host process, which the soak starts, signals and ends by its id.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
-use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::OnceLock;
 
 use rustix::process::{kill_process, Pid, Signal};
 
+use super::ports::free_port;
+
 /// A host.
 pub struct Host {
     pub front: SocketAddr,
@@ -17,38 +17,6 @@
     child: Child,
 }
 
-/// First of the ports that runs of the soak take, below those that the system gives to outgoing
-/// connections, which could take the port of a host that is down.
-const FIRST_PORT: u16 = 20_000;
-/// Ports of one run of the soak; enough for the hosts of more than fifty seeds.
-const RANGE: u16 = 2_000;
-/// Ranges, and so runs of the soak at the same time.
-const RANGES: u16 = 6;
-
-/// The range of this process, which it holds by listening at its first port: another run of the
-/// soak would take the port of a host that is down.
-fn range() -> u16 {
-    static HELD: OnceLock<(u16, TcpListener)> = OnceLock::new();
-    let hold = || {
-        let first = (0..RANGES).map(|place| FIRST_PORT + place * RANGE);
-        let mut held = first.filter_map(|port| {
-            TcpListener::bind(("127.0.0.1", port)).ok().map(|listener| (port, listener))
-        });
-        held.next().expect("fewer runs of the soak at once")
-    };
-    HELD.get_or_init(hold).0
-}
-
-fn free_port() -> u16 {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    loop {
-        let port = range() + 1 + NEXT.fetch_add(1, Ordering::Relaxed) % (RANGE - 1);
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            return port;
-        }
-    }
-}
-
 impl Host {
     /// Starts host `number` with the platform at `platform`; its files are in `folder`.
     pub fn start(folder: &Path, number: usize, platform: SocketAddr) -> Self {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,6 +10,8 @@
 mod host;
 mod link;
 mod platform;
+#[path = "../ports/mod.rs"]
+mod ports;
 mod world;
 
 use std::net::SocketAddr;
