--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -23,7 +23,7 @@
     AccountId, AttemptId, Burst, ConnectionCount, ConnectionId, DurationMs, GroupId, Incarnation,
     Position, RatePerS, SessionId, Slots, TableVersion, Term, Timestamp, Weight,
 };
-use medlarstile::wire::peer::put_frame;
+use medlarstile::wire::peer_frame::put_frame;
 use medlarstile::wire::tables::{write_config, Config};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
--- a/src/net/peer/link.rs
+++ b/src/net/peer/link.rs
@@ -16,7 +16,7 @@
 use crate::chart::Machine;
 use crate::core::peer::{Envelope, Hello, MessageNumber, PeerMessage};
 use crate::types::HostId;
-use crate::wire::peer::{
+use crate::wire::peer_frame::{
     put_frame, read_message, take_frame, PeerFault, MAX_HELLO_BYTES, MAX_MESSAGE_BYTES,
 };
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,6 +3,7 @@
 pub mod batch;
 pub mod fleet_rows;
 pub mod peer;
+pub mod peer_frame;
 pub mod pg;
 pub mod platform;
 pub mod relay;
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -1,13 +1,12 @@
-//! Messages between hosts: postcard in frames with a length of four bytes.
+//! Messages between hosts, in postcard; `wire::peer_frame` puts them into frames.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use bytes::{Buf, BufMut, Bytes, BytesMut};
 use compact_str::CompactString;
-use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
+use super::peer_frame::PeerFault;
 use super::tables::read_config;
 use crate::auth::PeerProof;
 use crate::core::limit::{GrantId, TokenRequest, Transfer};
@@ -15,42 +14,10 @@
 use crate::core::promotion::{GroupRecord, Phase};
 use crate::core::view::{Member, Snapshot, Statement};
 use crate::types::{
-    AccountId, AttemptId, CommitSeq, DurationMs, EndpointId, GroupId, IdError, Incarnation,
-    MilliTokens, Position, TableVersion, Term,
+    AccountId, AttemptId, CommitSeq, DurationMs, EndpointId, GroupId, Incarnation, MilliTokens,
+    Position, TableVersion, Term,
 };
 
-/// Bytes of the length in front of a message.
-const LENGTH_BYTES: usize = 4;
-
-/// Largest message. The tables are the largest content; the platform's row holds less.
-pub const MAX_MESSAGE_BYTES: usize = 1 << 23;
-
-/// Largest message before the peer has proven itself, enough for a `Hello`.
-pub const MAX_HELLO_BYTES: usize = 512;
-
-/// Why bytes are not a message.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
-pub enum PeerFault {
-    /// message of {0} bytes, at most {1} are allowed
-    TooLong(usize, usize),
-    /// message is not readable: {0}
-    Encoding(postcard::Error),
-    /// message has bytes after its end
-    TrailingBytes,
-    /// {0}
-    Id(IdError),
-    /// tables are not readable: {0}
-    Tables(CompactString),
-}
-
-impl std::error::Error for PeerFault {}
-
-impl From<IdError> for PeerFault {
-    fn from(error: IdError) -> Self {
-        Self::Id(error)
-    }
-}
-
 /// A message with its number.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireEnvelope {
@@ -171,54 +138,6 @@
     phase: WirePhase,
 }
 
-/// Appends a message as a frame.
-///
-/// # Errors
-///
-/// The message is longer than [`MAX_MESSAGE_BYTES`]; nothing is appended.
-pub fn put_frame(out: &mut BytesMut, envelope: &Envelope) -> Result<(), PeerFault> {
-    let bytes = postcard::to_stdvec(&WireEnvelope::from(envelope)).map_err(PeerFault::Encoding)?;
-    let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
-    if bytes.len() > MAX_MESSAGE_BYTES {
-        return Err(PeerFault::TooLong(bytes.len(), MAX_MESSAGE_BYTES));
-    }
-    out.put_u32(length);
-    out.put_slice(&bytes);
-    Ok(())
-}
-
-/// Takes the content of the first frame off `input`; none while it is incomplete.
-///
-/// # Errors
-///
-/// The frame is longer than `limit`.
-pub fn take_frame(input: &mut BytesMut, limit: usize) -> Result<Option<Bytes>, PeerFault> {
-    let Some(head) = input.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
-    let length = usize::try_from(u32::from_be_bytes(*head)).unwrap_or(usize::MAX);
-    if length > limit {
-        return Err(PeerFault::TooLong(length, limit));
-    }
-    if input.len() < LENGTH_BYTES + length {
-        return Ok(None);
-    }
-    input.advance(LENGTH_BYTES);
-    Ok(Some(input.split_to(length).freeze()))
-}
-
-/// Reads the content of a frame.
-///
-/// # Errors
-///
-/// Bytes that are not exactly one message, and values that the types refuse.
-pub fn read_message(bytes: &[u8]) -> Result<Envelope, PeerFault> {
-    let (wire, rest) =
-        postcard::take_from_bytes::<WireEnvelope>(bytes).map_err(PeerFault::Encoding)?;
-    if !rest.is_empty() {
-        return Err(PeerFault::TrailingBytes);
-    }
-    wire.try_into()
-}
-
 impl From<&Envelope> for WireEnvelope {
     fn from(envelope: &Envelope) -> Self {
         Self {
--- a/tests/peer_wire.rs
+++ b/tests/peer_wire.rs
@@ -9,7 +9,9 @@
 use medlarstile::types::{
     AccountId, AttemptId, DurationMs, Incarnation, MilliTokens, Position, TableVersion, Term,
 };
-use medlarstile::wire::peer::{put_frame, read_message, take_frame, PeerFault, MAX_MESSAGE_BYTES};
+use medlarstile::wire::peer_frame::{
+    put_frame, read_message, take_frame, PeerFault, MAX_MESSAGE_BYTES,
+};
 use rand::{Rng, RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use yare::parameterized;
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -90,8 +90,8 @@
     }
 }
 
-/// Guards against a host that ends at SIGHUP, as seven did in a bench run (kitami-hyoka, mix, seed
-/// 565566699959), and against one that does not stop at SIGTERM.
+/// Guards against a host that ends at SIGHUP because the signal has no handler, and against one that
+/// does not stop at SIGTERM.
 #[test]
 fn a_hangup_reads_the_settings_again() {
     let mut host = Host::start("h1", Store::default().serve(None));
@@ -149,7 +149,7 @@
 
 /// Guards against a home that refuses, under its older configuration, what the host of the caller
 /// allows: a home that came back from a cut told relayed callers for 0.3 s that their database does
-/// not exist (kitami-hyoka trouble-3 with homes on 8 hosts, CONFIG at 40.087 s).
+/// not exist.
 #[parameterized(
     older = { 9, "" },
     same = { 3, "ERROR NODB no route for this database and client account\r\n" },
@@ -178,7 +178,7 @@
 
 /// Guards against hosts that know each other's demand only half a second after their link has
 /// opened, and keep an equal part of each rate for each other until then: after a start of 59 hosts
-/// homes admitted a fraction of their callers for 0.4 s (stimmwerk-grown inc-3e8e, 42.0 s).
+/// homes admitted a fraction of their callers for 0.4 s.
 #[test]
 fn hosts_tell_their_demand_when_their_link_opens() {
     let store = Store::default();
--- a/tests/proxy_failover.rs
+++ b/tests/proxy_failover.rs
@@ -123,8 +123,8 @@
     assert_eq!(pauses, sync_replicas > 0);
 }
 
-/// Guards against two hosts that promote at once or in turn: a bench run (kitami-hyoka, mix, seed
-/// 565566699959) showed two that undid each other's promotions every 0.7 s.
+/// Guards against two hosts that promote at once or in turn: two of them undid each other's
+/// promotions every 0.7 s.
 #[parameterized(
     under_way = { None },
     finished = { Some("b") },
--- a/tests/proxy_home.rs
+++ b/tests/proxy_home.rs
@@ -139,8 +139,8 @@
 }
 
 /// Guards against connections that a host which is no home any more keeps, by asking the primary for
-/// proofs over them: on stimmwerk-grown trouble-3 endpoints refused 79 starts a second until the end
-/// of the day because hosts held connections from before the fleet was started anew.
+/// proofs over them: endpoints refused 79 starts a second for as long as hosts held connections from
+/// before the fleet was started anew.
 #[test]
 fn a_host_that_is_no_home_keeps_no_connections() {
     let mut rig = Rig::new();
