Move the sessions of open routes and of accounts without a limit to their homes

Cause, found by reading: homes were kept twice, drawn anew for each start-up and in a map of the limits, which holds accounts with a limit only; move_sessions asked the map, so that other sessions stayed on the host where a disruption had led them. One map of all owners of keys and of the open account is kept with the homes now and both ask it; a line is written, and the wait before a move starts again, only when the homes themselves change. The test fails for both kinds without the change. Ruled out: sessions of limited accounts (their test passed before).

--- a/src/core/proxy/home.rs
+++ b/src/core/proxy/home.rs
@@ -2,10 +2,10 @@
 //!
 //! An endpoint has few connections for each host, and a client account's rate divided by the hosts
 //! leaves each of them a small part that its demand exceeds by chance; in a large fleet it is a
-//! fraction of one operation. All sessions of an account therefore run on one host, its home, and the other hosts relay their callers' lines to it. Homes are the
-//! strongest hosts; accounts are spread over them by weighted rendezvous hashing, so that few
-//! sessions change their home when a host comes or goes. Hosts that only relay keep links to the
-//! homes alone.
+//! fraction of one operation. All sessions of an account therefore run on one host, its home, and
+//! the other hosts relay their callers' lines to it. Homes are the strongest hosts; accounts are
+//! spread over them by weighted rendezvous hashing, so that few sessions change their home when a
+//! host comes or goes. Hosts that only relay keep links to the homes alone.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -31,6 +31,8 @@
 /// Part of an endpoint's connections, in percent, that homes divide; the rest is for hosts that
 /// cannot reach a home.
 const HOME_PERCENT: u64 = 88;
+/// Connections that every host may open to an endpoint, however many hosts there are.
+const LEAST_SHARE: u64 = 1;
 /// Homes that have to be present before no further hosts are considered. The accounts of a lost
 /// home go to the others, so that one loss makes no host a home that was none.
 const LEAST_PRESENT: usize = 2;
@@ -56,6 +58,8 @@
     candidates: Vec<Candidate>,
     /// Homes to choose, present or not.
     wanted: u64,
+    /// Home of each account of the configuration.
+    by_account: BTreeMap<AccountId, HostId>,
 }
 
 impl Homes {
@@ -79,7 +83,7 @@
     ) -> (Self, Vec<HostId>) {
         all.sort_by_cached_key(|one| (Reverse(one.processor), hash(&one.host), one.host.clone()));
         let places = usize::try_from(wanted).unwrap_or(usize::MAX);
-        let mut homes = Self { candidates: Vec::new(), wanted };
+        let mut homes = Self { wanted, ..Self::default() };
         let mut considered = Vec::new();
         for one in all {
             if considered.len() >= places && homes.candidates.len() >= LEAST_PRESENT.min(places) {
@@ -94,12 +98,12 @@
     }
 
     /// Whether sessions run at homes.
-    pub(super) fn are_used(&self) -> bool {
+    fn are_used(&self) -> bool {
         !self.candidates.is_empty()
     }
 
     /// Home of an account: each host draws a lot, the larger its processor the better.
-    pub(super) fn of(&self, account: &AccountId) -> Option<&HostId> {
+    fn draw(&self, account: &AccountId) -> Option<&HostId> {
         let lot = |one: &Candidate| {
             let drawn = (hash(&(&one.host, account)) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
             -drawn.ln() / f64::from(one.processor.0.max(1))
@@ -149,19 +153,20 @@
         considered
     }
 
-    fn adopt_homes(&mut self, now: Timestamp, homes: Homes) {
+    fn adopt_homes(&mut self, now: Timestamp, mut homes: Homes) {
         let Some(catalog) = &self.catalog else { return };
-        if self.homes != homes {
-            let names: Vec<&str> = homes.candidates.iter().map(|one| one.host.as_str()).collect();
-            tracing::info!(homes = names.join(" "), wanted = homes.wanted, "homes: changed");
+        let owners = catalog.keys.values().chain(catalog.accounts.keys());
+        let of = |account: &AccountId| Some((account.clone(), homes.draw(account)?.clone()));
+        homes.by_account = owners.chain([&AccountId::OPEN]).filter_map(of).collect();
+        if self.homes == homes {
+            return;
         }
-        let of = |account: &AccountId| Some((account.clone(), homes.of(account)?.clone()));
-        let by_account: BTreeMap<AccountId, HostId> =
-            catalog.accounts.keys().filter_map(of).collect();
-        if self.homes != homes {
+        if self.homes.candidates != homes.candidates {
             self.homes_since = now;
+            let names: Vec<&str> = homes.candidates.iter().map(|one| one.host.as_str()).collect();
+            tracing::info!(homes = names.join(" "), wanted = homes.wanted, "homes: changed");
         }
-        self.quota.set_homes(now, &self.spec.host, by_account);
+        self.quota.set_homes(now, &self.spec.host, homes.by_account.clone());
         self.homes = homes;
     }
 
@@ -187,13 +192,13 @@
     }
 
     fn home_of(&self, session: &Session) -> Option<&HostId> {
-        let account = self.catalog.as_ref()?.keys.get(&session.key)?;
-        self.quota.home(account)
+        let owner = self.catalog.as_ref()?.keys.get(&session.key);
+        self.home(owner.unwrap_or(&AccountId::OPEN))
     }
 
     /// Home of the sessions of an account; none if every host serves its own callers.
-    pub fn home(&self, account: &AccountId) -> Option<HostId> {
-        self.homes.of(account).cloned()
+    pub fn home(&self, account: &AccountId) -> Option<&HostId> {
+        self.homes.by_account.get(account)
     }
 
     /// Whether this host runs sessions, as a home or because it cannot reach one.
@@ -236,9 +241,6 @@
     }
 }
 
-/// Connections that every host may open to an endpoint, however many hosts there are.
-const LEAST_SHARE: u64 = 1;
-
 fn hash(thing: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
     thing.hash(&mut hasher);
--- a/src/core/proxy/quota.rs
+++ b/src/core/proxy/quota.rs
@@ -101,11 +101,6 @@
         }
     }
 
-    /// Home of an account, where homes are used.
-    pub fn home(&self, account: &AccountId) -> Option<&HostId> {
-        self.homes.get(account)
-    }
-
     /// Takes the demand at another host.
     pub fn on_report(&mut self, now: Timestamp, host: HostId, demand: Demand) {
         if !self.others.contains(&host) {
--- a/src/core/proxy/session.rs
+++ b/src/core/proxy/session.rs
@@ -79,7 +79,7 @@
     pub fn foreign_home(&self, database: &str, key: &str) -> Option<HostId> {
         let name = database.parse::<DatabaseName>().ok()?;
         let (_, account) = self.resolve(&name, &CallerKey::new(key)).ok()?;
-        self.home(&account).filter(|home| *home != self.spec.host)
+        self.home(&account).filter(|home| **home != self.spec.host).cloned()
     }
 
     /// A caller asks for a session on this host.
--- a/tests/proxy_home.rs
+++ b/tests/proxy_home.rs
@@ -3,13 +3,14 @@
 mod proxy_rig;
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
-use medlarstile::core::proxy::catalog::AccountPlan;
+use medlarstile::core::proxy::catalog::{AccountPlan, CallerKey, Route};
 use medlarstile::core::proxy::home::Candidate;
 use medlarstile::core::proxy::statement::{Access, Statement};
 use medlarstile::core::proxy::ProxyEffect;
 use medlarstile::core::transaction::TransactionState;
-use medlarstile::types::{Burst, ConnectionCount, HostId, MilliCores, RatePerS};
+use medlarstile::types::{Burst, ConnectionCount, HostId, MilliCores, RatePerS, SessionId};
 use proxy_rig::{catalog, id, Rig};
 use yare::parameterized;
 
@@ -38,7 +39,7 @@
 }
 
 fn homes(rig: &Rig, accounts: usize) -> Vec<Option<HostId>> {
-    (0..accounts).map(|number| rig.core.home(&id(&format!("t{number}")))).collect()
+    (0..accounts).map(|number| rig.core.home(&id(&format!("t{number}"))).cloned()).collect()
 }
 
 /// Guards against more homes than an endpoint has connections for, which would open one each, or
@@ -138,6 +139,24 @@
     assert!(!moved(&rig, busy), "its statement is under way");
 }
 
+/// Guards against sessions of open routes, and of accounts without a limit, that never move: their
+/// accounts are not among those that have one.
+#[parameterized(open_route = { "notes", "nobody" }, no_limit = { "orders", "k-south" })]
+fn a_session_without_a_limit_moves_too(database: &str, key: &str) {
+    let mut rig = Rig::new();
+    let mut catalog = catalog(2);
+    let mut route = Route::clone(&catalog.routes[&id("orders")]);
+    route.open = true;
+    catalog.routes.insert(id("notes"), Rc::new(route));
+    catalog.keys.insert(CallerKey::new("k-south"), id("south"));
+    rig.core.set_catalog(rig.now, catalog);
+    let session = SessionId(1);
+    rig.core.open_session(rig.now, session, database, key).expect("the session is open");
+    rig.core.set_hosts(rig.now, (2..=59).map(|number| candidate(number, 500)).collect(), |_| true);
+    rig.pass(1_600);
+    assert!(rig.other.contains(&ProxyEffect::CloseSession(session)));
+}
+
 /// Guards against connections that a host which is no home any more keeps, by asking the primary for
 /// proofs over them: endpoints refused 79 starts a second for as long as hosts held connections from
 /// before the fleet was started anew.
