Number the runs of a host by the time of their start

Cause, found by reading: the link takes the higher run of a host for the newer one and drops its connection to the former process when a row shows it, but the platform's hosts drew their run at random, so that after half of the restarts a dead link was kept until its time-out of 2 s. Ruled out: the first product's hosts, whose runs are commit numbers. A clock that was set back leaves the case as it was. The test saw runs out of order without the change (6 random runs).

--- a/src/commands/platform_host.rs
+++ b/src/commands/platform_host.rs
@@ -35,7 +35,9 @@
 pub fn run(args: &PlatformHostArgs) -> Result<(), Error> {
     charts::check()?;
     let settings = PlatformSettings::read(&args.settings, args.metrics_port)?;
-    let incarnation = Incarnation(rand::random());
+    // A later run has a higher number, by which the other hosts tell it from the one before.
+    let started_us = reactor::wall_clock().as_micros();
+    let incarnation = Incarnation(u64::try_from(started_us).unwrap_or(u64::MAX));
     // Every line of this process names the host and the run.
     let host = settings.host.clone();
     let line = tracing::info_span!("host", host = host.as_str(), incarnation = incarnation.0);
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -168,6 +168,24 @@
     assert_eq!(told, answer);
 }
 
+/// Guards against a run of a host that looks older than the one before it: the others keep their
+/// link to the former process until it times out, because the link takes the higher run for the
+/// newer one.
+#[test]
+fn a_later_run_of_a_host_is_a_higher_one() {
+    let store = Store::default();
+    let runs: Vec<u64> = (0..6)
+        .map(|_| {
+            let mut host = Host::start("h1", store.serve(None));
+            let line = host.wait_for("host: starting");
+            let (_, rest) = line.split_once(r#""incarnation":"#).expect("a run");
+            let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+            digits.parse().expect("a number")
+        })
+        .collect();
+    assert!(runs.is_sorted() && runs[0] < runs[5], "{runs:?}");
+}
+
 /// Time of day of a log line.
 fn stamp(line: &str) -> Duration {
     let (_, time) = line.split_once('T').expect("a time");
