--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -5,10 +5,13 @@
 
 use super::limit::{TokenRequest, Transfer};
 use super::promotion::GroupRecord;
+use super::proxy::lease::{ClaimRows, Knowledge};
 use super::proxy::quota::Demand;
 use super::view::{Snapshot, Statement};
 use crate::auth::PeerProof;
-use crate::types::{DurationMs, FailureDomain, GroupId, HostId, Incarnation, TableVersion};
+use crate::types::{
+    DurationMs, FailureDomain, GroupId, HostId, Incarnation, RowVersion, TableVersion,
+};
 
 /// Number of a message, unique within one incarnation of its sender.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
@@ -65,6 +68,14 @@
     ConfigurationRequest,
     /// Answer: the operator's configuration as read by the sender, unparsed.
     Configuration(Bytes),
+    /// What the sender knows about the claims of failovers.
+    Knowledge(Knowledge),
+    /// Requests [`PeerMessage::Claims`] above a version.
+    ClaimsRequest(RowVersion),
+    /// Rows of groups: an answer, or a claim of the sender.
+    Claims(ClaimRows),
+    /// The sender knows this version of a group's row and uses no primary of the group.
+    ClaimConfirmed(GroupId, RowVersion),
 }
 
 /// A message with its number and, in an answer, the number of the request.
--- a/src/core/proxy/dispatch.rs
+++ b/src/core/proxy/dispatch.rs
@@ -64,7 +64,7 @@
             return false;
         }
         if let Some(connection) = request.connection {
-            self.assign(now, id, connection);
+            self.continue_transaction(now, id, connection);
             return true;
         }
         let Some(group) = self.groups.get(group_id) else { return false };
--- a/src/core/proxy/events.rs
+++ b/src/core/proxy/events.rs
@@ -1,12 +1,14 @@
 //! Events of pooled connections: opened, job ended, connection lost.
 
 use super::connection::{Owner, PooledConnection, PooledEvent, Task};
-use super::job::{JobAnswer, JobEnd, Refusal};
-use super::request::ProxyRequestEvent;
+use super::job::{JobAnswer, JobEnd, Order, Refusal};
+use super::request::{ProxyRequestEvent, Request};
 use super::{Answer, Proxy, StatementKind};
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
-use crate::types::{ConnectionId, DurationMs, Position, RequestId, Timestamp};
+use crate::types::{
+    ConnectionId, DurationMs, EndpointId, GroupId, Position, RequestId, Term, Timestamp,
+};
 
 /// Delay before a request is retried that an endpoint refused because all its slots were occupied.
 const BUSY_RETRY_DELAY: DurationMs = DurationMs(15);
@@ -44,9 +46,33 @@
     /// that its log holds every commit acknowledged before the job was sent.
     pub fn on_transaction_began(&mut self, now: Timestamp, id: ConnectionId, position: Position) {
         let Some(connection) = self.connections.get(&id) else { return };
-        let Some(group) = self.groups.get_mut(&connection.group) else { return };
-        group.on_primary_proof(now, &connection.endpoint, position.term);
-        group.on_position(&connection.endpoint, position, Some(connection.started));
+        let (group_id, endpoint) = (connection.group.clone(), connection.endpoint.clone());
+        let started = connection.started;
+        let Some(group) = self.groups.get_mut(&group_id) else { return };
+        if position.term < group.term && group.failover.excludes(&endpoint) {
+            // It missed its replacement and would go on as a primary until it reaches the new one.
+            let order = Order::Demote(group.term);
+            self.order(&group_id, &endpoint, order);
+            return;
+        }
+        group.on_primary_proof(now, &endpoint, position.term);
+        self.record_position(started, &group_id, &endpoint, position);
+    }
+
+    /// Records the log position that an endpoint reported as the primary in answer to something sent
+    /// at the time `sent`.
+    pub(super) fn record_position(
+        &mut self,
+        sent: Timestamp,
+        group_id: &GroupId,
+        endpoint: &EndpointId,
+        position: Position,
+    ) {
+        let Some(group) = self.groups.get(group_id) else { return };
+        let proven = self.was_only_primary(sent, group, endpoint, position.term);
+        if let Some(group) = self.groups.get_mut(group_id) {
+            group.on_position(endpoint, position, proven.then_some(sent));
+        }
     }
 
     /// Handles the result of a job.
@@ -131,17 +157,23 @@
                 || (request.statement_kind == StatementKind::InTransaction && request.at_primary));
         let sent = request.sent;
         if let Some(group) = self.groups.get_mut(&group_id) {
-            if let Some(position) = answer.position {
-                if proves_primary {
-                    group.on_primary_proof(now, &endpoint, position.term);
-                }
-                group.on_position(&endpoint, position, proves_primary.then_some(sent));
-            }
             if let Some(state) = group.endpoints.get_mut(&endpoint) {
                 state.on_latency(latency_us);
             }
+            match answer.position {
+                Some(position) if proves_primary => {
+                    group.on_primary_proof(now, &endpoint, position.term);
+                    self.record_position(sent, &group_id, &endpoint, position);
+                }
+                Some(position) => group.on_position(&endpoint, position, None),
+                None => {}
+            }
         }
         match answer.result.clone() {
+            Ok(_) if self.commit_is_in_doubt(now, request_id, &endpoint, answer.position) => {
+                self.release_connection(now, id, answer.transaction);
+                self.refuse_commit(now, request_id, "the endpoint may have been replaced before");
+            }
             Ok(signature) => {
                 self.release_or_hold(now, id, request_id, answer.transaction);
                 self.record_commit(now, request_id, answer.position);
@@ -155,6 +187,42 @@
         }
     }
 
+    /// Whether the endpoint that ran a commit may have been replaced before, so that the commit may
+    /// be lost.
+    fn commit_is_in_doubt(
+        &self,
+        now: Timestamp,
+        id: RequestId,
+        endpoint: &EndpointId,
+        position: Option<Position>,
+    ) -> bool {
+        let term = position.map_or(Term(0), |position| position.term);
+        let Some(request) = self.requests.get(&id) else { return false };
+        let group = self.groups.get(&request.route.group);
+        self.commits(request)
+            && group.is_some_and(|group| !self.was_only_primary(now, group, endpoint, term))
+    }
+
+    /// Whether a request makes writes durable if it succeeds.
+    pub(super) fn commits(&self, request: &Request) -> bool {
+        let transaction =
+            self.sessions.get(&request.session).and_then(|session| session.transaction.as_ref());
+        match request.statement_kind {
+            StatementKind::SingleWrite => true,
+            StatementKind::Commit => transaction.is_some_and(|transaction| transaction.wrote),
+            StatementKind::SingleRead | StatementKind::InTransaction => false,
+        }
+    }
+
+    /// Ends a write or a commit whose outcome is unknown.
+    fn refuse_commit(&mut self, now: Timestamp, id: RequestId, detail: &str) {
+        let session = self.requests.get(&id).map(|request| request.session);
+        if let Some(session) = session.and_then(|session| self.sessions.get_mut(&session)) {
+            session.transaction = None;
+        }
+        self.refuse_request(now, id, Error::new(ErrorKind::OutcomeUnknown, detail));
+    }
+
     /// Makes a connection idle after a statement, or holds it for the session's open transaction.
     fn release_or_hold(
         &mut self,
--- a/src/core/proxy/failover.rs
+++ b/src/core/proxy/failover.rs
@@ -4,11 +4,16 @@
 //! A claim is written to the group's row in the store by compare-and-set. The version of the row is
 //! the fencing token of the promotion: each claim has its own, and a later claim has a higher one,
 //! so that a promotion that is carried out late is refused.
+//!
+//! A platform that does not check tokens carries such a promotion out. There the failover waits for
+//! the end of the other hosts' leases and names the chosen endpoint in the row before it asks for
+//! the promotion; later failovers promote no other endpoint while that promotion may be under way.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::LazyLock;
 
 use super::job::{Order, StatusReport};
+use super::lease::{Confirmations, Evidence, LeadProof, ANSWER_GRACE};
 use crate::chart::{Chart, ChartError, Machine, NoGuard};
 use crate::chart_names;
 use crate::core::group::Role;
@@ -38,6 +43,15 @@
 const UNCONFIRMED_SETTLE_LIMIT: DurationMs = DurationMs(1_400);
 /// Longest wait for the outcome of a claim; if the answer is lost, reading the row gives it.
 const CLAIM_ANSWER_LIMIT: DurationMs = DurationMs(1_200);
+/// Time after its claim was sent within which a host asks for the promotion. Another host may claim
+/// [`CLAIM_LIMIT`] after it has read the claim, and the call itself takes up to a second.
+const PROMOTION_WINDOW: DurationMs = DurationMs(2_200);
+/// Time within which an accepted promotion takes effect.
+const PROMOTION_LIMIT: DurationMs = DurationMs(1_500);
+/// Time for which a promotion without an answer may still be carried out.
+const LATE_PROMOTION_LIMIT: DurationMs = DurationMs(8_000);
+/// Time between two attempts to write the new primary to the row.
+const FINISH_INTERVAL: DurationMs = DurationMs(300);
 /// Time between two status requests to an endpoint.
 const STATUS_INTERVAL: DurationMs = DurationMs(60);
 /// Delay before the next attempt after a failed one.
@@ -51,17 +65,19 @@
     /// States of a failover.
     pub enum FailoverState {
         Watching = "watching", Claiming = "claiming", Surveying = "surveying",
-        Promoting = "promoting", Settling = "settling",
+        Recording = "recording", Promoting = "promoting", Settling = "settling",
+        Finishing = "finishing",
     }
     /// Events of a failover.
     pub enum FailoverEvent {
-        Needed = "needed", Claimed = "claimed", Chosen = "chosen", Ordered = "ordered",
-        Leads = "leads", Failed = "failed",
+        Needed = "needed", Claimed = "claimed", Chosen = "chosen", Unrecorded = "unrecorded",
+        Recorded = "recorded", Ordered = "ordered", Leads = "leads", Finished = "finished",
+        Failed = "failed",
     }
     /// Actions of a failover.
     pub enum FailoverAction {
-        Claim = "claim", Survey = "survey", Promote = "promote", Resume = "resume",
-        Finish = "finish",
+        Claim = "claim", Survey = "survey", Record = "record", Promote = "promote",
+        Resume = "resume", Finish = "finish",
     }
 }
 
@@ -89,6 +105,8 @@
     pub attempt: AttemptId,
     /// The new primary, once it is confirmed.
     pub leader: Option<EndpointId>,
+    /// Endpoint whose promotion may have been requested, where the platform checks no tokens.
+    pub chosen: Option<EndpointId>,
     /// Term of the last completed promotion. An endpoint of a lower term has missed that promotion
     /// and all later commits; promoting it would restore commits that were rolled back.
     pub term: Term,
@@ -136,6 +154,8 @@
     pub candidates: Vec<EndpointId>,
     /// The primary, if it is leaving and still answers.
     pub leaving: Option<EndpointId>,
+    /// The primary, if it is healthy and stays.
+    pub staying: Option<EndpointId>,
     /// Replicas that must have received a commit before it is acknowledged.
     pub sync_replicas: u32,
     /// Number of all replicas of the group, including those that do not answer.
@@ -144,10 +164,47 @@
     pub term: Term,
 }
 
+/// Which endpoints the group's row allows to be the primary.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Lead {
+    /// Any, because no promotion was ever requested.
+    Any,
+    /// The one that the last failover has confirmed.
+    Only(EndpointId),
+    /// Unknown, because a failover is in progress or the row cannot be read.
+    Unknown,
+}
+
+impl Lead {
+    fn admits(&self, endpoint: &EndpointId) -> bool {
+        match self {
+            Lead::Any => true,
+            Lead::Only(leader) => leader == endpoint,
+            Lead::Unknown => false,
+        }
+    }
+}
+
+/// Consecutive claims of which none has been completed.
+#[derive(Debug)]
+struct OpenClaim {
+    /// Version of the first one.
+    first_version: RowVersion,
+    /// When the first one became known.
+    since: Timestamp,
+    /// Primary before it, and until when it was the only one: shortly after the claim became known,
+    /// and not beyond the lease, because failovers may have been completed in between.
+    former: Lead,
+    former_until: Timestamp,
+    /// Endpoint whose promotion may be under way, and when that became known.
+    pledged: Option<(EndpointId, Timestamp)>,
+}
+
 /// Failover of one group as this host runs it.
 #[derive(Debug)]
 pub struct Failover {
     host: HostId,
+    proof: LeadProof,
     /// Number of [`STAGGER`] delays that this host waits before its first attempt.
     stagger_step: u64,
     machine: Machine<FailoverState, FailoverEvent, NoGuard, FailoverAction>,
@@ -155,10 +212,20 @@
     row_version: RowVersion,
     /// When this version was first seen.
     row_seen_at: Timestamp,
-    /// Whether the row holds a claim without a confirmed primary.
-    row_unfinished: bool,
-    /// Whether this host wrote the row.
-    row_is_own: bool,
+    /// Whether the row was looked up, so that version 0 means that it does not exist.
+    is_row_read: bool,
+    /// Content of this version, if it can be read.
+    row: Option<Claim>,
+    /// The claims without a confirmed primary that the row ends with.
+    open_claim: Option<OpenClaim>,
+    /// Hosts that have confirmed this host's claim.
+    confirmations: Confirmations,
+    /// Contents of the writes that await their answers, oldest first.
+    written: VecDeque<Claim>,
+    /// When this host last wrote to the row.
+    written_at: Timestamp,
+    /// When this host sent its claim.
+    claim_sent_at: Timestamp,
     /// Highest known term of a completed promotion.
     row_term: Term,
     /// Whether the promotion call got no answer.
@@ -178,15 +245,21 @@
 
 impl Failover {
     /// Creates the failover of a group on `host`. `seed` must differ between incarnations.
-    pub fn new(host: HostId, seed: u64) -> Self {
+    pub fn new(host: HostId, proof: LeadProof, seed: u64) -> Self {
         Self {
             host,
+            proof,
             stagger_step: seed % STAGGER_STEPS,
             machine: CHART.start(),
             row_version: RowVersion(0),
             row_seen_at: Timestamp(0),
-            row_unfinished: false,
-            row_is_own: false,
+            is_row_read: false,
+            row: None,
+            open_claim: None,
+            confirmations: Confirmations::default(),
+            written: VecDeque::new(),
+            written_at: Timestamp(0),
+            claim_sent_at: Timestamp(0),
             row_term: Term(0),
             promotion_unconfirmed: false,
             needed_since: None,
@@ -212,29 +285,153 @@
 
     /// Whether any host has a failover of the group in progress.
     pub fn under_way(&self, now: Timestamp) -> bool {
-        let other_host = self.row_unfinished && now < self.row_seen_at + CLAIM_LIMIT;
+        let other_host = self.open_claim.is_some() && now < self.row_seen_at + CLAIM_LIMIT;
         other_host || self.state() != FailoverState::Watching
     }
 
-    /// Processes a read of the group's row.
-    pub fn on_row(&mut self, now: Timestamp, version: RowVersion, claim: Option<&Claim>) {
-        if version <= self.row_version {
-            return;
+    /// Whether the group's row allows an endpoint to be used as the primary now.
+    pub fn allows(&self, endpoint: &EndpointId) -> bool {
+        match self.proof {
+            LeadProof::Transaction => true,
+            LeadProof::Lease => self.lead().admits(endpoint),
+        }
+    }
+
+    /// Whether an endpoint that acted as the primary of `term` at the time `at` was the only one that
+    /// did.
+    pub fn allowed_at(&self, at: Timestamp, endpoint: &EndpointId, term: Term) -> bool {
+        match (self.proof, &self.open_claim) {
+            (LeadProof::Transaction, _) => true,
+            // In an older term it was replaced, and has been promoted again since.
+            (LeadProof::Lease, None) => self.lead().admits(endpoint) && term >= self.row_term,
+            (LeadProof::Lease, Some(open)) => {
+                at <= open.former_until && open.former.admits(endpoint)
+            }
         }
+    }
+
+    /// Whether the row excludes an endpoint from being the primary, whatever the endpoint says.
+    pub fn excludes(&self, endpoint: &EndpointId) -> bool {
+        self.proof == LeadProof::Lease
+            && matches!(self.lead(), Lead::Only(leader) if leader != *endpoint)
+    }
+
+    fn lead(&self) -> Lead {
+        match &self.row {
+            _ if self.row_version == RowVersion(0) && self.is_row_read => Lead::Any,
+            Some(Claim { leader: Some(leader), .. }) => Lead::Only(leader.clone()),
+            _ => Lead::Unknown,
+        }
+    }
+
+    /// The newest known version of the group's row, and its content.
+    pub fn row(&self) -> (RowVersion, Option<&Claim>) {
+        (self.row_version, self.row.as_ref())
+    }
+
+    fn row_is_own(&self) -> bool {
+        self.row.as_ref().is_some_and(|claim| claim.holder == self.host)
+    }
+
+    fn is_attempt(&self, claim: &Claim) -> bool {
+        claim.holder == self.host && claim.attempt == self.attempt
+    }
+
+    /// Adopts a version of the row. `lease_end` is the end of the lease before it was known.
+    fn set_row(
+        &mut self,
+        now: Timestamp,
+        lease_end: Timestamp,
+        version: RowVersion,
+        claim: Option<Claim>,
+    ) {
+        let former = self.lead();
         (self.row_version, self.row_seen_at) = (version, now);
-        self.row_unfinished = claim.is_some_and(|claim| claim.leader.is_none());
-        self.row_is_own = claim.is_some_and(|claim| claim.holder == self.host);
-        self.row_term = self.row_term.max(claim.map_or(Term(0), |claim| claim.term));
-        let mine = self.row_is_own && claim.is_some_and(|claim| claim.attempt == self.attempt);
-        if mine && self.row_unfinished && self.state() == FailoverState::Claiming {
-            self.fire(now, FailoverEvent::Claimed, &mut Vec::new());
-        }
-        if !mine && self.state() != FailoverState::Watching {
+        self.row_term = self.row_term.max(claim.as_ref().map_or(Term(0), |claim| claim.term));
+        self.row = claim;
+        if matches!(self.lead(), Lead::Only(_)) {
+            self.open_claim = None;
+            self.confirmations.clear();
+            return;
+        }
+        let open = self.open_claim.get_or_insert(OpenClaim {
+            first_version: version,
+            since: now,
+            former,
+            former_until: lease_end.min(now + ANSWER_GRACE),
+            pledged: None,
+        });
+        let chosen = self.row.as_ref().and_then(|claim| claim.chosen.clone());
+        if open.pledged.as_ref().map(|(endpoint, _)| endpoint) != chosen.as_ref() {
+            open.pledged = chosen.map(|chosen| (chosen, now));
+        }
+    }
+
+    /// Called when all rows have been read, so that the group has none unless it is known.
+    pub fn on_rows_read(&mut self) {
+        self.is_row_read = true;
+    }
+
+    /// Processes a read of the group's row. `lease_end` is the end of this host's lease.
+    pub fn on_row(
+        &mut self,
+        now: Timestamp,
+        lease_end: Timestamp,
+        version: RowVersion,
+        claim: Option<&Claim>,
+    ) -> Vec<FailoverEffect> {
+        let mut out = Vec::new();
+        if version <= self.row_version {
+            return out;
+        }
+        self.set_row(now, lease_end, version, claim.cloned());
+        if claim.is_some_and(|claim| self.is_attempt(claim)) {
+            self.on_own_row(now, &mut out);
+        } else if self.state() != FailoverState::Watching {
             tracing::info!(token = %version, "failover: another host has claimed the group");
-            self.fire(now, FailoverEvent::Failed, &mut Vec::new());
+            self.fire(now, FailoverEvent::Failed, &mut out);
+        }
+        out
+    }
+
+    /// Continues after this host's write has reached the row.
+    fn on_own_row(&mut self, now: Timestamp, out: &mut Vec<FailoverEffect>) {
+        let Some(row) = &self.row else { return };
+        match self.state() {
+            FailoverState::Claiming if row.leader.is_none() => {
+                self.fire(now, FailoverEvent::Claimed, out);
+            }
+            FailoverState::Recording if row.chosen == self.chosen => {
+                let in_time = now <= self.claim_sent_at + PROMOTION_WINDOW;
+                let event = if in_time { FailoverEvent::Recorded } else { FailoverEvent::Failed };
+                self.fire(now, event, out);
+            }
+            FailoverState::Finishing if row.leader.is_some() => {
+                self.fire(now, FailoverEvent::Finished, out);
+            }
+            _ => {}
         }
     }
 
+    /// Processes the confirmation of a host that knows a version of the row and uses no primary.
+    pub fn on_confirmed(
+        &mut self,
+        now: Timestamp,
+        host: HostId,
+        version: RowVersion,
+        evidence: &Evidence,
+    ) {
+        if self.open_claim.as_ref().is_some_and(|open| version >= open.first_version) {
+            self.confirmations.insert(now, host, evidence.others());
+        }
+    }
+
+    /// Whether a claim was left without a confirmed primary, so that no endpoint may be used.
+    fn is_abandoned(&self, now: Timestamp) -> bool {
+        let overdue = self.row_is_own() || now >= self.row_seen_at + CLAIM_LIMIT;
+        self.proof == LeadProof::Lease && self.open_claim.is_some() && overdue
+    }
+
     /// Runs the timed steps of the current state. `needed` says whether the primary must be
     /// replaced.
     pub fn tick(
@@ -242,22 +439,31 @@
         now: Timestamp,
         needed: bool,
         snapshot: &GroupSnapshot,
+        evidence: &Evidence,
     ) -> Vec<FailoverEffect> {
         let mut out = Vec::new();
+        let needed = needed || self.is_abandoned(now);
         match self.state() {
             FailoverState::Watching => self.start_if_needed(now, needed, snapshot, &mut out),
-            FailoverState::Claiming => {
+            FailoverState::Claiming | FailoverState::Recording => {
                 if now >= self.entered_at + CLAIM_ANSWER_LIMIT {
                     self.fire(now, FailoverEvent::Failed, &mut out);
                 }
             }
-            FailoverState::Surveying => self.survey(now, snapshot, &mut out),
+            FailoverState::Surveying => self.survey(now, snapshot, evidence, &mut out),
             FailoverState::Promoting => {
                 if now >= self.entered_at + SETTLE_LIMIT {
                     self.fire(now, FailoverEvent::Failed, &mut out);
                 }
             }
             FailoverState::Settling => self.await_new_primary(now, &mut out),
+            FailoverState::Finishing => {
+                if now >= self.entered_at + SETTLE_LIMIT {
+                    self.fire(now, FailoverEvent::Failed, &mut out);
+                } else if now >= self.written_at + FINISH_INTERVAL && self.written.is_empty() {
+                    self.write(now, self.chosen.clone(), &mut out);
+                }
+            }
         }
         out
     }
@@ -269,13 +475,14 @@
         snapshot: &GroupSnapshot,
         out: &mut Vec<FailoverEffect>,
     ) {
-        if !needed || snapshot.candidates.is_empty() {
+        let nobody = snapshot.candidates.is_empty() && snapshot.staying.is_none();
+        if !needed || nobody {
             self.needed_since = None;
             return;
         }
         let since = *self.needed_since.get_or_insert(now);
         let stagger_elapsed = now >= since + DurationMs(STAGGER.0 * self.stagger_step);
-        let claimed_by_other = self.row_version > RowVersion(0) && !self.row_is_own;
+        let claimed_by_other = self.row_version > RowVersion(0) && !self.row_is_own();
         let taken = claimed_by_other && now < self.row_seen_at + CLAIM_LIMIT;
         if stagger_elapsed && !taken && now >= self.retry_at {
             self.fire(now, FailoverEvent::Needed, out);
@@ -283,7 +490,13 @@
     }
 
     /// Requests the positions of the candidates until enough have answered.
-    fn survey(&mut self, now: Timestamp, snapshot: &GroupSnapshot, out: &mut Vec<FailoverEffect>) {
+    fn survey(
+        &mut self,
+        now: Timestamp,
+        snapshot: &GroupSnapshot,
+        evidence: &Evidence,
+        out: &mut Vec<FailoverEffect>,
+    ) {
         if self.demoted.is_none() {
             if let Some(leaving) = &snapshot.leaving {
                 self.demoted = Some((leaving.clone(), None));
@@ -299,14 +512,29 @@
                 0 => Order::Status,
                 _ => Order::Pause(snapshot.term.next()),
             };
-            out.extend(
-                snapshot.candidates.iter().map(|id| FailoverEffect::Order(id.clone(), order)),
-            );
+            let staying = snapshot.staying.iter().map(|id| (id, Order::Status));
+            let asked = snapshot.candidates.iter().map(|id| (id, order)).chain(staying);
+            out.extend(asked.map(|(id, order)| FailoverEffect::Order(id.clone(), order)));
         }
-        match self.choose_candidate(now, snapshot) {
+        let claimed_at = self.open_claim.as_ref().map_or(now, |open| open.since);
+        let leases_over = self.proof == LeadProof::Transaction
+            || self.confirmations.are_leases_over(
+                now,
+                claimed_at,
+                evidence.complete_at(),
+                evidence.others(),
+            );
+        match self.choose_candidate(now, snapshot).filter(|_| leases_over) {
             Some(chosen) => {
+                let recorded = self.row.as_ref().and_then(|claim| claim.chosen.clone());
                 self.chosen = Some(chosen);
-                self.fire(now, FailoverEvent::Chosen, out);
+                let in_time = now <= self.claim_sent_at + PROMOTION_WINDOW;
+                let event = match self.proof {
+                    LeadProof::Lease if !in_time => FailoverEvent::Failed,
+                    LeadProof::Lease if recorded != self.chosen => FailoverEvent::Unrecorded,
+                    _ => FailoverEvent::Chosen,
+                };
+                self.fire(now, event, out);
             }
             None => {
                 let limit = if self.demoted.is_some() { CATCH_UP_LIMIT } else { SURVEY_LIMIT };
@@ -321,10 +549,31 @@
     /// one of them then holds every commit that synchronous replicas had to receive, and the final
     /// position of a leaving primary is known and reached, or was waited for long enough.
     fn choose_candidate(&self, now: Timestamp, snapshot: &GroupSnapshot) -> Option<EndpointId> {
-        let answers = snapshot.candidates.iter().filter_map(|id| {
-            let status = self.statuses.get(id)?;
-            (status.term >= self.row_term).then_some((status.received, id))
-        });
+        let up_to_date = |id: &EndpointId| {
+            self.statuses.get(id).filter(|status| status.term >= self.row_term).copied()
+        };
+        let open = self.open_claim.as_ref().filter(|_| self.proof == LeadProof::Lease);
+        let pledged = open.and_then(|open| open.pledged.as_ref());
+        if let Some((pledged, _)) = pledged.filter(|(_, since)| now < *since + LATE_PROMOTION_LIMIT)
+        {
+            return up_to_date(pledged).map(|_| pledged.clone());
+        }
+        if self.proof == LeadProof::Lease {
+            let listed = snapshot.candidates.iter().chain(&snapshot.staying);
+            let primaries = listed.filter_map(|id| {
+                up_to_date(id)
+                    .filter(|status| status.role == Role::Primary)
+                    .map(|status| (status.term, id))
+            });
+            // The promotion of the present primary changes nothing.
+            if let Some((_, primary)) = primaries.max() {
+                return Some(primary.clone());
+            }
+        }
+        let answers = snapshot
+            .candidates
+            .iter()
+            .filter_map(|id| up_to_date(id).map(|status| (status.received, id)));
         let answered = answers.clone().count();
         let (received, best) = answers.max_by_key(|(received, id)| (*received, (*id).clone()))?;
         let sync = usize::try_from(snapshot.sync_replicas).unwrap_or(usize::MAX);
@@ -376,7 +625,9 @@
                 self.statuses.insert(endpoint.clone(), status);
             }
             FailoverState::Settling
-                if self.chosen.as_ref() == Some(endpoint) && status.role == Role::Primary =>
+                if self.chosen.as_ref() == Some(endpoint)
+                    && status.role == Role::Primary
+                    && self.has_taken_over(now, status.term) =>
             {
                 self.row_term = self.row_term.max(status.term);
                 self.fire(now, FailoverEvent::Leads, &mut out);
@@ -386,39 +637,45 @@
         out
     }
 
-    /// Processes the outcome of writing a claim.
+    /// Whether the chosen endpoint, which acts as the primary of `term`, does so because of the
+    /// promotion, or was the present primary. One that acted as the primary before may have been
+    /// replaced meanwhile and not know it; it has the lead again when the promotion takes effect.
+    fn has_taken_over(&self, now: Timestamp, term: Term) -> bool {
+        let status = self.chosen.as_ref().and_then(|chosen| self.statuses.get(chosen));
+        let acted_before =
+            status.is_some_and(|status| status.role == Role::Primary && status.term >= term);
+        self.proof == LeadProof::Transaction
+            || !acted_before
+            || now >= self.entered_at + PROMOTION_LIMIT
+    }
+
+    /// Processes the outcome of writing a claim. `lease_end` is the end of this host's lease.
     pub fn on_claimed(
         &mut self,
         now: Timestamp,
+        lease_end: Timestamp,
         result: Result<RowVersion, ClaimError>,
     ) -> Vec<FailoverEffect> {
         let mut out = Vec::new();
-        let claiming = self.state() == FailoverState::Claiming;
+        let written = self.written.pop_front();
         match result {
             Ok(version) => {
-                self.row_version = self.row_version.max(version);
-                self.row_seen_at = now;
-                (self.row_unfinished, self.row_is_own) = (claiming, true);
-                if claiming {
-                    self.fire(now, FailoverEvent::Claimed, &mut out);
+                if version > self.row_version {
+                    self.set_row(now, lease_end, version, written);
+                }
+                if self.row.as_ref().is_some_and(|row| self.is_attempt(row)) {
+                    self.on_own_row(now, &mut out);
                 }
-            }
-            Err(ClaimError::Taken(version, Some(claim)))
-                if claiming && claim.holder == self.host && claim.attempt == self.attempt =>
-            {
-                (self.row_version, self.row_seen_at, self.row_unfinished) = (version, now, true);
-                self.row_is_own = true;
-                self.fire(now, FailoverEvent::Claimed, &mut out);
             }
             Err(ClaimError::Taken(version, claim)) => {
-                self.on_row(now, version, claim.as_ref());
-                if self.state() == FailoverState::Claiming {
+                out.extend(self.on_row(now, lease_end, version, claim.as_ref()));
+                if matches!(self.state(), FailoverState::Claiming | FailoverState::Recording) {
                     self.fire(now, FailoverEvent::Failed, &mut out);
                 }
             }
             Err(ClaimError::Unknown) => {}
             Err(ClaimError::Refused) => {
-                if claiming {
+                if matches!(self.state(), FailoverState::Claiming | FailoverState::Recording) {
                     self.fire(now, FailoverEvent::Failed, &mut out);
                 }
             }
@@ -438,6 +695,9 @@
                 self.fire(now, FailoverEvent::Ordered, &mut out);
             }
             PromoteAnswer::Unavailable | PromoteAnswer::Refused => {
+                if let Some(open) = &mut self.open_claim {
+                    open.pledged = None;
+                }
                 self.fire(now, FailoverEvent::Failed, &mut out);
             }
         }
@@ -456,7 +716,7 @@
             self.retry_at = now + RETRY_DELAY;
         }
         for action in step.actions {
-            self.run_action(*action, out);
+            self.run_action(now, *action, out);
         }
         if self.state() == FailoverState::Watching {
             (self.demoted, self.chosen, self.needed_since) = (None, None, None);
@@ -464,16 +724,23 @@
         }
     }
 
-    fn run_action(&mut self, action: FailoverAction, out: &mut Vec<FailoverEffect>) {
+    fn run_action(
+        &mut self,
+        now: Timestamp,
+        action: FailoverAction,
+        out: &mut Vec<FailoverEffect>,
+    ) {
         match action {
             FailoverAction::Claim => {
                 self.attempt = AttemptId(self.attempt.0.wrapping_add(1));
-                out.push(FailoverEffect::Claim(self.row_version, self.new_claim(None)));
+                self.claim_sent_at = now;
+                self.write(now, None, out);
             }
             FailoverAction::Survey => {
                 self.status_requested_at = Timestamp(0);
                 self.statuses.clear();
             }
+            FailoverAction::Record => self.write(now, None, out),
             FailoverAction::Promote => {
                 if let Some(chosen) = &self.chosen {
                     out.push(FailoverEffect::Promote(chosen.clone(), self.row_version));
@@ -483,16 +750,23 @@
                 let paused = self.statuses.keys();
                 out.extend(paused.map(|id| FailoverEffect::Order(id.clone(), Order::Resume)));
             }
-            FailoverAction::Finish => {
-                out.push(FailoverEffect::Claim(
-                    self.row_version,
-                    self.new_claim(self.chosen.clone()),
-                ));
-            }
+            FailoverAction::Finish => self.write(now, self.chosen.clone(), out),
         }
     }
 
-    fn new_claim(&self, leader: Option<EndpointId>) -> Claim {
-        Claim { holder: self.host.clone(), attempt: self.attempt, leader, term: self.row_term }
+    /// Writes this host's claim, with the new primary if it is confirmed.
+    fn write(&mut self, now: Timestamp, leader: Option<EndpointId>, out: &mut Vec<FailoverEffect>) {
+        let pledged = self.open_claim.as_ref().and_then(|open| open.pledged.clone());
+        let chosen = self.chosen.clone().or(pledged.map(|(endpoint, _)| endpoint));
+        let claim = Claim {
+            holder: self.host.clone(),
+            attempt: self.attempt,
+            chosen: chosen.filter(|_| leader.is_none() && self.proof == LeadProof::Lease),
+            leader,
+            term: self.row_term,
+        };
+        self.written.push_back(claim.clone());
+        self.written_at = now;
+        out.push(FailoverEffect::Claim(self.row_version, claim));
     }
 }
--- a/src/core/proxy/group.rs
+++ b/src/core/proxy/group.rs
@@ -248,7 +248,7 @@
         let claims = self.endpoints.iter().filter_map(|(id, state)| {
             let claimed = state.claim_version?;
             let denied_since = denied.get(id).is_some_and(|version| *version >= claimed);
-            (!denied_since).then_some((claimed, id))
+            (!denied_since && !self.failover.excludes(id)).then_some((claimed, id))
         });
         let newest = claims.max().map(|(_, id)| id.clone());
         let leader = self.leader.as_ref().filter(|id| self.endpoints.contains_key(*id)).cloned();
@@ -272,6 +272,14 @@
         self.leader = leader;
     }
 
+    /// Replaces the leader if the group's row names another one.
+    pub fn drop_excluded_leader(&mut self, now: Timestamp) {
+        if self.leader.as_ref().is_some_and(|leader| self.failover.excludes(leader)) {
+            self.set_leader(now, None);
+            self.choose_leader(now);
+        }
+    }
+
     /// Called when an endpoint reported that it is not the primary.
     pub fn on_not_primary(&mut self, now: Timestamp, endpoint: &EndpointId) {
         if let Some(state) = self.endpoints.get(endpoint) {
@@ -285,7 +293,7 @@
 
     /// Called when an endpoint proved that it is the primary of `term`.
     pub fn on_primary_proof(&mut self, now: Timestamp, endpoint: &EndpointId, term: Term) {
-        if term < self.term {
+        if term < self.term || self.failover.excludes(endpoint) {
             return;
         }
         self.denied.remove(endpoint);
--- a/src/core/proxy/home.rs
+++ b/src/core/proxy/home.rs
@@ -134,6 +134,7 @@
     ) -> Vec<HostId> {
         self.hosts_known = true;
         self.quota.set_hosts(now, listed.iter().map(|candidate| candidate.host.clone()).collect());
+        self.evidence.set_hosts(listed.iter().map(|candidate| candidate.host.clone()).collect());
         let own = self.spec.host.clone();
         let mut is_present = |host: &HostId| *host == own || is_present(host);
         let own_candidate = HomeCandidate { host: own.clone(), processor: self.spec.processor };
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -13,6 +13,8 @@
 pub mod group;
 pub mod home;
 pub mod job;
+mod lead;
+pub mod lease;
 mod order;
 mod placement;
 mod pool;
@@ -39,6 +41,7 @@
 use group::{EndpointEntry, GroupState};
 use home::Homes;
 use job::{Job, Order, Refusal};
+use lease::{ClaimRows, Evidence, Knowledge, LeadProof};
 use quota::{Demand, Quota};
 use request::Request;
 pub use request::StatementKind;
@@ -63,6 +66,8 @@
     pub processor: MilliCores,
     /// Time limits of a shutdown.
     pub drain: DrainTimes,
+    /// How this host knows that an endpoint leads its group.
+    pub lead_proof: LeadProof,
 }
 
 /// The answer to a statement of a caller.
@@ -124,6 +129,16 @@
     Promote(GroupId, EndpointId, RowVersion),
     /// Send this host's demand to the other hosts.
     ReportDemand(Demand),
+    /// Tell a host what this one knows about the claims in the store.
+    ShareKnowledge(HostId, Knowledge),
+    /// Pass a claim of this host to the other hosts, some of which the store may not serve.
+    AnnounceClaim(GroupId, RowVersion, Claim),
+    /// Confirm to a host that this one knows its claim and uses no primary of the group.
+    ConfirmClaim(HostId, GroupId, RowVersion),
+    /// Ask a host for the groups' rows above a version.
+    RequestClaims(HostId, RowVersion),
+    /// Pass groups' rows to a host.
+    SendClaims(HostId, ClaimRows),
     /// Start to accept callers.
     Listen,
     /// Report the host as not ready from now on.
@@ -152,6 +167,13 @@
     homes_changed_at: Timestamp,
     relayed_callers: usize,
     groups: BTreeMap<GroupId, GroupState>,
+    /// Rows of all groups, including those that are not in the configuration.
+    claims: BTreeMap<GroupId, (RowVersion, Option<Claim>)>,
+    evidence: Evidence,
+    /// When this host's lease of the lead ends.
+    lease_end: Timestamp,
+    /// Whether it had not ended when this was last looked at.
+    was_leased: bool,
     sessions: BTreeMap<SessionId, Session>,
     requests: BTreeMap<RequestId, Request>,
     connections: BTreeMap<ConnectionId, PooledConnection>,
@@ -180,6 +202,10 @@
             homes_changed_at: Timestamp(0),
             relayed_callers: 0,
             groups: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            evidence: Evidence::default(),
+            lease_end: Timestamp(0),
+            was_leased: false,
             sessions: BTreeMap::new(),
             requests: BTreeMap::new(),
             connections: BTreeMap::new(),
@@ -247,8 +273,15 @@
             match self.groups.get_mut(id) {
                 Some(group) => group.config = config.clone(),
                 None => {
-                    let failover = Failover::new(self.spec.host.clone(), self.rng.next_u64());
-                    let group = GroupState::new(now, config.clone(), failover);
+                    let (host, proof) = (self.spec.host.clone(), self.spec.lead_proof);
+                    let failover = Failover::new(host, proof, self.rng.next_u64());
+                    let mut group = GroupState::new(now, config.clone(), failover);
+                    if self.evidence.complete_at().is_some() {
+                        group.failover.on_rows_read();
+                    }
+                    if let Some((version, claim)) = self.claims.get(id) {
+                        group.failover.on_row(now, self.lease_end, *version, claim.as_ref());
+                    }
                     self.groups.insert(id.clone(), group);
                 }
             }
--- a/src/core/proxy/order.rs
+++ b/src/core/proxy/order.rs
@@ -4,6 +4,7 @@
 use super::failover::{Claim, ClaimError, FailoverEffect, GroupSnapshot, PromoteAnswer};
 use super::group::GroupState;
 use super::job::{JobAnswer, Order};
+use super::lease::LeadProof;
 use super::{Proxy, ProxyEffect};
 use crate::core::group::Role;
 use crate::types::{ConnectionId, EndpointId, GroupId, RowVersion, Timestamp};
@@ -71,7 +72,7 @@
         match status.role {
             Role::Primary => {
                 group.on_primary_proof(now, &endpoint, status.term);
-                group.on_position(&endpoint, status.received, Some(sent));
+                self.record_position(sent, &group_id, &endpoint, status.received);
             }
             Role::Replica => {
                 if let Some(position) = answer.position {
@@ -80,6 +81,7 @@
                 group.on_not_primary(now, &endpoint);
             }
         }
+        let Some(group) = self.groups.get_mut(&group_id) else { return };
         if before != group.leader {
             log_leader(&group_id, group, &endpoint);
         }
@@ -102,16 +104,32 @@
         self.dirty.insert(group.clone());
     }
 
-    /// Processes a read of a group's row.
+    /// Processes a row of a group that the store has listed.
     pub fn on_claim_row(
+        &mut self,
+        now: Timestamp,
+        group: &GroupId,
+        version: RowVersion,
+        claim: Option<&Claim>,
+    ) {
+        self.evidence.on_listed_row(version);
+        self.adopt_claim_row(now, group, version, claim);
+    }
+
+    /// Processes a row of a group.
+    pub(super) fn adopt_claim_row(
         &mut self,
         now: Timestamp,
         group_id: &GroupId,
         version: RowVersion,
         claim: Option<&Claim>,
     ) {
+        self.record_claim(group_id, version, claim);
         let Some(group) = self.groups.get_mut(group_id) else { return };
-        group.failover.on_row(now, version, claim);
+        let effects = group.failover.on_row(now, self.lease_end, version, claim);
+        group.drop_excluded_leader(now);
+        self.failover_effects(group_id, effects);
+        let Some(group) = self.groups.get(group_id) else { return };
         if let Some(leader) = claim.and_then(|claim| claim.leader.clone()) {
             if group.leader.as_ref() != Some(&leader) && group.endpoints.contains_key(&leader) {
                 // The row only names the endpoint; its status proves that it is the primary.
@@ -130,7 +148,11 @@
         result: Result<RowVersion, ClaimError>,
     ) {
         let Some(group) = self.groups.get_mut(group_id) else { return };
-        let effects = group.failover.on_claimed(now, result);
+        let effects = group.failover.on_claimed(now, self.lease_end, result);
+        group.drop_excluded_leader(now);
+        let (version, row) = group.failover.row();
+        let row = row.cloned();
+        self.record_claim(group_id, version, row.as_ref());
         self.failover_effects(group_id, effects);
         self.check_failover(now, group_id);
         self.dispatch_changed_groups(now);
@@ -150,9 +172,12 @@
         let Some(group) = self.groups.get_mut(group_id) else { return };
         let fault =
             group.primary_fault(now, super::failover::SILENCE_LIMIT, super::failover::DOWN_LIMIT);
-        let snapshot = group_snapshot(now, group);
+        let mut snapshot = group_snapshot(now, group);
+        if fault.is_none() && self.spec.lead_proof == LeadProof::Lease {
+            snapshot.staying.clone_from(&group.leader);
+        }
         let before = group.failover.state();
-        let effects = group.failover.tick(now, fault.is_some(), &snapshot);
+        let effects = group.failover.tick(now, fault.is_some(), &snapshot, &self.evidence);
         if before != group.failover.state() {
             tracing::info!(group = group_id.as_str(), state = ?group.failover.state(), ?fault,
                 leader = group.leader.as_ref().map(EndpointId::as_str),
@@ -179,6 +204,7 @@
     GroupSnapshot {
         candidates,
         leaving: leaving.cloned(),
+        staying: None,
         sync_replicas: group.config.sync_replicas,
         replicas: others.count(),
         term: group.term,
--- a/src/core/proxy/placement.rs
+++ b/src/core/proxy/placement.rs
@@ -42,7 +42,8 @@
         let usable = |id: &&EndpointId| {
             group.endpoints.get(*id).is_some_and(|state| accepts_work(now, state))
         };
-        let primary = group.leader.as_ref().filter(usable);
+        let primary =
+            group.leader.as_ref().filter(usable).filter(|_| self.may_use_primary(now, group));
         let primary =
             primary.map(|id| Placement { endpoint: id.clone(), after: None, at_primary: true });
         if request.needs_primary(read_only) {
--- a/src/core/proxy/request.rs
+++ b/src/core/proxy/request.rs
@@ -201,7 +201,7 @@
         let group_id = request.route.group.clone();
         if let Some(connection) = request.connection {
             if now >= request.not_before {
-                return self.assign(now, id, connection);
+                return self.continue_transaction(now, id, connection);
             }
             self.park(id);
             return;
@@ -220,6 +220,24 @@
         self.dirty.insert(group_id);
     }
 
+    /// Runs a request on the connection of its transaction. A commit is not sent to an endpoint that
+    /// may have been replaced, so that it is certain that nothing of the transaction is kept.
+    pub(super) fn continue_transaction(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        connection: ConnectionId,
+    ) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let group = self.groups.get(&request.route.group);
+        if self.commits(request) && group.is_some_and(|group| !self.may_use_primary(now, group)) {
+            self.end_waiting_transaction(now, id);
+            let detail = "the primary of the transaction may have been replaced";
+            return self.refuse_request(now, id, Error::new(ErrorKind::TransactionLost, detail));
+        }
+        self.assign(now, id, connection);
+    }
+
     /// Ends a request with an error of this host.
     pub(super) fn refuse_request(&mut self, now: Timestamp, id: RequestId, error: Error) {
         if let Some(request) = self.requests.get_mut(&id) {
@@ -277,10 +295,10 @@
     }
 
     /// Error for a request that was not sent before its deadline.
-    pub(super) fn deadline_error(&self, id: RequestId) -> Error {
+    pub(super) fn deadline_error(&self, now: Timestamp, id: RequestId) -> Error {
         let lacking = |request: &Request| {
             let group = self.groups.get(&request.route.group)?;
-            group.leader.is_none().then_some(ErrorKind::NoPrimary)
+            (!self.may_use_primary(now, group)).then_some(ErrorKind::NoPrimary)
         };
         let kind = self.requests.get(&id).and_then(lacking).unwrap_or(ErrorKind::Overloaded);
         Error::new(kind, "the request was not sent to an endpoint within its time limit")
--- a/src/core/proxy/tick.rs
+++ b/src/core/proxy/tick.rs
@@ -37,6 +37,7 @@
         if let Some(demand) = self.quota.tick(now) {
             self.out.push(ProxyEffect::ReportDemand(demand));
         }
+        self.renew_lease(now);
         self.expire_requests(now);
         self.end_idle_transactions(now);
         self.move_sessions(now);
@@ -138,6 +139,9 @@
         if request.is_running() || request.connection.is_some() {
             return false;
         }
+        if self.lacks_lease(now, request) {
+            return true;
+        }
         let Some(group) = self.groups.get(&request.route.group) else { return false };
         let share = DurationMs(request.route.target_latency_ms.0 * WAIT_PERCENT / 100);
         let max_wait = share.max(MIN_WAIT);
@@ -183,7 +187,7 @@
     fn expire_request(&mut self, now: Timestamp, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
         if !request.is_running() {
-            let error = self.deadline_error(id);
+            let error = self.deadline_error(now, id);
             let inside = !request.statement_kind.is_single();
             if inside {
                 self.end_waiting_transaction(now, id);
@@ -204,7 +208,7 @@
     }
 
     /// Fails the transaction of a request that got no connection in time, and rolls it back.
-    fn end_waiting_transaction(&mut self, now: Timestamp, id: RequestId) {
+    pub(super) fn end_waiting_transaction(&mut self, now: Timestamp, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
         let commit = request.statement_kind == StatementKind::Commit;
         let Some(session) = self.sessions.get_mut(&request.session) else { return };
--- a/src/net/host/peers.rs
+++ b/src/net/host/peers.rs
@@ -237,7 +237,11 @@
             PeerMessage::Announce(version) => self.core.on_announced(now, version),
             PeerMessage::Demand(..)
             | PeerMessage::ConfigurationRequest
-            | PeerMessage::Configuration(_) => {
+            | PeerMessage::Configuration(_)
+            | PeerMessage::Knowledge(_)
+            | PeerMessage::ClaimsRequest(_)
+            | PeerMessage::Claims(_)
+            | PeerMessage::ClaimConfirmed(..) => {
                 tracing::debug!(
                     "peer: {host} runs with the operator's configuration, its message is ignored"
                 );
--- a/src/net/proxy/feed.rs
+++ b/src/net/proxy/feed.rs
@@ -7,8 +7,10 @@
 use stakker::{actor, after, call, fwd, ret_nop, ret_some_to, ActorOwn, FixedTimerKey, Fwd, CX};
 
 use super::http::{CallResult, HttpClient};
+use crate::core::proxy::lease::StoreRead;
+use crate::net::reactor::suspend_aware_clock;
 use crate::platform::store::{self, RowsAnswer, StoreRow, StoreRows};
-use crate::types::{DurationMs, RowVersion};
+use crate::types::{DurationMs, RowVersion, Timestamp};
 
 /// Time limit for an answer, in addition to the time for which the store may wait for a change.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
@@ -38,6 +40,8 @@
     /// Timing on a host that only relays sessions, to which other hosts announce a newer
     /// configuration.
     pub passive: FeedTiming,
+    /// Whether the time of each read is reported.
+    pub reports_reads: bool,
 }
 
 /// Rows of a table.
@@ -56,12 +60,15 @@
 pub enum FeedEvent {
     /// Rows were read.
     Rows(FeedRows),
+    /// All changes up to the time of this read have been passed on.
+    Read(StoreRead),
     /// The table has become readable (true) or unreadable (false).
     Reachable(&'static str, bool),
 }
 
 /// Actor that follows one table.
 pub struct TableFeed {
+    address: SocketAddr,
     config: FeedConfig,
     hub: Fwd<FeedEvent>,
     client: ActorOwn<HttpClient>,
@@ -73,6 +80,10 @@
     partial_rows: Vec<StoreRow>,
     reachable: bool,
     is_active: bool,
+    /// When the last call was sent.
+    sent_at: Timestamp,
+    /// Whether the next call returns at once, to learn quickly that nothing has changed.
+    asks_now: bool,
     retry_pause: Duration,
     /// Timer of the pause before the next call.
     pause: Option<FixedTimerKey>,
@@ -89,6 +100,7 @@
         let client = actor!(cx, HttpClient::init(address), ret_nop!());
         call!([cx], read_all(None));
         Some(Self {
+            address,
             config,
             hub,
             client,
@@ -97,6 +109,8 @@
             partial_rows: Vec::new(),
             reachable: true,
             is_active: false,
+            sent_at: Timestamp(0),
+            asks_now: false,
             retry_pause: RETRY_PAUSE,
             pause: None,
         })
@@ -106,11 +120,17 @@
     /// takes few calls. A feed that becomes active ends its current pause.
     pub fn set_active(&mut self, cx: CX![], is_active: bool) {
         let was_active = std::mem::replace(&mut self.is_active, is_active);
-        if is_active && !was_active {
-            if let Some(pause) = self.pause.take() {
-                cx.timer_del(pause);
-                self.follow(cx);
-            }
+        if !is_active || was_active {
+            return;
+        }
+        self.asks_now = self.config.reports_reads;
+        if let Some(pause) = self.pause.take() {
+            cx.timer_del(pause);
+            self.follow(cx);
+        } else if self.config.reports_reads && self.known_version.is_some() {
+            // The call under way may wait for much longer than a lease.
+            self.client = actor!(cx, HttpClient::init(self.address), ret_nop!());
+            self.follow(cx);
         }
     }
 
@@ -124,6 +144,9 @@
 
     /// Reads the rows after the key `after`, or all rows.
     fn read_all(&mut self, cx: CX![], after: Option<CompactString>) {
+        if after.is_none() {
+            self.sent_at = suspend_aware_clock();
+        }
         let request = store::get_rows(self.config.table, after.as_deref());
         let ret = ret_some_to!([cx], on_rows_read() as (CallResult));
         call!([self.client], call(request, ANSWER_LIMIT, ret));
@@ -132,7 +155,7 @@
     fn on_rows_read(&mut self, cx: CX![], result: CallResult) {
         let Some(rows) = self.accept_answer(cx, result) else { return };
         let last = rows.rows.last().map(|row| row.key.clone());
-        let StoreRows { rows, version, has_more } = rows;
+        let StoreRows { rows, version, has_more, .. } = rows;
         self.partial_rows.extend(rows);
         match last.filter(|_| has_more) {
             Some(last) => self.read_all(cx, Some(last)),
@@ -143,6 +166,8 @@
                     self.send_rows(rows, true);
                     self.known_version = Some(version);
                     self.newest_version = version;
+                    // The store's time is that of the last page only.
+                    self.report_read(None);
                 }
                 self.schedule_follow(cx, self.timing().pause_ms.to_std());
             }
@@ -156,7 +181,9 @@
     fn follow(&mut self, cx: CX![]) {
         self.pause = None;
         let Some(known) = self.known_version else { return self.read_all(cx, None) };
-        let wait = self.timing().wait_ms;
+        let now = std::mem::take(&mut self.asks_now);
+        let wait = if now { DurationMs(0) } else { self.timing().wait_ms };
+        self.sent_at = suspend_aware_clock();
         let request = store::get_changes(self.config.table, known, wait);
         let ret = ret_some_to!([cx], on_changes_read() as (CallResult));
         let limit = wait.to_std() + ANSWER_LIMIT;
@@ -172,6 +199,7 @@
         if changed {
             self.send_rows(rows.rows, false);
         }
+        self.report_read(rows.store_ms);
         let pause = if changed { self.timing().pause_ms.to_std() } else { Duration::ZERO };
         self.schedule_follow(cx, pause);
     }
@@ -213,6 +241,14 @@
         None
     }
 
+    fn report_read(&mut self, store_ms: Option<u64>) {
+        if self.config.reports_reads {
+            let received_at = suspend_aware_clock();
+            let read = StoreRead { sent_at: self.sent_at, received_at, store_ms };
+            fwd!([self.hub], FeedEvent::Read(read));
+        }
+    }
+
     fn send_rows(&mut self, rows: Vec<StoreRow>, is_complete: bool) {
         let rows = FeedRows { table: self.config.table, is_complete, rows };
         fwd!([self.hub], FeedEvent::Rows(rows));
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,15 +23,17 @@
 use super::report::Report;
 use super::store::{CallEnd, CallPurpose, CallQueue};
 use crate::core::life::DrainTimes;
+use crate::core::peer::PeerMessage;
 use crate::core::proxy::group::EndpointEntry;
 use crate::core::proxy::job::Job;
+use crate::core::proxy::lease::{ClaimRows, LeadProof};
 use crate::core::proxy::roster::Roster;
 use crate::core::proxy::{Proxy, ProxyEffect, ProxySpec};
 use crate::net::host::HostNotice;
 use crate::net::reactor::suspend_aware_clock;
 use crate::platform::settings::PlatformSettings;
 use crate::platform::store;
-use crate::types::{ConnectionId, DurationMs, HostId, Incarnation, SessionId};
+use crate::types::{ConnectionId, DurationMs, HostId, Incarnation, RowVersion, SessionId};
 use crate::wire::fleet_rows::WireHostRow;
 
 /// Time between two ticks of the core.
@@ -47,6 +48,7 @@
     table: store::CONFIGURATION_TABLE,
     active: FeedTiming { wait_ms: DurationMs(3_000), pause_ms: DurationMs(50) },
     passive: FeedTiming { wait_ms: DurationMs(20_000), pause_ms: DurationMs(400) },
+    reports_reads: false,
 };
 /// Feed of the endpoints' entries. Every heartbeat changes an entry, so changes are accumulated. A
 /// host that only relays sessions needs the entries only if it cannot reach a home, and then reads
@@ -55,12 +57,21 @@
     table: store::ENDPOINT_TABLE,
     active: FeedTiming { wait_ms: DurationMs(1_500), pause_ms: DurationMs(1_000) },
     passive: FeedTiming { wait_ms: DurationMs(10_000), pause_ms: DurationMs(15_000) },
+    reports_reads: false,
 };
 /// Feed of the hosts' own rows.
 const OWN_FEED: FeedConfig = FeedConfig {
     table: OWN_TABLE,
     active: FeedTiming { wait_ms: DurationMs(3_000), pause_ms: DurationMs(50) },
     passive: FeedTiming { wait_ms: DurationMs(20_000), pause_ms: DurationMs(3_000) },
+    reports_reads: false,
+};
+/// The same where a host needs a lease to use a primary. Each read renews the lease, so a host that
+/// runs sessions reads a few times within its duration.
+const LEASE_FEED: FeedConfig = FeedConfig {
+    active: FeedTiming { wait_ms: DurationMs(450), pause_ms: DurationMs(0) },
+    reports_reads: true,
+    ..OWN_FEED
 };
 
 /// Main actor of a host that serves sessions over pooled connections.
@@ -116,7 +127,7 @@
         }));
         let on_server_failed = ret_some_to!([cx], server_failed() as (StopCause));
         let readiness = actor!(cx, HttpServer::init(settings.readiness, respond), on_server_failed);
-        let feeds = Self::start_feeds(cx, settings.store);
+        let feeds = Self::start_feeds(cx, &settings);
         let store_calls = fwd_to!([cx], on_call_ended() as (CallEnd));
         let store_calls = actor!(cx, CallQueue::init(settings.store, store_calls), ret_nop!());
         let promotions = fwd_to!([cx], on_call_ended() as (CallEnd));
@@ -136,6 +147,7 @@
             failure_domain: settings.failure_domain.clone(),
             processor: settings.processor,
             drain: drain_times(settings.stop_limit_ms),
+            lead_proof: settings.lead_proof,
         };
         tracing::info!(host = settings.host.as_str(), domain = settings.failure_domain.as_str(),
             listen = %settings.listen, "host: starting");
@@ -176,8 +188,13 @@
         self.carry_out(cx);
     }
 
-    fn start_feeds(cx: CX![], store: SocketAddr) -> Vec<ActorOwn<TableFeed>> {
-        let configs = [CONFIGURATION_FEED, ENDPOINT_FEED, OWN_FEED];
+    fn start_feeds(cx: CX![], settings: &PlatformSettings) -> Vec<ActorOwn<TableFeed>> {
+        let store = settings.store;
+        let own_feed = match settings.lead_proof {
+            LeadProof::Transaction => OWN_FEED,
+            LeadProof::Lease => LEASE_FEED,
+        };
+        let configs = [CONFIGURATION_FEED, ENDPOINT_FEED, own_feed];
         configs
             .into_iter()
             .map(|config| {
@@ -193,7 +210,7 @@
         let changed = settings != self.settings;
         tracing::info!(changed, store = %settings.store, "host: settings were read again");
         if settings.store != self.settings.store {
-            self.feeds = Self::start_feeds(cx, settings.store);
+            self.feeds = Self::start_feeds(cx, &settings);
             let store_calls = fwd_to!([cx], on_call_ended() as (CallEnd));
             self.store_calls = actor!(cx, CallQueue::init(settings.store, store_calls), ret_nop!());
         }
@@ -265,6 +282,24 @@
                 call!([self.promotions], call(CallPurpose::Promote(group), request));
             }
             ProxyEffect::ReportDemand(demand) => self.report_demand(&demand),
+            ProxyEffect::ShareKnowledge(host, knowledge) => {
+                self.send_to_peer(host, PeerMessage::Knowledge(knowledge));
+            }
+            ProxyEffect::AnnounceClaim(group, version, claim) => {
+                let rows = vec![(group, version, claim)];
+                // Other rows are not contained, so nothing is said about their versions.
+                let (after, complete) = (version, RowVersion(0));
+                self.broadcast(&PeerMessage::Claims(ClaimRows { after, complete, rows }));
+            }
+            ProxyEffect::ConfirmClaim(host, group, version) => {
+                self.send_to_peer(host, PeerMessage::ClaimConfirmed(group, version));
+            }
+            ProxyEffect::RequestClaims(host, after) => {
+                self.send_to_peer(host, PeerMessage::ClaimsRequest(after));
+            }
+            ProxyEffect::SendClaims(host, rows) => {
+                self.send_to_peer(host, PeerMessage::Claims(rows));
+            }
             ProxyEffect::Listen => self.listen(cx),
             ProxyEffect::Leave => {
                 self.ready.set(false);
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -54,6 +54,18 @@
 }
 
 impl ProxyHost {
+    pub(super) fn send_to_peer(&mut self, host: HostId, message: PeerMessage) {
+        if let Some(peers) = &mut self.peers {
+            peers.send(host, message);
+        }
+    }
+
+    pub(super) fn broadcast(&mut self, message: &PeerMessage) {
+        if let Some(peers) = &mut self.peers {
+            peers.broadcast(&self.roster, message);
+        }
+    }
+
     /// Proposes a random secret; all hosts use the first proposal that the store accepts.
     pub(super) fn propose_secret(&mut self, _: CX![]) {
         if self.peers.is_some() {
@@ -131,9 +143,8 @@
                 self.update_hosts();
                 // The other host reserves a share of each rate for this one until it has a report.
                 let message = PeerMessage::Demand(self.core.demand(), self.configuration_version());
-                if let Some(peers) = &mut self.peers {
-                    peers.send(hello.host, message);
-                }
+                self.send_to_peer(hello.host.clone(), message);
+                self.core.on_link_opened(suspend_aware_clock(), &hello.host);
             }
             PeerEvent::Closed(host, _) => {
                 self.roster.on_closed(suspend_aware_clock(), &host);
@@ -152,6 +163,15 @@
                     );
                     self.adopt_configuration(&text);
                 }
+                PeerMessage::Knowledge(knowledge) => {
+                    self.core.on_knowledge(suspend_aware_clock(), &host, knowledge);
+                }
+                PeerMessage::ClaimsRequest(after) => self.core.on_claims_requested(host, after),
+                PeerMessage::Claims(rows) => self.core.on_claims(suspend_aware_clock(), rows),
+                PeerMessage::ClaimConfirmed(group, version) => {
+                    let now = suspend_aware_clock();
+                    self.core.on_claim_confirmed(now, host, &group, version);
+                }
                 other => tracing::debug!(peer = host.as_str(), ?other, "peer: message is not used"),
             },
         }
@@ -167,8 +187,10 @@
     pub(super) fn report_demand(&mut self, demand: &Demand) {
         self.update_hosts();
         let version = self.configuration_version();
-        if let Some(peers) = &mut self.peers {
-            peers.broadcast(&self.roster, &PeerMessage::Demand(demand.clone(), version));
+        self.broadcast(&PeerMessage::Demand(demand.clone(), version));
+        let now = suspend_aware_clock();
+        for host in self.roster.linked_hosts() {
+            self.core.share_knowledge(now, host);
         }
     }
 
@@ -192,9 +214,8 @@
     }
 
     fn send_configuration(&mut self, host: HostId) {
-        let text = self.configuration.clone();
-        if let (Some(peers), Some(text)) = (&mut self.peers, text) {
-            peers.send(host, PeerMessage::Configuration(text));
+        if let Some(text) = self.configuration.clone() {
+            self.send_to_peer(host, PeerMessage::Configuration(text));
         }
     }
 
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -98,6 +98,7 @@
                 self.on_endpoint_rows(&rows);
             }
             FeedEvent::Rows(rows) => self.on_own_rows(cx, &rows),
+            FeedEvent::Read(read) => self.core.on_store_read(suspend_aware_clock(), read),
             FeedEvent::Reachable(table, reachable) => self.report.on_reachable(table, reachable),
         }
         self.carry_out(cx);
@@ -196,7 +197,9 @@
         };
         match row.value.as_deref().map(WireHostRow::read) {
             Some(Ok(host_row)) => {
-                if host != self.settings.host {
+                if host == self.settings.host {
+                    self.core.on_listed();
+                } else {
                     let now = suspend_aware_clock();
                     self.roster.insert(now, host.clone(), host_row.processor, row.version);
                 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use serde::Deserialize;
 
+use crate::core::proxy::lease::LeadProof;
 use crate::error::{Error, ErrorKind};
 use crate::types::{DurationMs, FailureDomain, HostId, MilliCores};
 
@@ -37,6 +38,8 @@
     pub processor: MilliCores,
     /// Time from the request to stop until the process is killed.
     pub stop_limit_ms: DurationMs,
+    /// How an endpoint is proven to lead its group.
+    pub lead_proof: LeadProof,
 }
 
 #[derive(Deserialize)]
@@ -64,6 +67,9 @@
 #[serde(rename_all = "camelCase")]
 struct Bounds {
     grace_s: f64,
+    /// Whether the platform refuses promotions with an outdated fencing token.
+    #[serde(default)]
+    require_fencing: bool,
 }
 
 #[derive(Deserialize, Default)]
@@ -130,6 +136,11 @@
             store: file.platform.address,
             promotions: file.cloud_api.address,
             stop_limit_ms: DurationMs((seconds * 1_000.0) as u64),
+            lead_proof: if file.bounds.require_fencing {
+                LeadProof::Transaction
+            } else {
+                LeadProof::Lease
+            },
         })
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -57,6 +57,8 @@
     pub version: RowVersion,
     /// Whether there are more rows after the last one.
     pub has_more: bool,
+    /// Time on the store's steady clock in milliseconds.
+    pub store_ms: Option<u64>,
 }
 
 /// Decoded answer to a read of rows.
@@ -90,6 +92,7 @@
     has_more: bool,
     #[serde(default)]
     ver: u64,
+    now_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -233,7 +236,8 @@
         StoreRow { key: row.key, value, version: RowVersion(row.ver) }
     };
     let (has_more, version) = (json.has_more, RowVersion(json.ver));
-    Ok(StoreRows { rows: json.rows.into_iter().map(row).collect(), version, has_more })
+    let store_ms = json.now_ms.filter(|now_ms| *now_ms >= 0.0).map(|now_ms| now_ms as u64);
+    Ok(StoreRows { rows: json.rows.into_iter().map(row).collect(), version, has_more, store_ms })
 }
 
 /// Decodes the answer to [`promote`].
--- a/src/wire/fleet_rows.rs
+++ b/src/wire/fleet_rows.rs
@@ -50,6 +50,8 @@
     holder: CompactString,
     attempt: u64,
     leader: Option<CompactString>,
+    #[serde(default)]
+    chosen: Option<CompactString>,
     term: u64,
 }
 
@@ -76,6 +78,7 @@
             holder: claim.holder.as_str().into(),
             attempt: claim.attempt.0,
             leader: claim.leader.as_ref().map(|leader| leader.as_str().into()),
+            chosen: claim.chosen.as_ref().map(|chosen| chosen.as_str().into()),
             term: claim.term.0,
         }
     }
@@ -89,6 +92,7 @@
             holder: wire.holder.parse()?,
             attempt: AttemptId(wire.attempt),
             leader: wire.leader.map(|leader| leader.parse()).transpose()?,
+            chosen: wire.chosen.map(|chosen| chosen.parse()).transpose()?,
             term: Term(wire.term),
         })
     }
--- a/tests/peer_wire.rs
+++ b/tests/peer_wire.rs
@@ -5,9 +5,12 @@
 use medlarstile::core::limit::{GrantId, TokenRequest, Transfer};
 use medlarstile::core::peer::{Envelope, Hello, MessageNumber, PeerMessage};
 use medlarstile::core::promotion::{GroupRecord, Phase};
+use medlarstile::core::proxy::failover::Claim;
+use medlarstile::core::proxy::lease::{ClaimRows, Echo, Knowledge};
 use medlarstile::core::view::{Member, Statement};
 use medlarstile::types::{
-    AccountId, AttemptId, DurationMs, Incarnation, MilliTokens, Position, TableVersion, Term,
+    AccountId, AttemptId, DurationMs, Incarnation, MilliTokens, Position, RowVersion, TableVersion,
+    Term, Timestamp,
 };
 use medlarstile::wire::peer_frame::{
     put_frame, read_message, take_frame, PeerFault, MAX_MESSAGE_BYTES,
@@ -69,6 +72,28 @@
     PeerMessage::Demand([(account, MilliTokens(1_500))].into(), Some(TableVersion(7)))
 }
 
+fn knowledge_message() -> PeerMessage {
+    PeerMessage::Knowledge(Knowledge {
+        sent_at: Timestamp(u64::MAX),
+        echo: Some(Echo { sent_at: Timestamp(5), held_us: 6 }),
+        newest: RowVersion(8),
+        complete: RowVersion(7),
+        age_us: 9,
+    })
+}
+
+fn claims_message() -> PeerMessage {
+    let claim = Claim {
+        holder: "h1".parse().expect("an id"),
+        attempt: AttemptId(3),
+        leader: None,
+        chosen: Some("e1".parse().expect("an id")),
+        term: Term(2),
+    };
+    let rows = vec![("db".parse().expect("an id"), RowVersion(12), claim)];
+    PeerMessage::Claims(ClaimRows { after: RowVersion(1), complete: RowVersion(12), rows })
+}
+
 fn frame(message: PeerMessage) -> BytesMut {
     let (number, answers) = (MessageNumber(300), Some(MessageNumber(299)));
     let mut out = BytesMut::new();
@@ -90,6 +115,10 @@
     demand = { demand_message() },
     configuration_request = { PeerMessage::ConfigurationRequest },
     configuration = { PeerMessage::Configuration("{}".into()) },
+    knowledge = { knowledge_message() },
+    claims_request = { PeerMessage::ClaimsRequest(RowVersion(4)) },
+    claims = { claims_message() },
+    claim_confirmed = { PeerMessage::ClaimConfirmed("db".parse().expect("an id"), RowVersion(9)) },
 )]
 fn keeps_every_field(message: PeerMessage) {
     let expected = format!("{message:?}");
--- a/tests/proxy_failover.rs
+++ b/tests/proxy_failover.rs
@@ -5,6 +5,7 @@
     Claim, ClaimError, Failover, FailoverEffect, FailoverState, GroupSnapshot, PromoteAnswer,
 };
 use medlarstile::core::proxy::job::{Order, StatusReport};
+use medlarstile::core::proxy::lease::{Evidence, LeadProof};
 use medlarstile::types::{
     AttemptId, DurationMs, EndpointId, HostId, Position, RowVersion, Term, Timestamp,
 };
@@ -20,7 +21,14 @@
 
 fn snapshot(sync_replicas: u32) -> GroupSnapshot {
     let candidates = vec![endpoint("b"), endpoint("c")];
-    GroupSnapshot { candidates, leaving: None, sync_replicas, replicas: 2, term: Term(1) }
+    GroupSnapshot {
+        candidates,
+        leaving: None,
+        staying: None,
+        sync_replicas,
+        replicas: 2,
+        term: Term(1),
+    }
 }
 
 fn status(role: Role, term: u64, index: u64) -> StatusReport {
@@ -37,14 +45,14 @@
 
 impl Rig {
     fn new(snapshot: GroupSnapshot) -> Self {
-        let failover = Failover::new(host("h1"), 0);
+        let failover = Failover::new(host("h1"), LeadProof::Transaction, 0);
         Self { failover, now: Timestamp(1_000_000), snapshot, effects_seen: Vec::new() }
     }
 
     fn advance(&mut self, ms: u64) {
         for _ in 0..ms.div_ceil(20) {
             self.now += DurationMs(20);
-            let effects = self.failover.tick(self.now, true, &self.snapshot);
+            let effects = self.failover.tick(self.now, true, &self.snapshot, &Evidence::default());
             self.effects_seen.extend(effects);
         }
     }
@@ -55,7 +63,7 @@
     }
 
     fn claimed(&mut self, version: u64) {
-        let effects = self.failover.on_claimed(self.now, Ok(RowVersion(version)));
+        let effects = self.failover.on_claimed(self.now, self.now, Ok(RowVersion(version)));
         self.effects_seen.extend(effects);
     }
 
@@ -93,9 +101,10 @@
         holder: host("h2"),
         attempt: AttemptId(9),
         leader: Some(endpoint("a")),
+        chosen: None,
         term: Term(2),
     };
-    rig.failover.on_row(rig.now, RowVersion(5), Some(&last));
+    rig.failover.on_row(rig.now, rig.now, RowVersion(5), Some(&last));
     rig.advance(3_320);
     rig.claimed(7);
     rig.advance(20);
@@ -134,8 +143,9 @@
 fn another_hosts_claim_delays_this_hosts_claim(leader: Option<&str>) {
     let mut rig = Rig::new(snapshot(0));
     let leader = leader.map(endpoint);
-    let other = Claim { holder: host("h2"), attempt: AttemptId(9), leader, term: Term(0) };
-    rig.failover.on_row(rig.now, RowVersion(5), Some(&other));
+    let other =
+        Claim { holder: host("h2"), attempt: AttemptId(9), leader, chosen: None, term: Term(0) };
+    rig.failover.on_row(rig.now, rig.now, RowVersion(5), Some(&other));
     rig.advance(3_000);
     assert!(rig.effects_seen.is_empty(), "{:?}", rig.effects_seen);
     rig.advance(400);
@@ -148,8 +158,14 @@
     let mut rig = Rig::new(snapshot(0));
     rig.advance(20);
     rig.claimed(7);
-    let other = Claim { holder: host("h2"), attempt: AttemptId(9), leader: None, term: Term(0) };
-    rig.failover.on_row(rig.now, RowVersion(8), Some(&other));
+    let other = Claim {
+        holder: host("h2"),
+        attempt: AttemptId(9),
+        leader: None,
+        chosen: None,
+        term: Term(0),
+    };
+    rig.failover.on_row(rig.now, rig.now, RowVersion(8), Some(&other));
     rig.status("b", status(Role::Replica, 1, 10));
     rig.advance(400);
     assert!(rig.promotions().is_empty());
@@ -164,9 +180,9 @@
         FailoverEffect::Claim(_, claim) => Some(claim.clone()),
         _ => None,
     });
-    let effects = rig.failover.on_claimed(rig.now, Err(ClaimError::Unknown));
+    let effects = rig.failover.on_claimed(rig.now, rig.now, Err(ClaimError::Unknown));
     assert!(effects.is_empty());
-    rig.failover.on_row(rig.now, RowVersion(9), claim.as_ref());
+    rig.failover.on_row(rig.now, rig.now, RowVersion(9), claim.as_ref());
     assert_eq!(rig.failover.state(), FailoverState::Surveying);
 }
 
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -11,6 +11,7 @@
 };
 use medlarstile::core::proxy::group::EndpointEntry;
 use medlarstile::core::proxy::job::{Job, JobAnswer, JobEnd, Refusal, Setup, Work};
+use medlarstile::core::proxy::lease::LeadProof;
 use medlarstile::core::proxy::statement::{Access, Query, Statement};
 use medlarstile::core::proxy::{Answer, LossReport, Proxy, ProxyEffect, ProxySpec};
 use medlarstile::core::transaction::TransactionState;
@@ -94,11 +95,17 @@
     /// A serving host with the primary `a` and the replicas `b` and `c`. The endpoints accept every
     /// connection and answer orders of the host without the test.
     pub fn new() -> Self {
+        Self::with_proof(LeadProof::Transaction)
+    }
+
+    /// The same host with a proof of the lead.
+    pub fn with_proof(lead_proof: LeadProof) -> Self {
         let spec = ProxySpec {
             host: id("h1"),
             failure_domain: id("north"),
             processor: MilliCores(250),
             drain: DrainTimes { notice_ms: DurationMs(2_000), limit_ms: DurationMs(2_000) },
+            lead_proof,
         };
         let mut rig = Self {
             core: Proxy::new(spec, ChaCha8Rng::seed_from_u64(1)),
