Keep a primary that still acts, and claim only where a failover can end

Change: a host claims only with a lease from the store and while it hears from most hosts; most hosts are enough for statements and confirmations alike; a primary that still acts is written to the row without a promotion; a claim is made after 0.6 s of silence, since the wait for the leases follows.

--- a/src/core/proxy/failover.rs
+++ b/src/core/proxy/failover.rs
@@ -13,7 +13,7 @@
 use std::sync::LazyLock;
 
 use super::job::{Order, StatusReport};
-use super::lease::{Confirmations, Evidence, LeadProof, ANSWER_GRACE};
+use super::lease::{Confirmations, Evidence, LeadProof, ANSWER_GRACE, LEASE, STATEMENT_LIMIT};
 use crate::chart::{Chart, ChartError, Machine, NoGuard};
 use crate::chart_names;
 use crate::core::group::Role;
@@ -22,6 +22,9 @@
 /// Time without an answer after which the primary is replaced; longer than its slowest statement
 /// under load.
 pub const SILENCE_LIMIT: DurationMs = DurationMs(1_000);
+/// The same where a failover has to wait for leases anyway. A primary that answers in that time
+/// stays, and its group is without one for a few tens of milliseconds only.
+pub const LEASED_SILENCE_LIMIT: DurationMs = DurationMs(600);
 /// Time for which connections to the primary must fail before it is replaced.
 pub const DOWN_LIMIT: DurationMs = DurationMs(300);
 /// Time after which another host may claim a group that is already claimed, whether that failover
@@ -71,7 +74,7 @@
     /// Events of a failover.
     pub enum FailoverEvent {
         Needed = "needed", Claimed = "claimed", Chosen = "chosen", Unrecorded = "unrecorded",
-        Recorded = "recorded", Ordered = "ordered", Leads = "leads", Finished = "finished",
+        Recorded = "recorded", Stayed = "stayed", Ordered = "ordered", Leads = "leads", Finished = "finished",
         Failed = "failed",
     }
     /// Actions of a failover.
@@ -444,7 +447,9 @@
         let mut out = Vec::new();
         let needed = needed || self.is_abandoned(now);
         match self.state() {
-            FailoverState::Watching => self.start_if_needed(now, needed, snapshot, &mut out),
+            FailoverState::Watching => {
+                self.start_if_needed(now, needed, snapshot, evidence, &mut out);
+            }
             FailoverState::Claiming | FailoverState::Recording => {
                 if now >= self.entered_at + CLAIM_ANSWER_LIMIT {
                     self.fire(now, FailoverEvent::Failed, &mut out);
@@ -473,6 +478,7 @@
         now: Timestamp,
         needed: bool,
         snapshot: &GroupSnapshot,
+        evidence: &Evidence,
         out: &mut Vec<FailoverEffect>,
     ) {
         let nobody = snapshot.candidates.is_empty() && snapshot.staying.is_none();
@@ -481,6 +487,9 @@
             return;
         }
         let since = *self.needed_since.get_or_insert(now);
+        if self.proof == LeadProof::Lease && !Self::may_claim(now, since, evidence) {
+            return;
+        }
         let stagger_elapsed = now >= since + DurationMs(STAGGER.0 * self.stagger_step);
         let claimed_by_other = self.row_version > RowVersion(0) && !self.row_is_own();
         let taken = claimed_by_other && now < self.row_seen_at + CLAIM_LIMIT;
@@ -489,6 +498,30 @@
         }
     }
 
+    /// Whether a claim is worthwhile, which takes the group's primary from all hosts. A host that is
+    /// cut off cannot complete a failover, except that so many hosts may have been lost that the
+    /// others never hear from most of them again.
+    fn may_claim(now: Timestamp, needed_since: Timestamp, evidence: &Evidence) -> bool {
+        let has_store = evidence.complete_at().is_some_and(|at| now < at + LEASE);
+        has_store && (evidence.reaches_most(now) || now >= needed_since + STATEMENT_LIMIT)
+    }
+
+    /// The endpoint that acts as the primary, if no promotion was requested since the last completed
+    /// one, so that it is the only primary.
+    fn present_primary(&self, snapshot: &GroupSnapshot) -> Option<EndpointId> {
+        let open = self.open_claim.as_ref().filter(|_| self.proof == LeadProof::Lease)?;
+        if open.pledged.is_some() {
+            return None;
+        }
+        let listed = snapshot.candidates.iter().chain(&snapshot.staying);
+        let acts = |id: &&EndpointId| {
+            self.statuses
+                .get(*id)
+                .is_some_and(|status| status.role == Role::Primary && status.term >= self.row_term)
+        };
+        listed.filter(acts).max_by_key(|id| self.statuses[*id].term).cloned()
+    }
+
     /// Requests the positions of the candidates until enough have answered.
     fn survey(
         &mut self,
@@ -516,6 +549,11 @@
             let asked = snapshot.candidates.iter().map(|id| (id, order)).chain(staying);
             out.extend(asked.map(|(id, order)| FailoverEffect::Order(id.clone(), order)));
         }
+        if let Some(primary) = self.present_primary(snapshot) {
+            self.row_term = self.row_term.max(self.statuses[&primary].term);
+            self.chosen = Some(primary);
+            return self.fire(now, FailoverEvent::Stayed, out);
+        }
         let claimed_at = self.open_claim.as_ref().map_or(now, |open| open.since);
         let leases_over = self.proof == LeadProof::Transaction
             || self.confirmations.are_leases_over(
--- a/src/core/proxy/lease.rs
+++ b/src/core/proxy/lease.rs
@@ -5,9 +5,9 @@
 //! [`LEASE`] after a moment of which it knows that the store held no claim that it has not read,
 //! and a failover waits for [`LEASE_WAIT`] after its claim unless every other host has confirmed
 //! the claim. Such a moment is known from an answer of the store, from a host that had one, or,
-//! while the store serves nobody, from more than two thirds of the listed hosts. A failover needs
-//! half of the listed hosts, so that the two groups have a host in common as long as the fleet
-//! grows by less than a third while the store is down.
+//! while the store does not serve them, from most of the listed hosts. A failover needs most of them
+//! as well, so that the two groups have a host in common, unless two hosts or more are listed while
+//! most of the others cannot read the store.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -25,7 +25,10 @@
 pub const CONFIRMATION_WAIT: DurationMs = DurationMs(110);
 /// Time after the last answer of the store, or of a host that had one, for which the statements of
 /// the other hosts count. The store's outages last seconds.
-pub const STATEMENT_LIMIT: DurationMs = DurationMs(30_000);
+pub const STATEMENT_LIMIT: DurationMs = DurationMs(12_000);
+/// Age of a host's last statement up to which it counts as reachable; three times the interval of
+/// the statements.
+const REACHABLE_LIMIT: DurationMs = DurationMs(1_500);
 /// Inverse of the highest difference in rate between the store's clock and this host's.
 const CLOCK_RATE_DIVISOR: u64 = 1_000;
 
@@ -258,13 +261,22 @@
         Some(last + LEASE)
     }
 
-    /// Last moment of which more than two thirds of the listed hosts, this one included, state that
-    /// they had seen no row that this host has not read.
+    /// Whether most of the listed hosts, this one included, were heard a short time ago.
+    pub fn reaches_most(&self, now: Timestamp) -> bool {
+        let heard = |peer: &&Peer| {
+            let last = peer.last_message.map(|(_, received_at)| received_at);
+            last.is_some_and(|at| now < at + REACHABLE_LIMIT)
+        };
+        2 * (self.peers.values().filter(heard).count() + 1) > self.others.len() + 1
+    }
+
+    /// Last moment of which most of the listed hosts, this one included, state that they had seen no
+    /// row that this host has not read.
     fn stated_by_most(&self, now: Timestamp, complete_at: Timestamp) -> Option<Timestamp> {
         if !self.has_read_store || now >= complete_at + STATEMENT_LIMIT {
             return None;
         }
-        let needed = (self.others.len() + 1) * 2 / 3;
+        let needed = (self.others.len() + 1) / 2;
         let agrees = |peer: &&Peer| peer.newest <= self.complete;
         let mut stated: Vec<Timestamp> =
             self.peers.values().filter(agrees).filter_map(|peer| peer.stated_at).collect();
@@ -281,8 +293,8 @@
 pub struct Confirmations {
     hosts: BTreeSet<HostId>,
     last_at: Timestamp,
-    /// When half of the hosts had confirmed.
-    half_at: Option<Timestamp>,
+    /// When most of the hosts had confirmed, this one included.
+    most_at: Option<Timestamp>,
 }
 
 impl Confirmations {
@@ -300,8 +312,8 @@
     }
 
     fn count(&mut self, now: Timestamp, others: &BTreeSet<HostId>) {
-        if 2 * (self.hosts.len() + 1) > others.len() {
-            self.half_at.get_or_insert(now);
+        if 2 * (self.hosts.len() + 1) > others.len() + 1 {
+            self.most_at.get_or_insert(now);
         }
     }
 
@@ -319,9 +331,9 @@
         if is_list_current && others.is_subset(&self.hosts) {
             return now >= self.last_at.max(claimed_at) + CONFIRMATION_WAIT;
         }
-        match self.half_at {
-            Some(half_at) => now >= half_at.max(claimed_at) + LEASE_WAIT,
-            // Without half of the hosts the others may go on by their own statements.
+        match self.most_at {
+            Some(most_at) => now >= most_at.max(claimed_at) + LEASE_WAIT,
+            // Without most of the hosts the others may go on by their own statements.
             None => now >= claimed_at + STATEMENT_LIMIT + LEASE_WAIT,
         }
     }
--- a/src/core/proxy/order.rs
+++ b/src/core/proxy/order.rs
@@ -1,7 +1,7 @@
 //! Sends orders to endpoints and connects each group's failover to the proxy core.
 
 use super::connection::{Owner, Task};
-use super::failover::{Claim, ClaimError, FailoverEffect, GroupSnapshot, PromoteAnswer};
+use super::failover::{self, Claim, ClaimError, FailoverEffect, GroupSnapshot, PromoteAnswer};
 use super::group::GroupState;
 use super::job::{JobAnswer, Order};
 use super::lease::LeadProof;
@@ -170,8 +170,11 @@
     /// Runs the timed steps of a group's failover.
     pub(super) fn check_failover(&mut self, now: Timestamp, group_id: &GroupId) {
         let Some(group) = self.groups.get_mut(group_id) else { return };
-        let fault =
-            group.primary_fault(now, super::failover::SILENCE_LIMIT, super::failover::DOWN_LIMIT);
+        let silence = match self.spec.lead_proof {
+            LeadProof::Transaction => failover::SILENCE_LIMIT,
+            LeadProof::Lease => failover::LEASED_SILENCE_LIMIT,
+        };
+        let fault = group.primary_fault(now, silence, failover::DOWN_LIMIT);
         let mut snapshot = group_snapshot(now, group);
         if fault.is_none() && self.spec.lead_proof == LeadProof::Lease {
             snapshot.staying.clone_from(&group.leader);
