Pass a session to the next home when its home does not accept it

Change: a host that does not accept a session does not count as present for 2.5 s or until its link opens, and the session goes to the next home of its account; after three homes it runs where its caller is. A home that declines because its configuration is older is no lost home.

Ruled out: a shorter time limit of the links; it ends links of slow hosts.

--- a/src/core/proxy/roster.rs
+++ b/src/core/proxy/roster.rs
@@ -8,6 +8,9 @@
 /// Time in which a wanted link is expected to open, even when all hosts start at once. Without a
 /// limit a host that was removed for good would count as present for as long as its row exists.
 const LINK_OPEN_LIMIT: DurationMs = DurationMs(3_000);
+/// Time for which a host that did not accept a session does not count as present; longer than it
+/// takes until its link is closed.
+const UNREACHABLE_TIME: DurationMs = DurationMs(2_500);
 /// Time without a link after which a host's row is removed. A share of every account's rate stays
 /// reserved for a listed host, since it may go on serving in a network partition; partitions
 /// between regions last up to an hour.
@@ -25,6 +28,8 @@
     wanted_since: Option<Timestamp>,
     /// Whether its link closed and has not opened again.
     link_lost: bool,
+    /// Until when it does not count as present, because it did not accept a session.
+    unreachable_until: Timestamp,
 }
 
 /// The other hosts and the open links to them.
@@ -46,9 +51,14 @@
         if self.hosts.get(&host).is_some_and(|known| known.version >= version) {
             return;
         }
-        let (wanted_since, link_lost) = (None, false);
-        let listed_host =
-            ListedHost { processor, version, absent_since: now, wanted_since, link_lost };
+        let listed_host = ListedHost {
+            processor,
+            version,
+            absent_since: now,
+            wanted_since: None,
+            link_lost: false,
+            unreachable_until: Timestamp(0),
+        };
         self.hosts.insert(host, listed_host);
     }
 
@@ -66,6 +76,7 @@
     pub fn on_opened(&mut self, host: HostId) {
         if let Some(known) = self.hosts.get_mut(&host) {
             known.link_lost = false;
+            known.unreachable_until = Timestamp(0);
         }
         self.linked_hosts.insert(host);
     }
@@ -78,6 +89,13 @@
         }
     }
 
+    /// Called when a host did not accept a session. Its link shows only later that it is gone.
+    pub fn on_unreachable(&mut self, now: Timestamp, host: &HostId) {
+        if let Some(known) = self.hosts.get_mut(host) {
+            known.unreachable_until = now + UNREACHABLE_TIME;
+        }
+    }
+
     /// Hosts with an open link.
     pub fn linked_hosts(&self) -> impl Iterator<Item = &HostId> {
         self.linked_hosts.iter()
@@ -95,10 +113,13 @@
     /// Whether a host counts as present: its link is open, or is expected to open soon. The first
     /// call for a host marks its link as wanted.
     pub fn is_present(&mut self, now: Timestamp, host: &HostId) -> bool {
+        let Some(known) = self.hosts.get_mut(host) else { return false };
+        if now < known.unreachable_until {
+            return false;
+        }
         if self.linked_hosts.contains(host) {
             return true;
         }
-        let Some(known) = self.hosts.get_mut(host) else { return false };
         let since = *known.wanted_since.get_or_insert(now);
         !known.link_lost && now < since + LINK_OPEN_LIMIT
     }
--- a/src/net/proxy/caller.rs
+++ b/src/net/proxy/caller.rs
@@ -2,7 +2,7 @@
 //! core.
 
 use std::net::{Shutdown, SocketAddr};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use stakker::{after, fwd, fwd_to, stop, Fwd, CX};
@@ -52,7 +52,9 @@
     Query(Query),
     /// The caller sends a statement that cannot be parsed.
     Malformed(LineError),
-    /// The home of the session cannot be reached; the session has to run on this host.
+    /// The home of the session has declined it; the session has to run on this host.
+    HomeDeclined(SessionRequest),
+    /// The home of the session cannot be reached or does not answer.
     HomeUnreachable(SessionRequest),
     /// The connection is closed.
     Disconnected,
@@ -77,6 +79,7 @@
 struct HomeConnection {
     stream: Stream,
     request: SessionRequest,
+    started: Instant,
     startup_sent: bool,
     /// Whether the home has answered the startup message.
     has_answered: bool,
@@ -216,6 +219,7 @@
                 self.home = Some(HomeConnection {
                     stream,
                     request,
+                    started: cx.now(),
                     startup_sent,
                     has_answered,
                     unanswered,
@@ -237,8 +241,12 @@
     }
 
     fn check_home(&mut self, cx: CX![]) {
-        if self.home.as_ref().is_some_and(|home| !home.has_answered) {
-            self.on_home_lost(cx, "time limit");
+        // A session may have been passed to another home since the timer was set.
+        let overdue = |home: &HomeConnection| {
+            !home.has_answered && cx.now() >= home.started + HOME_ANSWER_LIMIT
+        };
+        if self.home.as_ref().is_some_and(overdue) {
+            self.on_home_unreachable("time limit");
         }
     }
 
@@ -255,7 +263,7 @@
                     home.startup_sent = true;
                 }
                 Ok(false) => return,
-                Err(error) => return self.on_home_lost(cx, &error.to_string()),
+                Err(error) => return self.on_home_unreachable(&error.to_string()),
             }
         }
         let input_state = if self.stream.output.len() < RELAY_BUFFER_BYTES {
@@ -304,6 +312,14 @@
         if home.has_answered {
             return self.end(cx);
         }
+        tracing::info!(cause, "relay: home closed the connection without an answer");
+        self.phase = Phase::Busy;
+        fwd!([self.hub], CallerEvent::HomeDeclined(home.request));
+    }
+
+    /// Handles a home that was not reached or has not answered in time.
+    fn on_home_unreachable(&mut self, cause: &str) {
+        let Some(home) = self.home.take() else { return };
         tracing::info!(cause, "relay: home did not answer");
         self.phase = Phase::Busy;
         fwd!([self.hub], CallerEvent::HomeUnreachable(home.request));
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -74,6 +74,14 @@
     ..OWN_FEED
 };
 
+/// A caller whose session runs on another host.
+pub(super) struct RelayedCaller {
+    /// Host that runs the session, or is asked to.
+    pub home: HostId,
+    /// Number of hosts that were asked to run it.
+    pub attempts: usize,
+}
+
 /// Main actor of a host that serves sessions over pooled connections.
 pub struct ProxyHost {
     pub(super) settings: PlatformSettings,
@@ -84,7 +92,7 @@
     /// Sessions on this host whose callers are connected to other hosts.
     pub(super) remote_sessions: BTreeSet<SessionId>,
     /// Callers connected to this host whose sessions run on other hosts.
-    pub(super) relayed_callers: BTreeSet<SessionId>,
+    pub(super) relayed_callers: BTreeMap<SessionId, RelayedCaller>,
     ready: Rc<Cell<bool>>,
     _readiness: ActorOwn<HttpServer>,
     _metrics: ActorOwn<HttpServer>,
@@ -160,7 +168,7 @@
             listener: None,
             relay_listener: None,
             remote_sessions: BTreeSet::new(),
-            relayed_callers: BTreeSet::new(),
+            relayed_callers: BTreeMap::new(),
             ready,
             _readiness: readiness,
             _metrics: metrics,
@@ -307,7 +315,7 @@
             }
             ProxyEffect::StopListening => {
                 self.listener = None;
-                for caller in self.relayed_callers.iter().filter_map(|id| self.callers.get(id)) {
+                for caller in self.relayed_callers.keys().filter_map(|id| self.callers.get(id)) {
                     call!([caller], end_when_idle());
                 }
             }
--- a/src/net/proxy/sessions.rs
+++ b/src/net/proxy/sessions.rs
@@ -8,12 +8,14 @@
 use stakker_mio::{MioPoll, Ready};
 
 use super::caller::{CallerEvent, LineCaller, SessionRequest};
-use super::host::ProxyHost;
+use super::host::{ProxyHost, RelayedCaller};
 use crate::error::{Error, ErrorKind};
 use crate::net::host::HostNotice;
 use crate::net::reactor::suspend_aware_clock;
-use crate::types::SessionId;
+use crate::types::{HostId, SessionId};
 
+/// Number of homes that are asked to run a session before this host runs it.
+const MAX_HOME_ATTEMPTS: usize = 3;
 /// Poll priority of the listening sockets.
 const LISTENER_PRIORITY: u32 = 10;
 
@@ -103,22 +105,22 @@
             CallerEvent::Startup(request) if self.remote_sessions.contains(&id) => {
                 self.open_remote_session(id, &request);
             }
-            CallerEvent::Startup(request) => match self.home_address(&request) {
-                Some(address) => {
-                    self.relayed_callers.insert(id);
-                    self.core.set_relayed_callers(self.relayed_callers.len());
-                    let admitted = self.core.catalog().map(|catalog| catalog.version);
-                    if let Some(caller) = self.callers.get(&id) {
-                        call!([caller], relay(address, SessionRequest { admitted, ..request }));
-                    }
-                }
-                None => self.open_session(id, &request),
-            },
-            CallerEvent::HomeUnreachable(request) => {
+            CallerEvent::Startup(request) => self.start_session(id, request, 0),
+            CallerEvent::HomeDeclined(request) => {
                 self.remove_relayed_caller(id);
                 self.open_session(id, &request);
                 self.update_hosts();
             }
+            CallerEvent::HomeUnreachable(request) => {
+                let relayed = self.relayed_callers.get(&id);
+                let attempts = relayed.map_or(MAX_HOME_ATTEMPTS, |relayed| relayed.attempts);
+                if let Some(relayed) = relayed {
+                    self.roster.on_unreachable(now, &relayed.home);
+                    self.update_hosts();
+                }
+                self.remove_relayed_caller(id);
+                self.start_session(id, request, attempts);
+            }
             CallerEvent::Query(query) => self.core.submit(now, id, query),
             CallerEvent::Malformed(cause) => {
                 let error = Error::new(ErrorKind::BadMessage, cause.to_string());
@@ -129,6 +131,22 @@
         self.carry_out(cx);
     }
 
+    /// Opens a session on its home, or here after `attempts` homes were asked in vain: the caller
+    /// waits for about two seconds.
+    fn start_session(&mut self, id: SessionId, request: SessionRequest, attempts: usize) {
+        let home = self.home_of(&request).filter(|_| attempts < MAX_HOME_ATTEMPTS);
+        let Some((home, address)) = home else {
+            self.open_session(id, &request);
+            return self.update_hosts();
+        };
+        self.relayed_callers.insert(id, RelayedCaller { home, attempts: attempts + 1 });
+        self.core.set_relayed_callers(self.relayed_callers.len());
+        let admitted = self.core.catalog().map(|catalog| catalog.version);
+        if let Some(caller) = self.callers.get(&id) {
+            call!([caller], relay(address, SessionRequest { admitted, ..request }));
+        }
+    }
+
     /// Opens a session for another host's caller, unless this host's configuration is older than
     /// that host's: it would refuse what the newer one allows, and run what the newer one forbids.
     fn open_remote_session(&mut self, id: SessionId, request: &SessionRequest) {
@@ -161,10 +179,11 @@
         }
     }
 
-    /// Address of the session's home, if that is another host.
-    fn home_address(&self, request: &SessionRequest) -> Option<SocketAddr> {
+    /// The session's home and its address, if that is another host.
+    fn home_of(&self, request: &SessionRequest) -> Option<(HostId, SocketAddr)> {
         let home = self.core.remote_home(&request.database, &request.key)?;
-        self.hosts.get(&home).map(|row| row.address)
+        let address = self.hosts.get(&home).map(|row| row.address)?;
+        Some((home, address))
     }
 
     fn remove_relayed_caller(&mut self, id: SessionId) {
--- a/tests/proxy_roster.rs
+++ b/tests/proxy_roster.rs
@@ -31,6 +31,14 @@
     expected = { |_| {}, 2, true },
     link_never_opened = { |_| {}, 4, false },
     link_open = { |roster| roster.on_opened(host("h2")), 60, true },
+    did_not_accept = { |roster| {
+        roster.on_opened(host("h2"));
+        roster.on_unreachable(START, &host("h2"));
+    }, 2, false },
+    accepts_again = { |roster| {
+        roster.on_unreachable(START, &host("h2"));
+        roster.on_opened(host("h2"));
+    }, 2, true },
     link_lost = { |roster| { roster.on_opened(host("h2")); roster.on_closed(START, &host("h2")) }, 1, false },
     restarted = { |roster| {
         roster.on_closed(START, &host("h2"));
