Let hosts that only relay follow the store's tables through the homes

Change: homes report with each demand report which rows they have read and how long ago. A host that only relays and hears such a report does not read the tables: it asks a home for hosts' rows above its version, and for a newer configuration at once. Without a report of the last 1.5 s, or with reads older than 3.6 s only, it reads the store again. The endpoints' table is read only by hosts that run sessions.

--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -5,6 +5,7 @@
 
 use super::limit::{TokenRequest, Transfer};
 use super::promotion::GroupRecord;
+use super::proxy::follow::{HostRow, TablesRead};
 use super::proxy::lease::{ClaimRows, Knowledge};
 use super::proxy::quota::Demand;
 use super::view::{Snapshot, Statement};
@@ -76,6 +77,12 @@
     Claims(ClaimRows),
     /// The sender knows this version of a group's row and uses no primary of the group.
     ClaimConfirmed(GroupId, RowVersion),
+    /// The sender reads the store's tables.
+    TablesRead(TablesRead),
+    /// Requests [`PeerMessage::HostRows`] above a version.
+    HostRowsRequest(RowVersion),
+    /// Answer: rows of hosts that are newer than the requested version.
+    HostRows(Vec<(HostId, RowVersion, HostRow)>),
 }
 
 /// A message with its number and, in an answer, the number of the request.
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod events;
 pub mod failover;
+pub mod follow;
 pub mod group;
 pub mod home;
 pub mod job;
--- a/src/net/host/peers.rs
+++ b/src/net/host/peers.rs
@@ -241,7 +241,10 @@
             | PeerMessage::Knowledge(_)
             | PeerMessage::ClaimsRequest(_)
             | PeerMessage::Claims(_)
-            | PeerMessage::ClaimConfirmed(..) => {
+            | PeerMessage::ClaimConfirmed(..)
+            | PeerMessage::TablesRead(_)
+            | PeerMessage::HostRowsRequest(_)
+            | PeerMessage::HostRows(_) => {
                 tracing::debug!(
                     "peer: {host} runs with the operator's configuration, its message is ignored"
                 );
--- a/src/net/proxy/feed.rs
+++ b/src/net/proxy/feed.rs
@@ -40,8 +40,20 @@
     /// Timing on a host that only relays sessions, to which other hosts announce a newer
     /// configuration.
     pub passive: FeedTiming,
-    /// Whether the time of each read is reported.
-    pub reports_reads: bool,
+    /// Whether a host that becomes active ends a call that waits for a change, because it has to
+    /// know at once that nothing has changed.
+    pub is_urgent: bool,
+}
+
+/// How often a feed reads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pace {
+    /// As a host that runs sessions needs it.
+    Active,
+    /// As a host that only relays sessions needs it.
+    Passive,
+    /// Not at all, because other hosts pass on what they read.
+    Suspended,
 }
 
 /// Rows of a table.
@@ -60,8 +72,8 @@
 pub enum FeedEvent {
     /// Rows were read.
     Rows(FeedRows),
-    /// All changes up to the time of this read have been passed on.
-    Read(StoreRead),
+    /// All changes of the table up to the time of this read have been passed on.
+    Read(&'static str, StoreRead),
     /// The table has become readable (true) or unreadable (false).
     Reachable(&'static str, bool),
 }
@@ -79,7 +91,9 @@
     /// Rows of the pages read so far while all rows are read.
     partial_rows: Vec<StoreRow>,
     reachable: bool,
-    is_active: bool,
+    pace: Pace,
+    /// Whether neither a call nor a pause is under way.
+    is_idle: bool,
     /// When the last call was sent.
     sent_at: Timestamp,
     /// Whether the next call returns at once, to learn quickly that nothing has changed.
@@ -108,7 +122,8 @@
             newest_version: RowVersion(0),
             partial_rows: Vec::new(),
             reachable: true,
-            is_active: false,
+            pace: Pace::Passive,
+            is_idle: false,
             sent_at: Timestamp(0),
             asks_now: false,
             retry_pause: RETRY_PAUSE,
@@ -116,29 +131,31 @@
         })
     }
 
-    /// Switches to the timing of a host that runs sessions, or of one that only relays them, which
-    /// takes few calls. A feed that becomes active ends its current pause.
-    pub fn set_active(&mut self, cx: CX![], is_active: bool) {
-        let was_active = std::mem::replace(&mut self.is_active, is_active);
-        if !is_active || was_active {
+    /// Changes the pace. A feed that becomes active ends its current pause, and one that was
+    /// suspended reads at once.
+    pub fn set_pace(&mut self, cx: CX![], pace: Pace) {
+        let before = std::mem::replace(&mut self.pace, pace);
+        if before == pace || pace == Pace::Suspended {
             return;
         }
-        self.asks_now = self.config.reports_reads;
-        if let Some(pause) = self.pause.take() {
+        let becomes_active = pace == Pace::Active;
+        self.asks_now = becomes_active && self.config.is_urgent;
+        if std::mem::take(&mut self.is_idle) {
+            self.follow(cx);
+        } else if !becomes_active {
+        } else if let Some(pause) = self.pause.take() {
             cx.timer_del(pause);
             self.follow(cx);
-        } else if self.config.reports_reads && self.known_version.is_some() {
-            // The call under way may wait for much longer than a lease.
+        } else if self.config.is_urgent && self.known_version.is_some() {
             self.client = actor!(cx, HttpClient::init(self.address), ret_nop!());
             self.follow(cx);
         }
     }
 
     fn timing(&self) -> FeedTiming {
-        if self.is_active {
-            self.config.active
-        } else {
-            self.config.passive
+        match self.pace {
+            Pace::Active => self.config.active,
+            Pace::Passive | Pace::Suspended => self.config.passive,
         }
     }
 
@@ -175,11 +192,19 @@
     }
 
     fn schedule_follow(&mut self, cx: CX![], pause: Duration) {
+        if self.pace == Pace::Suspended && self.known_version.is_some() {
+            self.is_idle = true;
+            return;
+        }
         self.pause = Some(after!(pause, [cx], follow()));
     }
 
     fn follow(&mut self, cx: CX![]) {
         self.pause = None;
+        if self.pace == Pace::Suspended && self.known_version.is_some() {
+            self.is_idle = true;
+            return;
+        }
         let Some(known) = self.known_version else { return self.read_all(cx, None) };
         let now = std::mem::take(&mut self.asks_now);
         let wait = if now { DurationMs(0) } else { self.timing().wait_ms };
@@ -235,18 +260,16 @@
         }
         self.partial_rows.clear();
         self.schedule_follow(cx, self.retry_pause);
-        if !self.is_active {
+        if self.pace != Pace::Active {
             self.retry_pause = (self.retry_pause * 2).min(MAX_RETRY_PAUSE);
         }
         None
     }
 
     fn report_read(&mut self, store_ms: Option<u64>) {
-        if self.config.reports_reads {
-            let received_at = suspend_aware_clock();
-            let read = StoreRead { sent_at: self.sent_at, received_at, store_ms };
-            fwd!([self.hub], FeedEvent::Read(read));
-        }
+        let received_at = suspend_aware_clock();
+        let read = StoreRead { sent_at: self.sent_at, received_at, store_ms };
+        fwd!([self.hub], FeedEvent::Read(self.config.table, read));
     }
 
     fn send_rows(&mut self, rows: Vec<StoreRow>, is_complete: bool) {
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -24,6 +24,7 @@
 use super::store::{CallEnd, CallPurpose, CallQueue};
 use crate::core::life::DrainTimes;
 use crate::core::peer::PeerMessage;
+use crate::core::proxy::follow::{HostRow, Readers};
 use crate::core::proxy::group::EndpointEntry;
 use crate::core::proxy::job::Job;
 use crate::core::proxy::lease::{ClaimRows, LeadProof};
@@ -33,8 +34,9 @@
 use crate::net::reactor::suspend_aware_clock;
 use crate::platform::settings::PlatformSettings;
 use crate::platform::store;
-use crate::types::{ConnectionId, DurationMs, HostId, Incarnation, RowVersion, SessionId};
-use crate::wire::fleet_rows::WireHostRow;
+use crate::types::{
+    ConnectionId, DurationMs, HostId, Incarnation, RowVersion, SessionId, Timestamp,
+};
 
 /// Time between two ticks of the core.
 const TICK: Duration = Duration::from_millis(20);
@@ -48,29 +50,29 @@
     table: store::CONFIGURATION_TABLE,
     active: FeedTiming { wait_ms: DurationMs(3_000), pause_ms: DurationMs(50) },
     passive: FeedTiming { wait_ms: DurationMs(20_000), pause_ms: DurationMs(400) },
-    reports_reads: false,
+    is_urgent: false,
 };
 /// Feed of the endpoints' entries. Every heartbeat changes an entry, so changes are accumulated. A
 /// host that only relays sessions needs the entries only if it cannot reach a home, and then reads
-/// them at once; its pause is shorter than the change history that the store keeps.
+/// them at once.
 const ENDPOINT_FEED: FeedConfig = FeedConfig {
     table: store::ENDPOINT_TABLE,
     active: FeedTiming { wait_ms: DurationMs(1_500), pause_ms: DurationMs(1_000) },
     passive: FeedTiming { wait_ms: DurationMs(10_000), pause_ms: DurationMs(15_000) },
-    reports_reads: false,
+    is_urgent: false,
 };
 /// Feed of the hosts' own rows.
 const OWN_FEED: FeedConfig = FeedConfig {
     table: OWN_TABLE,
     active: FeedTiming { wait_ms: DurationMs(3_000), pause_ms: DurationMs(50) },
     passive: FeedTiming { wait_ms: DurationMs(20_000), pause_ms: DurationMs(3_000) },
-    reports_reads: false,
+    is_urgent: false,
 };
 /// The same where a host needs a lease to use a primary. Each read renews the lease, so a host that
 /// runs sessions reads a few times within its duration.
 const LEASE_FEED: FeedConfig = FeedConfig {
     active: FeedTiming { wait_ms: DurationMs(450), pause_ms: DurationMs(0) },
-    reports_reads: true,
+    is_urgent: true,
     ..OWN_FEED
 };
 
@@ -96,7 +98,7 @@
     ready: Rc<Cell<bool>>,
     _readiness: ActorOwn<HttpServer>,
     _metrics: ActorOwn<HttpServer>,
-    pub(super) feeds: Vec<ActorOwn<TableFeed>>,
+    pub(super) feeds: Vec<(FeedConfig, ActorOwn<TableFeed>)>,
     pub(super) store_calls: ActorOwn<CallQueue>,
     pub(super) promotions: ActorOwn<CallQueue>,
     pub(super) callers: BTreeMap<SessionId, ActorOwn<LineCaller>>,
@@ -104,7 +106,12 @@
     pub(super) entries: BTreeMap<CompactString, EndpointEntry>,
     /// Text of the operator's configuration in use.
     pub(super) configuration: Option<Bytes>,
-    pub(super) hosts: BTreeMap<HostId, WireHostRow>,
+    /// Rows of the hosts, with their versions.
+    pub(super) hosts: BTreeMap<HostId, (RowVersion, HostRow)>,
+    /// Hosts through which this one follows the store's tables.
+    pub(super) readers: Readers,
+    /// When each table was last read.
+    pub(super) read_at: BTreeMap<&'static str, Timestamp>,
     pub(super) roster: Roster,
     /// Hosts whose rows are being removed; the store has not answered yet.
     pub(super) removing: BTreeSet<HostId>,
@@ -180,6 +187,8 @@
             entries: BTreeMap::new(),
             configuration: None,
             hosts: BTreeMap::new(),
+            readers: Readers::default(),
+            read_at: BTreeMap::new(),
             roster: Roster::default(),
             removing: BTreeSet::new(),
             hosts_read: false,
@@ -196,7 +205,10 @@
         self.carry_out(cx);
     }
 
-    fn start_feeds(cx: CX![], settings: &PlatformSettings) -> Vec<ActorOwn<TableFeed>> {
+    fn start_feeds(
+        cx: CX![],
+        settings: &PlatformSettings,
+    ) -> Vec<(FeedConfig, ActorOwn<TableFeed>)> {
         let store = settings.store;
         let own_feed = match settings.lead_proof {
             LeadProof::Transaction => OWN_FEED,
@@ -207,7 +219,7 @@
             .into_iter()
             .map(|config| {
                 let hub = fwd_to!([cx], on_feed_event() as (FeedEvent));
-                actor!(cx, TableFeed::init(store, config, hub), ret_nop!())
+                (config, actor!(cx, TableFeed::init(store, config, hub), ret_nop!()))
             })
             .collect()
     }
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -4,10 +4,12 @@
 
 use stakker::{actor, call, fwd_to, ret_nop, ActorOwn, CX};
 
+use super::feed::Pace;
 use super::host::{ProxyHost, OWN_TABLE, SECRET_KEY};
 use super::store::CallPurpose;
 use crate::auth::Secret;
 use crate::core::peer::{Envelope, Hello, MessageNumber, PeerMessage};
+use crate::core::proxy::follow::TablesRead;
 use crate::core::proxy::quota::Demand;
 use crate::core::proxy::roster::Roster;
 use crate::net::peer::{PeerActor, PeerEvent, PeerSpec, PeerTarget};
@@ -117,7 +119,7 @@
         let wanted =
             self.core.set_hosts(now, listed, |host| roster.is_present(now, host) || !linked);
         let target = |host: HostId| {
-            let row = self.hosts.get(&host)?;
+            let (_, row) = self.hosts.get(&host)?;
             Some(PeerTarget { host, incarnation: row.incarnation, address: row.address })
         };
         let targets: Vec<PeerTarget> = wanted.into_iter().filter_map(target).collect();
@@ -130,9 +132,18 @@
         if self.core.keeps_all_links() {
             self.remove_absent(now);
         }
-        let is_active = self.core.runs_sessions();
-        for feed in &self.feeds {
-            call!([feed], set_active(is_active));
+        let pace = if self.core.runs_sessions() {
+            Pace::Active
+        } else if self.readers.is_any_reading(now) {
+            Pace::Suspended
+        } else {
+            Pace::Passive
+        };
+        for (config, feed) in &self.feeds {
+            // Only a host that runs sessions uses the endpoints.
+            let is_unused = config.table == store::ENDPOINT_TABLE && pace != Pace::Active;
+            let pace = if is_unused { Pace::Suspended } else { pace };
+            call!([feed], set_pace(pace));
         }
     }
 
@@ -148,6 +159,7 @@
             }
             PeerEvent::Closed(host, _) => {
                 self.roster.on_closed(suspend_aware_clock(), &host);
+                self.readers.on_closed(&host);
                 self.update_hosts();
             }
             PeerEvent::Message(host, envelope) => match envelope.message {
@@ -172,12 +184,44 @@
                     let now = suspend_aware_clock();
                     self.core.on_claim_confirmed(now, host, &group, version);
                 }
+                PeerMessage::TablesRead(read) => {
+                    let known = self.newest_host_row();
+                    let now = suspend_aware_clock();
+                    if let Some(after) = self.readers.on_report(now, host.clone(), read, known) {
+                        self.send_to_peer(host, PeerMessage::HostRowsRequest(after));
+                    }
+                }
+                PeerMessage::HostRowsRequest(after) => {
+                    let newer = self.hosts.iter().filter(|(_, (version, _))| *version > after);
+                    let rows =
+                        newer.map(|(id, (version, row))| (id.clone(), *version, row.clone()));
+                    let rows = rows.collect();
+                    self.send_to_peer(host, PeerMessage::HostRows(rows));
+                }
+                PeerMessage::HostRows(rows) => {
+                    for (host, version, row) in rows {
+                        self.adopt_host_row(host, version, row);
+                    }
+                    self.update_hosts();
+                }
                 other => tracing::debug!(peer = host.as_str(), ?other, "peer: message is not used"),
             },
         }
         self.carry_out(cx);
     }
 
+    /// Version up to which all hosts' rows are known.
+    fn newest_host_row(&self) -> RowVersion {
+        self.hosts.values().map(|(version, _)| *version).max().unwrap_or_default()
+    }
+
+    /// What this host tells the hosts that follow it, if it reads the tables.
+    fn tables_read(&self, now: Timestamp) -> Option<TablesRead> {
+        let read_at = [store::CONFIGURATION_TABLE, OWN_TABLE].map(|table| self.read_at.get(table));
+        let oldest = read_at.into_iter().min().flatten().filter(|_| self.core.runs_sessions())?;
+        Some(TablesRead { rows: self.newest_host_row(), age_ms: now.ms_since(*oldest) })
+    }
+
     /// Version of the configuration in use, if there is one.
     fn configuration_version(&self) -> Option<TableVersion> {
         self.core.catalog().map(|catalog| catalog.version)
@@ -189,6 +233,9 @@
         let version = self.configuration_version();
         self.broadcast(&PeerMessage::Demand(demand.clone(), version));
         let now = suspend_aware_clock();
+        if let Some(read) = self.tables_read(now) {
+            self.broadcast(&PeerMessage::TablesRead(read));
+        }
         for host in self.roster.linked_hosts() {
             self.core.share_knowledge(now, host);
         }
@@ -200,8 +247,11 @@
         let own = self.configuration_version();
         let Some(peers) = self.peers.as_mut().filter(|_| version > own) else { return };
         let now = suspend_aware_clock();
+        // A host that follows others does not read the configuration itself.
+        let follows = self.readers.is_any_reading(now) && !self.core.runs_sessions();
+        let is_first = peers.outdated_since.is_none();
         let since = *peers.outdated_since.get_or_insert(now);
-        if now >= since + OUTDATED_LIMIT {
+        if now >= since + OUTDATED_LIMIT || (follows && is_first) {
             tracing::info!(
                 peer = host.as_str(),
                 own = own.map(|own| own.0),
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -11,6 +11,7 @@
 use super::host::{ProxyHost, OWN_TABLE, SECRET_KEY};
 use super::store::{CallEnd, CallPurpose};
 use crate::core::proxy::failover::{Claim, ClaimError};
+use crate::core::proxy::follow::HostRow;
 use crate::net::reactor::suspend_aware_clock;
 use crate::platform::store::{self, StoreRow, WriteAnswer};
 use crate::platform::{configuration, discovery};
@@ -27,9 +28,12 @@
 impl ProxyHost {
     /// Writes this host's row, which stays until the host is removed from the fleet.
     pub(super) fn write_host_row(&mut self, _: CX![]) {
-        let value =
-            WireHostRow::new(self.settings.peers, self.incarnation, self.settings.processor)
-                .to_json();
+        let row = HostRow {
+            address: self.settings.peers,
+            incarnation: self.incarnation,
+            processor: self.settings.processor,
+        };
+        let value = WireHostRow::from(row).to_json();
         let key = format_compact!("{HOST_KEY_PREFIX}{}", self.settings.host);
         let request = store::put_row(OWN_TABLE, &key, None, Some(&value));
         call!([self.store_calls], call(CallPurpose::Register, request));
@@ -98,7 +102,12 @@
                 self.on_endpoint_rows(&rows);
             }
             FeedEvent::Rows(rows) => self.on_own_rows(cx, &rows),
-            FeedEvent::Read(read) => self.core.on_store_read(suspend_aware_clock(), read),
+            FeedEvent::Read(table, read) => {
+                self.read_at.insert(table, read.received_at);
+                if table == OWN_TABLE {
+                    self.core.on_store_read(suspend_aware_clock(), read);
+                }
+            }
             FeedEvent::Reachable(table, reachable) => self.report.on_reachable(table, reachable),
         }
         self.carry_out(cx);
@@ -199,11 +208,8 @@
             Some(Ok(host_row)) => {
                 if host == self.settings.host {
                     self.core.on_listed();
-                } else {
-                    let now = suspend_aware_clock();
-                    self.roster.insert(now, host.clone(), host_row.processor, row.version);
                 }
-                self.hosts.insert(host, host_row);
+                self.adopt_host_row(host, row.version, host_row.into());
             }
             Some(Err(error)) => {
                 tracing::warn!(host = host.as_str(), %error, "store: row of a host cannot be read")
@@ -218,6 +224,18 @@
         }
     }
 
+    /// Adopts a host's row from the store or from another host, unless a newer one is known.
+    pub(super) fn adopt_host_row(&mut self, host: HostId, version: RowVersion, row: HostRow) {
+        if self.hosts.get(&host).is_some_and(|(known, _)| *known >= version) {
+            return;
+        }
+        if host != self.settings.host {
+            let now = suspend_aware_clock();
+            self.roster.insert(now, host.clone(), row.processor, version);
+        }
+        self.hosts.insert(host, (version, row));
+    }
+
     /// Removes the rows of hosts that have been without a link for too long.
     pub(super) fn remove_absent(&mut self, now: Timestamp) {
         for (host, version) in self.roster.expired_hosts(now) {
--- a/src/net/proxy/sessions.rs
+++ b/src/net/proxy/sessions.rs
@@ -182,7 +182,7 @@
     /// The session's home and its address, if that is another host.
     fn home_of(&self, request: &SessionRequest) -> Option<(HostId, SocketAddr)> {
         let home = self.core.remote_home(&request.database, &request.key)?;
-        let address = self.hosts.get(&home).map(|row| row.address)?;
+        let address = self.hosts.get(&home).map(|(_, row)| row.address)?;
         Some((home, address))
     }
 
--- a/src/wire/fleet_rows.rs
+++ b/src/wire/fleet_rows.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::proxy::failover::Claim;
+use crate::core::proxy::follow::HostRow;
 use crate::types::{AttemptId, IdError, Incarnation, MilliCores, Term};
 
 /// Why bytes cannot be read as a row.
@@ -24,11 +25,6 @@
 }
 
 impl WireHostRow {
-    /// Creates the row of a host.
-    pub fn new(address: SocketAddr, incarnation: Incarnation, processor: MilliCores) -> Self {
-        Self { address, incarnation, processor }
-    }
-
     /// Encodes the row as JSON.
     pub fn to_json(&self) -> Vec<u8> {
         serde_json::to_vec(self).expect("an address and numbers can be encoded as JSON")
@@ -44,6 +40,20 @@
     }
 }
 
+impl From<HostRow> for WireHostRow {
+    fn from(row: HostRow) -> Self {
+        let HostRow { address, incarnation, processor } = row;
+        Self { address, incarnation, processor }
+    }
+}
+
+impl From<WireHostRow> for HostRow {
+    fn from(wire: WireHostRow) -> Self {
+        let WireHostRow { address, incarnation, processor } = wire;
+        Self { address, incarnation, processor }
+    }
+}
+
 /// A group's row: which host has claimed it, and its leader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireClaim {
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use super::fleet_rows::WireClaim;
+use super::fleet_rows::{WireClaim, WireHostRow};
 use super::peer_frame::PeerFault;
 use super::tables::read_config;
 use crate::auth::PeerProof;
@@ -14,11 +14,12 @@
 use crate::core::peer::{Envelope, Hello, MessageNumber, PeerMessage, PeerTables};
 use crate::core::promotion::{GroupRecord, Phase};
 use crate::core::proxy::failover::Claim;
+use crate::core::proxy::follow::{HostRow, TablesRead};
 use crate::core::proxy::lease::{ClaimRows, Echo, Knowledge};
 use crate::core::view::{Member, Snapshot, Statement};
 use crate::types::{
-    AccountId, AttemptId, CommitSeq, DurationMs, EndpointId, GroupId, Incarnation, MilliTokens,
-    Position, RowVersion, TableVersion, Term, Timestamp,
+    AccountId, AttemptId, CommitSeq, DurationMs, EndpointId, GroupId, HostId, Incarnation,
+    MilliTokens, Position, RowVersion, TableVersion, Term, Timestamp,
 };
 
 /// A message with its number.
@@ -65,6 +66,12 @@
     Claims(WireClaimRows),
     /// See [`PeerMessage::ClaimConfirmed`].
     ClaimConfirmed(CompactString, u64),
+    /// See [`PeerMessage::TablesRead`]: version and age in milliseconds.
+    TablesRead(u64, u64),
+    /// See [`PeerMessage::HostRowsRequest`].
+    HostRowsRequest(u64),
+    /// See [`PeerMessage::HostRows`].
+    HostRows(Vec<(CompactString, u64, WireHostRow)>),
 }
 
 /// What a host knows about claims; times are in microseconds on the sender's clock.
@@ -226,6 +233,14 @@
             PeerMessage::ClaimConfirmed(group, version) => {
                 Self::ClaimConfirmed(group.as_str().into(), version.0)
             }
+            PeerMessage::TablesRead(read) => Self::TablesRead(read.rows.0, read.age_ms.0),
+            PeerMessage::HostRowsRequest(after) => Self::HostRowsRequest(after.0),
+            PeerMessage::HostRows(rows) => {
+                let row = |(host, version, row): &(HostId, RowVersion, HostRow)| {
+                    (CompactString::from(host.as_str()), version.0, row.clone().into())
+                };
+                Self::HostRows(rows.iter().map(row).collect())
+            }
         }
     }
 }
@@ -265,6 +280,18 @@
             WireMessage::ClaimConfirmed(group, version) => {
                 Self::ClaimConfirmed(group.parse()?, RowVersion(version))
             }
+            WireMessage::TablesRead(rows, age_ms) => {
+                let (rows, age_ms) = (RowVersion(rows), DurationMs(age_ms));
+                Self::TablesRead(TablesRead { rows, age_ms })
+            }
+            WireMessage::HostRowsRequest(after) => Self::HostRowsRequest(RowVersion(after)),
+            WireMessage::HostRows(rows) => {
+                let row = |(host, version, row): (CompactString, u64, WireHostRow)| {
+                    Ok((host.parse()?, RowVersion(version), row.into()))
+                };
+                let rows: Result<_, PeerFault> = rows.into_iter().map(row).collect();
+                Self::HostRows(rows?)
+            }
         })
     }
 }
--- a/tests/peer_wire.rs
+++ b/tests/peer_wire.rs
@@ -6,11 +6,12 @@
 use medlarstile::core::peer::{Envelope, Hello, MessageNumber, PeerMessage};
 use medlarstile::core::promotion::{GroupRecord, Phase};
 use medlarstile::core::proxy::failover::Claim;
+use medlarstile::core::proxy::follow::{HostRow, TablesRead};
 use medlarstile::core::proxy::lease::{ClaimRows, Echo, Knowledge};
 use medlarstile::core::view::{Member, Statement};
 use medlarstile::types::{
-    AccountId, AttemptId, DurationMs, Incarnation, MilliTokens, Position, RowVersion, TableVersion,
-    Term, Timestamp,
+    AccountId, AttemptId, DurationMs, Incarnation, MilliCores, MilliTokens, Position, RowVersion,
+    TableVersion, Term, Timestamp,
 };
 use medlarstile::wire::peer_frame::{
     put_frame, read_message, take_frame, PeerFault, MAX_MESSAGE_BYTES,
@@ -94,6 +95,15 @@
     PeerMessage::Claims(ClaimRows { after: RowVersion(1), complete: RowVersion(12), rows })
 }
 
+fn host_rows_message() -> PeerMessage {
+    let row = HostRow {
+        address: "10.0.0.1:7000".parse().expect("an address"),
+        incarnation: Incarnation(3),
+        processor: MilliCores(250),
+    };
+    PeerMessage::HostRows(vec![("h1".parse().expect("an id"), RowVersion(12), row)])
+}
+
 fn frame(message: PeerMessage) -> BytesMut {
     let (number, answers) = (MessageNumber(300), Some(MessageNumber(299)));
     let mut out = BytesMut::new();
@@ -118,6 +128,9 @@
     knowledge = { knowledge_message() },
     claims_request = { PeerMessage::ClaimsRequest(RowVersion(4)) },
     claims = { claims_message() },
+    tables_read = { PeerMessage::TablesRead(TablesRead { rows: RowVersion(4), age_ms: DurationMs(9) }) },
+    host_rows_request = { PeerMessage::HostRowsRequest(RowVersion(4)) },
+    host_rows = { host_rows_message() },
     claim_confirmed = { PeerMessage::ClaimConfirmed("db".parse().expect("an id"), RowVersion(9)) },
 )]
 fn keeps_every_field(message: PeerMessage) {
--- /dev/null
+++ b/tests/proxy_follow.rs
@@ -0,0 +1,54 @@
+//! Hosts that read the store's tables through homes: whom they rely on, and what they ask for.
+
+use medlarstile::core::proxy::follow::{Readers, TablesRead};
+use medlarstile::types::{DurationMs, HostId, RowVersion, Timestamp};
+use yare::parameterized;
+
+const START: Timestamp = Timestamp(1_000_000);
+
+fn host(number: usize) -> HostId {
+    format!("h{number}").parse().expect("a host")
+}
+
+fn read(rows: u64, age_ms: u64) -> TablesRead {
+    TablesRead { rows: RowVersion(rows), age_ms: DurationMs(age_ms) }
+}
+
+/// Reports one reader's state to a follower that knows the rows up to version 5.
+fn report(readers: &mut Readers, ms: u64, number: usize, read: TablesRead) -> Option<RowVersion> {
+    readers.on_report(START + DurationMs(ms), host(number), read, RowVersion(5))
+}
+
+/// Pattern: all hosts read the store at once. Guards against a follower that stays without the
+/// tables when its readers are lost, cut off from it, frozen, or cut off from the store, and against
+/// one that reads the store although a reader is left.
+#[parameterized(
+    reader_reports = { |_| {}, 1_000, true },
+    reader_is_silent = { |_| {}, 1_500, false },
+    reader_is_lost = { |readers| readers.on_closed(&host(1)), 100, false },
+    reader_is_behind = { |readers| { report(readers, 500, 1, read(5, 3_700)); }, 600, false },
+    another_reader_is_left = { |readers| {
+        report(readers, 0, 2, read(5, 0));
+        readers.on_closed(&host(1));
+    }, 100, true },
+)]
+fn a_follower_relies_on_recent_readers(event: fn(&mut Readers), ms: u64, expected: bool) {
+    let mut readers = Readers::default();
+    report(&mut readers, 0, 1, read(5, 3_000));
+    event(&mut readers);
+    assert_eq!(readers.is_any_reading(START + DurationMs(ms)), expected);
+}
+
+/// Pattern: many rows change in a short time. Guards against requests to every reader for the same
+/// rows, and against a request that is never repeated.
+#[parameterized(
+    nothing_new = { 5, 0, None },
+    newer_rows = { 6, 0, Some(RowVersion(5)) },
+    old_read = { 6, 9_000, None },
+)]
+fn rows_are_requested_once(rows: u64, age_ms: u64, expected: Option<RowVersion>) {
+    let mut readers = Readers::default();
+    assert_eq!(report(&mut readers, 0, 1, read(rows, age_ms)), expected);
+    assert_eq!(report(&mut readers, 10, 2, read(rows, age_ms)), None);
+    assert_eq!(report(&mut readers, 900, 1, read(rows, age_ms)), expected);
+}
