Ask homes for a session for 0.7 s, and near readers for the configuration

Change: homes are asked until 0.7 s have passed, and a follower asks a reader of its own failure domain for the configuration if there is one.

--- a/src/core/proxy/follow.rs
+++ b/src/core/proxy/follow.rs
@@ -5,7 +5,7 @@
 //! them itself: the store's calls then grow with the homes, not with the hosts. It asks a home for
 //! what it lacks, and reads the tables itself as soon as no home has reported a recent read.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use crate::types::{DurationMs, HostId, Incarnation, MilliCores, RowVersion, Timestamp};
@@ -42,6 +42,8 @@
 #[derive(Debug, Default)]
 pub struct Readers {
     reported_at: BTreeMap<HostId, Timestamp>,
+    /// Hosts in this host's failure domain, from which large answers cost least.
+    near: BTreeSet<HostId>,
     /// Version above which rows were last requested, and when.
     requested: Option<(RowVersion, Timestamp)>,
 }
@@ -70,9 +72,26 @@
         Some(known)
     }
 
+    /// Called when the link to a host has opened. `is_near` tells whether it is in the same failure
+    /// domain.
+    pub fn on_opened(&mut self, host: &HostId, is_near: bool) {
+        if is_near {
+            self.near.insert(host.clone());
+        }
+    }
+
+    /// Whether to ask this host for the configuration: it is near, or no reader is.
+    pub fn is_preferred(&self, now: Timestamp, host: &HostId) -> bool {
+        let is_near_reader = |(host, at): (&HostId, &Timestamp)| {
+            self.near.contains(host) && now < *at + REPORT_LIFETIME
+        };
+        self.near.contains(host) || !self.reported_at.iter().any(is_near_reader)
+    }
+
     /// Called when the link to a host has closed.
     pub fn on_closed(&mut self, host: &HostId) {
         self.reported_at.remove(host);
+        self.near.remove(host);
     }
 
     /// Whether some host reads the tables for this one.
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -80,8 +80,8 @@
 pub(super) struct RelayedCaller {
     /// Host that runs the session, or is asked to.
     pub home: HostId,
-    /// Number of hosts that were asked to run it.
-    pub attempts: usize,
+    /// When the caller asked for its session.
+    pub asked_at: Timestamp,
 }
 
 /// Main actor of a host that serves sessions over pooled connections.
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -33,6 +33,8 @@
     /// Since when another host is known to have a newer configuration, or when it was last
     /// requested.
     outdated_since: Option<Timestamp>,
+    /// Whether it was requested since then.
+    has_asked: bool,
 }
 
 impl Peers {
@@ -102,8 +104,13 @@
         let spec = PeerSpec { socket, hello, secret: Secret::new(secret) };
         let events = fwd_to!([cx], peer_event() as (PeerEvent));
         let link = actor!(cx, PeerActor::init(spec, events), ret_nop!());
-        self.peers =
-            Some(Peers { link, last_number: 0, targets: Vec::new(), outdated_since: None });
+        self.peers = Some(Peers {
+            link,
+            last_number: 0,
+            targets: Vec::new(),
+            outdated_since: None,
+            has_asked: false,
+        });
     }
 
     /// Passes the listed hosts to the core, and keeps links to the hosts that the core selects.
@@ -155,6 +162,8 @@
                 // The other host reserves a share of each rate for this one until it has a report.
                 let message = PeerMessage::Demand(self.core.demand(), self.configuration_version());
                 self.send_to_peer(hello.host.clone(), message);
+                let is_near = hello.failure_domain == self.settings.failure_domain;
+                self.readers.on_opened(&hello.host, is_near);
                 self.core.on_link_opened(suspend_aware_clock(), &hello.host);
             }
             PeerEvent::Closed(host, _) => {
@@ -249,9 +258,10 @@
         let now = suspend_aware_clock();
         // A host that follows others does not read the configuration itself.
         let follows = self.readers.is_any_reading(now) && !self.core.runs_sessions();
-        let is_first = peers.outdated_since.is_none();
+        let asks_at_once = follows && self.readers.is_preferred(now, &host) && !peers.has_asked;
         let since = *peers.outdated_since.get_or_insert(now);
-        if now >= since + OUTDATED_LIMIT || (follows && is_first) {
+        if now >= since + OUTDATED_LIMIT || asks_at_once {
+            peers.has_asked = true;
             tracing::info!(
                 peer = host.as_str(),
                 own = own.map(|own| own.0),
@@ -272,7 +282,7 @@
     /// Called when a newer configuration has been adopted.
     pub(super) fn clear_outdated(&mut self) {
         if let Some(peers) = &mut self.peers {
-            peers.outdated_since = None;
+            (peers.outdated_since, peers.has_asked) = (None, false);
         }
     }
 }
--- a/src/net/proxy/sessions.rs
+++ b/src/net/proxy/sessions.rs
@@ -12,10 +12,11 @@
 use crate::error::{Error, ErrorKind};
 use crate::net::host::HostNotice;
 use crate::net::reactor::suspend_aware_clock;
-use crate::types::{HostId, SessionId};
+use crate::types::{DurationMs, HostId, SessionId, Timestamp};
 
-/// Number of homes that are asked to run a session before this host runs it.
-const MAX_HOME_ATTEMPTS: usize = 3;
+/// Time after which no further home is asked to run a session, so that it runs on this host before
+/// its caller gives up, after about two seconds. Homes whose process has ended refuse at once.
+const HOME_SEARCH_LIMIT: DurationMs = DurationMs(700);
 /// Poll priority of the listening sockets.
 const LISTENER_PRIORITY: u32 = 10;
 
@@ -105,7 +106,7 @@
             CallerEvent::Startup(request) if self.remote_sessions.contains(&id) => {
                 self.open_remote_session(id, &request);
             }
-            CallerEvent::Startup(request) => self.start_session(id, request, 0),
+            CallerEvent::Startup(request) => self.start_session(id, request, now),
             CallerEvent::HomeDeclined(request) => {
                 self.remove_relayed_caller(id);
                 self.open_session(id, &request);
@@ -113,13 +114,13 @@
             }
             CallerEvent::HomeUnreachable(request) => {
                 let relayed = self.relayed_callers.get(&id);
-                let attempts = relayed.map_or(MAX_HOME_ATTEMPTS, |relayed| relayed.attempts);
+                let asked_at = relayed.map_or(now, |relayed| relayed.asked_at);
                 if let Some(relayed) = relayed {
                     self.roster.on_unreachable(now, &relayed.home);
                     self.update_hosts();
                 }
                 self.remove_relayed_caller(id);
-                self.start_session(id, request, attempts);
+                self.start_session(id, request, asked_at);
             }
             CallerEvent::Query(query) => self.core.submit(now, id, query),
             CallerEvent::Malformed(cause) => {
@@ -131,15 +132,16 @@
         self.carry_out(cx);
     }
 
-    /// Opens a session on its home, or here after `attempts` homes were asked in vain: the caller
-    /// waits for about two seconds.
-    fn start_session(&mut self, id: SessionId, request: SessionRequest, attempts: usize) {
-        let home = self.home_of(&request).filter(|_| attempts < MAX_HOME_ATTEMPTS);
+    /// Opens a session on its home, or here if no home has accepted it in time. `asked_at` is when
+    /// the caller asked for it.
+    fn start_session(&mut self, id: SessionId, request: SessionRequest, asked_at: Timestamp) {
+        let may_search = suspend_aware_clock() < asked_at + HOME_SEARCH_LIMIT;
+        let home = self.home_of(&request).filter(|_| may_search);
         let Some((home, address)) = home else {
             self.open_session(id, &request);
             return self.update_hosts();
         };
-        self.relayed_callers.insert(id, RelayedCaller { home, attempts: attempts + 1 });
+        self.relayed_callers.insert(id, RelayedCaller { home, asked_at });
         self.core.set_relayed_callers(self.relayed_callers.len());
         let admitted = self.core.catalog().map(|catalog| catalog.version);
         if let Some(caller) = self.callers.get(&id) {
--- a/tests/proxy_follow.rs
+++ b/tests/proxy_follow.rs
@@ -52,3 +52,20 @@
     assert_eq!(report(&mut readers, 10, 2, read(rows, age_ms)), None);
     assert_eq!(report(&mut readers, 900, 1, read(rows, age_ms)), expected);
 }
+
+/// Pattern: a new configuration is wanted by all hosts at once. Guards against copies that cross
+/// failure domains although a reader is near, and against a host that waits for a lost one.
+#[parameterized(
+    none_is_near = { &[], 2, true },
+    another_is_near = { &[1], 2, false },
+    it_is_near = { &[1], 1, true },
+    the_near_one_is_lost = { &[3], 2, true },
+)]
+fn the_configuration_comes_from_a_near_reader(near: &[usize], asked: usize, expected: bool) {
+    let mut readers = Readers::default();
+    for number in [1, 2] {
+        report(&mut readers, 0, number, read(5, 0));
+    }
+    near.iter().for_each(|number| readers.on_opened(&host(*number), true));
+    assert_eq!(readers.is_preferred(START, &host(asked)), expected);
+}
