Grant tokens to the host that becomes the home of an account

Change: a host that becomes an account's home gets 0.5 s of the rate, at most half of the burst, once in 5 s and only if the reported demand is at most 80% of the rate, so that the burst is unspent.

--- a/src/core/proxy/quota.rs
+++ b/src/core/proxy/quota.rs
@@ -25,6 +25,15 @@
 /// Initial tokens of a starting host, as time at its rate; operations admitted before the start may
 /// count in the same window.
 const INITIAL_LEVEL: DurationMs = DurationMs(300);
+/// Tokens of a host that becomes the home of an account, as time at the account's rate and at most
+/// half of its burst. The former home's tokens are lost with it, and this host's part of the rate
+/// grows only with the reports.
+const TAKEOVER_LEVEL: DurationMs = DurationMs(500);
+/// Demand in percent of the rate up to which the burst counts as unspent, so that a part of it may be
+/// granted.
+const UNSPENT_PERCENT: u64 = 80;
+/// Minimum time between two such grants, so that changes of the home do not add up.
+const TAKEOVER_INTERVAL: DurationMs = DurationMs(5_000);
 /// Time for which the last report of a host counts; after that, an equal share is reserved for the
 /// host while it is listed.
 const REPORT_LIFETIME: DurationMs = DurationMs(4_000);
@@ -37,6 +46,8 @@
     /// Tokens, in thousandths.
     level: u64,
     refilled_at: Timestamp,
+    /// When this host last became the account's home.
+    taken_over_at: Option<Timestamp>,
     /// Operations requested since the last measurement.
     requested: u64,
     /// Average demand, as reported to the other hosts.
@@ -98,9 +109,28 @@
     pub fn set_homes(&mut self, now: Timestamp, own: &HostId, homes: BTreeMap<AccountId, HostId>) {
         if self.homes != homes {
             let own_accounts = homes.iter().filter(|(_, home)| *home == own);
-            self.own_accounts = own_accounts.map(|(account, _)| account.clone()).collect();
+            let own_accounts = own_accounts.map(|(account, _)| account.clone()).collect();
+            let before = std::mem::replace(&mut self.own_accounts, own_accounts);
             self.homes = homes;
             self.divide(now);
+            self.take_over(now, &before);
+        }
+    }
+
+    /// Grants tokens for the accounts of which this host has become the home.
+    fn take_over(&mut self, now: Timestamp, before: &BTreeSet<AccountId>) {
+        for account in self.own_accounts.difference(before) {
+            let Some(limit) = self.limits.get(account) else { continue };
+            let Some(bucket) = self.buckets.get_mut(account) else { continue };
+            let reported = self.reports.values().filter_map(|report| report.demand.get(account));
+            let demand = bucket.demand + reported.map(|demand| demand.0).sum::<u64>();
+            let rate = limit.rate_per_s.0 * MilliTokens::ONE.0;
+            let is_due = bucket.taken_over_at.is_none_or(|at| now >= at + TAKEOVER_INTERVAL);
+            if is_due && demand <= rate * UNSPENT_PERCENT / 100 {
+                let half_burst = limit.burst.0 * MilliTokens::ONE.0 / 2;
+                bucket.level = bucket.level.max((rate * TAKEOVER_LEVEL.0 / 1_000).min(half_burst));
+                bucket.taken_over_at = Some(now);
+            }
         }
     }
 
@@ -207,6 +237,7 @@
             let bucket = self.buckets.entry(account.clone()).or_insert_with(|| Bucket {
                 level: shares.equal * INITIAL_LEVEL.0 / 1_000 + MilliTokens::ONE.0,
                 refilled_at: now,
+                taken_over_at: None,
                 requested: 0,
                 demand: 0,
                 granted: 0,
@@ -260,7 +291,9 @@
         self.rate = scale(shares.free, own_demand, total);
         let burst = scale(limit.burst.0 * MilliTokens::ONE.0, self.rate, shares.rate);
         self.burst = burst.max(MilliTokens::ONE.0);
-        self.level = self.level.min(self.burst);
+        if self.taken_over_at.is_none_or(|at| self.refilled_at >= at + TAKEOVER_INTERVAL) {
+            self.level = self.level.min(self.burst);
+        }
     }
 
     fn refill(&mut self, now: Timestamp) {
--- a/tests/proxy_quota.rs
+++ b/tests/proxy_quota.rs
@@ -4,7 +4,7 @@
 
 use medlarstile::core::proxy::catalog::AccountLimit;
 use medlarstile::core::proxy::quota::Quota;
-use medlarstile::types::{AccountId, Burst, HostId, RatePerS, Timestamp};
+use medlarstile::types::{AccountId, Burst, HostId, MilliTokens, RatePerS, Timestamp};
 use yare::parameterized;
 
 const HOSTS: usize = 8;
@@ -183,3 +183,33 @@
         assert!(admitted <= max_admitted(), "{admitted} of {} in a window", max_admitted());
     }
 }
+
+/// Pattern: the home of an account is lost, and all its callers go to another one. Guards against a
+/// new home that refuses them because it has no tokens, against a second grant after a short time,
+/// and against a grant for an account whose burst may be spent.
+#[parameterized(
+    usual_demand = { 50, 1, 40 },
+    demand_at_the_rate = { 80, 1, 0 },
+    home_changes_twice = { 50, 3, 40 },
+)]
+fn a_new_home_has_tokens(reported: u64, changes: usize, granted: u64) {
+    let mut quota = Quota::default();
+    let others: Vec<HostId> =
+        (1..HOSTS).map(|n| format!("h{n}").parse().expect("a host")).collect();
+    let (own, former): (HostId, HostId) = ("h0".parse().expect("a host"), others[0].clone());
+    let limit = AccountLimit { rate_per_s: RatePerS(RATE), burst: Burst(BURST) };
+    quota.set_hosts(START, others);
+    quota.set_accounts(START, &BTreeMap::from([(account(), limit)]));
+    quota.on_report(START, former.clone(), [(account(), MilliTokens(reported * 1_000))].into());
+    let mut admitted = 0;
+    for _ in 0..changes {
+        for home in [&former, &own] {
+            quota.set_homes(START, &own, BTreeMap::from([(account(), home.clone())]));
+            while quota.admit(START, &account()) {
+                admitted += 1;
+            }
+        }
+    }
+    // A starting host has a few tokens of its own.
+    assert!((granted..granted + 6).contains(&admitted), "{admitted}");
+}
