Open connections to an endpoint one by one, and leave some for a restart

Change: a host tries to have one connection to an endpoint and one more each 0.2 s; a refusal sets it back to what it has. Where a home could have more than 6, the homes share 54% of the connections instead of 88%. One present home is enough: a host that becomes a home only then has next to no part of the rates.

--- a/src/core/proxy/events.rs
+++ b/src/core/proxy/events.rs
@@ -517,8 +517,9 @@
         match report.refusal {
             Some(Refusal::ConnectionLimit) => {
                 state.on_received(now);
-                state.connect_after =
-                    Timestamp(now.0 + CONNECTION_LIMIT_RETRY_DELAY.as_us() + delay_us);
+                let delay = DurationMs(CONNECTION_LIMIT_RETRY_DELAY.0 + delay_us / 1_000);
+                state.allowance.on_refused(now, state.connections.len() as u64, delay);
+                state.connect_after = now + delay;
             }
             _ => state.on_connection_failure(now, connecting),
         }
--- a/src/core/proxy/group.rs
+++ b/src/core/proxy/group.rs
@@ -21,6 +21,8 @@
 const SAMPLE_SPACING: DurationMs = DurationMs(25);
 /// Number of samples kept; with the spacing they reach back further than any route's maximum age.
 const MAX_SAMPLES: usize = 256;
+/// Time after which a host tries to have one more connection to an endpoint.
+const ALLOWANCE_RAISE_INTERVAL: DurationMs = DurationMs(200);
 /// Shortest delay before a failed connect is repeated.
 pub const RECONNECT_MIN: DurationMs = DurationMs(60);
 /// Longest delay before a failed connect is repeated.
@@ -48,6 +50,33 @@
     pub version: RowVersion,
 }
 
+/// Number of connections that a host tries to have at an endpoint. An endpoint counts connections of
+/// hosts that have lost power for some seconds, so that after a mass restart it accepts few; hosts
+/// that all try to open their full shares then refuse each other the rest.
+#[derive(Debug)]
+pub struct Allowance {
+    allowed: u64,
+    since: Timestamp,
+}
+
+impl Allowance {
+    fn new(now: Timestamp) -> Self {
+        Self { allowed: 1, since: now }
+    }
+
+    /// The number at the time `now`, at most `share`.
+    pub fn at(&self, now: Timestamp, share: u64) -> u64 {
+        let raised = now.ms_since(self.since).0 / ALLOWANCE_RAISE_INTERVAL.0;
+        share.min(self.allowed + raised)
+    }
+
+    /// Called when the endpoint has refused a connection, with `open` connections of this host.
+    /// `delay` differs between the hosts.
+    pub fn on_refused(&mut self, now: Timestamp, open: u64, delay: DurationMs) {
+        (self.allowed, self.since) = (open.max(1), now + delay);
+    }
+}
+
 /// An endpoint and this host's connections to it.
 #[derive(Debug)]
 pub struct EndpointState {
@@ -61,6 +90,8 @@
     pub claim_version: Option<RowVersion>,
     /// Connections to it, including those being opened.
     pub connections: BTreeSet<ConnectionId>,
+    /// Number of connections that this host tries to have.
+    pub allowance: Allowance,
     /// Earliest time of the next connect.
     pub connect_after: Timestamp,
     /// Delay to apply after the next failed connect.
@@ -89,6 +120,7 @@
             entry,
             missing_since: None,
             connections: BTreeSet::new(),
+            allowance: Allowance::new(now),
             connect_after: now,
             backoff: RECONNECT_MIN,
             unanswered_since: None,
--- a/src/core/proxy/home.rs
+++ b/src/core/proxy/home.rs
@@ -32,11 +32,18 @@
 /// Percentage of an endpoint's connections that the homes share; the rest is for hosts that cannot
 /// reach a home.
 const HOME_PERCENT: u64 = 88;
+/// Connections of a home to an endpoint up to which the homes take [`HOME_PERCENT`] together.
+const MAX_CONNECTIONS_PER_HOME: u64 = 6;
+/// Percentage that the homes share if each has more than that. What they leave unused is free at once
+/// when all of them restart after a loss of power, while the endpoint still counts their former
+/// connections.
+const AMPLE_HOME_PERCENT: u64 = 54;
 /// Connections to an endpoint that every host may open, however many hosts there are.
 const MIN_SHARE: u64 = 1;
 /// Minimum number of homes that must be present before no more hosts are considered. The accounts
-/// of a lost home go to the other homes, so that a single loss makes no other host a home.
-const MIN_PRESENT_HOMES: usize = 2;
+/// of a lost home go to the other homes: these hear all hosts and so have a large part of each rate,
+/// whereas a host that becomes a home has next to none.
+const MIN_PRESENT_HOMES: usize = 1;
 /// Time for which the set of homes must not change before idle sessions are moved, so that a
 /// flapping link does not move them back and forth.
 const HOMES_STABLE_FOR: DurationMs = DurationMs(1_500);
@@ -249,7 +256,8 @@
         } else if self.homes.contains(&self.spec.host) {
             // The few homes of a partitioned part of the fleet must not take all connections.
             let sharers = (self.homes.candidates.len() as u64).max(self.homes.wanted / 2);
-            limit * HOME_PERCENT / 100 / sharers
+            let share = (limit * HOME_PERCENT / 100 / sharers).min(MAX_CONNECTIONS_PER_HOME);
+            share.max(limit * AMPLE_HOME_PERCENT / 100 / sharers)
         } else {
             0
         };
--- a/src/core/proxy/pool.rs
+++ b/src/core/proxy/pool.rs
@@ -52,7 +52,7 @@
         owner: &Owner,
         extra: u64,
     ) -> bool {
-        let allowed = self.connection_share(group_id) + extra;
+        let allowed = self.allowed_connections(now, group_id, endpoint) + extra;
         let Some(state) = self.groups.get(group_id).and_then(|group| group.endpoints.get(endpoint))
         else {
             return false;
@@ -70,6 +70,13 @@
         true
     }
 
+    /// Number of connections that this host may have at an endpoint now.
+    fn allowed_connections(&self, now: Timestamp, group: &GroupId, endpoint: &EndpointId) -> u64 {
+        let share = self.connection_share(group);
+        let state = self.groups.get(group).and_then(|group| group.endpoints.get(endpoint));
+        state.map_or(share, |state| state.allowance.at(now, share))
+    }
+
     /// Opens a connection for `owner`; if this host's share is used up, closes the least recently
     /// used idle connection of another owner first.
     pub(super) fn replace_idle(
@@ -82,7 +89,7 @@
         let group = self.groups.get(group_id);
         let state = group.and_then(|group| group.endpoints.get(endpoint));
         let Some(state) = state.filter(|state| now >= state.connect_after) else { return false };
-        if state.connections.len() as u64 >= self.connection_share(group_id) {
+        if state.connections.len() as u64 >= self.allowed_connections(now, group_id, endpoint) {
             let Some(victim) = self.longest_idle(group_id, endpoint, owner) else { return false };
             self.close_connection(victim);
         }
