--- a/src/core/proxy/lease.rs
+++ b/src/core/proxy/lease.rs
@@ -276,7 +276,7 @@
         if !self.has_read_store || now >= complete_at + STATEMENT_LIMIT {
             return None;
         }
-        let needed = (self.others.len() + 1) / 2;
+        let needed = self.others.len().div_ceil(2);
         let agrees = |peer: &&Peer| peer.newest <= self.complete;
         let mut stated: Vec<Timestamp> =
             self.peers.values().filter(agrees).filter_map(|peer| peer.stated_at).collect();
