--- a/src/core/proxy/failover.rs
+++ b/src/core/proxy/failover.rs
@@ -234,6 +234,8 @@
     /// Whether the promotion call got no answer.
     promotion_unconfirmed: bool,
     needed_since: Option<Timestamp>,
+    /// When a failover was last needed while this host was cut off.
+    cut_off_at: Timestamp,
     /// Earliest time of the next attempt.
     retry_at: Timestamp,
     attempt: AttemptId,
@@ -266,6 +268,7 @@
             row_term: Term(0),
             promotion_unconfirmed: false,
             needed_since: None,
+            cut_off_at: Timestamp(0),
             retry_at: Timestamp(0),
             attempt: AttemptId(seed),
             entered_at: Timestamp(0),
@@ -487,7 +490,7 @@
             return;
         }
         let since = *self.needed_since.get_or_insert(now);
-        if self.proof == LeadProof::Lease && !Self::may_claim(now, since, evidence) {
+        if self.proof == LeadProof::Lease && !self.may_claim(now, since, evidence) {
             return;
         }
         let stagger_elapsed = now >= since + DurationMs(STAGGER.0 * self.stagger_step);
@@ -500,10 +503,15 @@
 
     /// Whether a claim is worthwhile, which takes the group's primary from all hosts. A host that is
     /// cut off cannot complete a failover, except that so many hosts may have been lost that the
-    /// others never hear from most of them again.
-    fn may_claim(now: Timestamp, needed_since: Timestamp, evidence: &Evidence) -> bool {
+    /// others never hear from most of them again. When the cut has healed, the primary has time to
+    /// answer.
+    fn may_claim(&mut self, now: Timestamp, needed_since: Timestamp, evidence: &Evidence) -> bool {
         let has_store = evidence.complete_at().is_some_and(|at| now < at + LEASE);
-        has_store && (evidence.reaches_most(now) || now >= needed_since + STATEMENT_LIMIT)
+        if !has_store || !evidence.reaches_most(now) {
+            self.cut_off_at = now;
+        }
+        let lost_most = has_store && now >= needed_since + STATEMENT_LIMIT;
+        now >= self.cut_off_at + LEASED_SILENCE_LIMIT || lost_most
     }
 
     /// The endpoint that acts as the primary, if no promotion was requested since the last completed
--- a/tests/proxy_lease.rs
+++ b/tests/proxy_lease.rs
@@ -214,3 +214,26 @@
     assert!(!are_over(wait.0 - 1));
     assert!(are_over(wait.0));
 }
+
+/// Guards against a host that takes the primary from all others as soon as a partition has healed,
+/// because it has not heard from the primary for a while.
+#[parameterized(
+    just_healed = { 100, 0 },
+    primary_stays_silent = { 1_200, 1 },
+)]
+fn a_host_that_was_cut_off_does_not_claim_at_once(ms: u64, claims: usize) {
+    let mut rig = leased_rig();
+    rig.unresponsive.push(id("a"));
+    rig.pass(5_000);
+    let healed = rig.now;
+    while rig.now < healed + DurationMs(ms) {
+        rig.core.on_store_read(rig.now, read_at(rig.now));
+        let (newest, complete) = (RowVersion(0), RowVersion(0));
+        let echo = None;
+        let knowledge = Knowledge { sent_at: rig.now, echo, newest, complete, age_us: 0 };
+        rig.core.on_knowledge(rig.now, &id("h2"), knowledge);
+        rig.pass(20);
+    }
+    let claimed = rig.other.iter().filter(|effect| matches!(effect, ProxyEffect::Claim(..)));
+    assert_eq!(claimed.count(), claims);
+}
