--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -272,6 +272,8 @@
 #[test]
 fn a_request_without_a_free_connection_is_refused_in_time() {
     let mut rig = Rig::new();
+    // The host tries to have one more connection each 0.2 s until it has its full share of 8.
+    rig.pass(4_000);
     for number in 1..=12 {
         let session = rig.session(number, "orders");
         rig.send(session, WRITE);
