Log and count what the age of a host's configuration depends on

Cause: the lines of a host did not tell why it refused a database. A refusal named neither the version in use nor how long ago the host had known it to be the latest, a failed read not how long the table had been unread, and reads of the store were counted nowhere. Conclusion: a read that ends at its time limit and a refusal under an old view can now be told from a version that was ignored.

--- a/src/core/proxy/follow.rs
+++ b/src/core/proxy/follow.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Default)]
 pub struct Readers {
     reported_at: BTreeMap<HostId, Timestamp>,
+    /// Latest time at which some reader had read the tables.
+    read_at: Option<Timestamp>,
     /// Hosts in this host's failure domain, from which large answers cost least.
     near: BTreeSet<HostId>,
     /// Version above which rows were last requested, and when.
@@ -63,6 +65,8 @@
             return None;
         }
         self.reported_at.insert(host, now);
+        let read_at = Timestamp(now.0.saturating_sub(read.age_ms.as_us()));
+        self.read_at = self.read_at.max(Some(read_at));
         let is_requested =
             self.requested.is_some_and(|(after, at)| after == known && now < at + REQUEST_LIFETIME);
         if read.rows <= known || is_requested {
@@ -94,6 +98,11 @@
         self.near.remove(host);
     }
 
+    /// Latest time at which some reader is known to have read the tables.
+    pub fn read_at(&self) -> Option<Timestamp> {
+        self.read_at
+    }
+
     /// Whether some host reads the tables for this one.
     pub fn is_any_reading(&self, now: Timestamp) -> bool {
         self.reported_at.values().any(|at| now < *at + REPORT_LIFETIME)
--- a/src/net/proxy/feed.rs
+++ b/src/net/proxy/feed.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use derive_more::Display;
 use stakker::{actor, after, call, fwd, ret_nop, ret_some_to, ActorOwn, FixedTimerKey, Fwd, CX};
 
 use super::http::{CallResult, HttpClient};
@@ -76,6 +77,22 @@
     Read(&'static str, StoreRead),
     /// The table has become readable (true) or unreadable (false).
     Reachable(&'static str, bool),
+    /// A read of the table ended.
+    CallEnded(&'static str, ReadOutcome),
+}
+
+/// How a read of a table ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub enum ReadOutcome {
+    /// Rows were returned, or nothing had changed.
+    Rows,
+    /// The store no longer has the requested changes.
+    HistoryGone,
+    /// The store refused the read, or its answer cannot be decoded.
+    Refused,
+    /// There was no answer.
+    NoAnswer,
 }
 
 /// Actor that follows one table.
@@ -96,6 +113,8 @@
     is_idle: bool,
     /// When the last call was sent.
     sent_at: Timestamp,
+    /// When the last answer with rows was received.
+    answered_at: Timestamp,
     /// Whether the next call returns at once, to learn quickly that nothing has changed.
     asks_now: bool,
     retry_pause: Duration,
@@ -125,6 +144,7 @@
             pace: Pace::Passive,
             is_idle: false,
             sent_at: Timestamp(0),
+            answered_at: suspend_aware_clock(),
             asks_now: false,
             retry_pause: RETRY_PAUSE,
             pause: None,
@@ -234,9 +254,18 @@
         let answer =
             result.map_err(|fault| fault.to_string()).map(|answer| store::read_rows(&answer));
         let table = self.config.table;
+        let outcome = match &answer {
+            Ok(RowsAnswer::Rows(_)) => ReadOutcome::Rows,
+            Ok(RowsAnswer::HistoryGone) => ReadOutcome::HistoryGone,
+            Ok(RowsAnswer::Refused(_)) => ReadOutcome::Refused,
+            Err(_) => ReadOutcome::NoAnswer,
+        };
+        fwd!([self.hub], FeedEvent::CallEnded(table, outcome));
+        let now = suspend_aware_clock();
         match answer {
             Ok(RowsAnswer::Rows(rows)) => {
                 self.retry_pause = RETRY_PAUSE;
+                self.answered_at = now;
                 if !std::mem::replace(&mut self.reachable, true) {
                     tracing::info!(table, "store: table can be read again");
                     fwd!([self.hub], FeedEvent::Reachable(table, true));
@@ -253,7 +282,13 @@
             }
             Ok(RowsAnswer::Refused(detail)) | Err(detail) => {
                 if std::mem::replace(&mut self.reachable, false) {
-                    tracing::warn!(table, detail, "store: table cannot be read");
+                    tracing::warn!(
+                        table,
+                        detail,
+                        unread_ms = now.ms_since(self.answered_at).0,
+                        pace = ?self.pace,
+                        "store: table cannot be read"
+                    );
                     fwd!([self.hub], FeedEvent::Reachable(table, false));
                 }
             }
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -250,8 +250,12 @@
     }
 
     fn tick(&mut self, cx: CX![]) {
-        self.core.tick(suspend_aware_clock());
+        let now = suspend_aware_clock();
+        self.core.tick(now);
         self.carry_out(cx);
+        if let Some(age) = self.configuration_age(now) {
+            self.report.on_configuration_age(age);
+        }
         self.report.on_state(&self.core);
         after!(TICK, [cx], tick());
     }
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -231,6 +231,13 @@
         Some(TablesRead { rows: self.newest_host_row(), age_ms: now.ms_since(*oldest) })
     }
 
+    /// Time since the configuration in use was last known to be the latest, from this host's own
+    /// reads and from those of the hosts that it follows; `None` before the first read.
+    pub(super) fn configuration_age(&self, now: Timestamp) -> Option<DurationMs> {
+        let own = self.read_at.get(store::CONFIGURATION_TABLE).copied();
+        own.max(self.readers.read_at()).map(|at| now.ms_since(at))
+    }
+
     /// Version of the configuration in use, if there is one.
     fn configuration_version(&self) -> Option<TableVersion> {
         self.core.catalog().map(|catalog| catalog.version)
--- a/src/net/proxy/report.rs
+++ b/src/net/proxy/report.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -11,10 +12,11 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::feed::ReadOutcome;
 use super::store::CallEnd;
 use crate::core::proxy::statement_record::StatementRecord;
 use crate::core::proxy::Proxy;
-use crate::types::EndpointId;
+use crate::types::{DurationMs, EndpointId};
 
 /// Upper bounds of the latency buckets in seconds, around the usual targets of 100 to 600 ms.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 3.0];
@@ -41,6 +43,12 @@
     table: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReadLabels {
+    table: &'static str,
+    outcome: String,
+}
+
 /// Metrics of one host, and the log lines about statements.
 pub struct Report {
     registry: Rc<Registry>,
@@ -52,7 +60,9 @@
     connects: Counter,
     promotions: Counter,
     calls: Family<CallLabels, Counter>,
+    reads: Family<ReadLabels, Counter>,
     reachable: Family<TableLabels, Gauge>,
+    configuration_age: Gauge<f64, AtomicU64>,
     sessions: Gauge,
     waiting: Gauge,
     leaderless_groups: Gauge,
@@ -82,7 +92,9 @@
             connects: Counter::default(),
             promotions: Counter::default(),
             calls: Family::default(),
+            reads: Family::default(),
             reachable: Family::default(),
+            configuration_age: Gauge::default(),
             sessions: Gauge::default(),
             waiting: Gauge::default(),
             leaderless_groups: Gauge::default(),
@@ -124,6 +136,12 @@
         registry.register("connects", "Connections opened to endpoints", self.connects.clone());
         registry.register("promotions", "Promotions ordered", self.promotions.clone());
         registry.register("calls", "Writes to the store and promotions", self.calls.clone());
+        registry.register("store_reads", "Reads of a table of the store", self.reads.clone());
+        registry.register(
+            "configuration_age_seconds",
+            "Time since the version in use was last known to be the latest",
+            self.configuration_age.clone(),
+        );
         registry.register(
             "store_reachable",
             "Whether a table of the store can be read",
@@ -209,6 +227,16 @@
         self.calls.get_or_create(&labels).inc();
     }
 
+    /// Records how a read of a table of the store ended.
+    pub fn on_read(&self, table: &'static str, outcome: ReadOutcome) {
+        self.reads.get_or_create(&ReadLabels { table, outcome: outcome.to_string() }).inc();
+    }
+
+    /// Records the time since the version in use was last known to be the latest.
+    pub fn on_configuration_age(&self, age_ms: DurationMs) {
+        self.configuration_age.set(age_ms.0 as f64 / 1_000.0);
+    }
+
     /// Records whether a table of the store can be read.
     pub fn on_reachable(&self, table: &'static str, reachable: bool) {
         self.reachable.get_or_create(&TableLabels { table }).set(reachable.into());
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -109,6 +109,7 @@
                 }
             }
             FeedEvent::Reachable(table, reachable) => self.report.on_reachable(table, reachable),
+            FeedEvent::CallEnded(table, outcome) => self.report.on_read(table, outcome),
         }
         self.carry_out(cx);
     }
--- a/src/net/proxy/sessions.rs
+++ b/src/net/proxy/sessions.rs
@@ -169,13 +169,17 @@
 
     fn open_session(&mut self, id: SessionId, request: &SessionRequest) {
         let SessionRequest { database, key, .. } = request;
-        let result = self.core.open_session(suspend_aware_clock(), id, database, key);
+        let now = suspend_aware_clock();
+        let result = self.core.open_session(now, id, database, key);
         let Some(caller) = self.callers.get(&id) else { return };
         match result {
             Ok(()) => call!([caller], started()),
             Err(error) => {
                 tracing::info!(session = id.0, database = database.as_str(), kind = ?error.kind,
-                    detail = error.detail.as_str(), "session: refused");
+                    detail = error.detail.as_str(),
+                    version = self.core.catalog().map(|catalog| catalog.version.0),
+                    configuration_age_ms = self.configuration_age(now).map(|age| age.0),
+                    "session: refused");
                 call!([caller], refused(error));
             }
         }
