Reproduce hosts that keep an old configuration behind a silent connection

What callers saw: a database or key of a confirmed version is refused. Reproduction: the connections of all hosts to the store go silent without a reset, new ones work, and the operator writes a version. The tests run real processes against the store double through the soak's link, which now can silence open connections. The bound is the smallest `contactMs` of the users, 4 s: after that the hosts count as undisturbed.

--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -6,14 +6,19 @@
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustix::process::{kill_process, Pid, Signal};
 use yare::parameterized;
 
+mod known_red;
+#[path = "soak/link.rs"]
+#[allow(dead_code)]
+mod link;
 mod platform_store_double;
 mod ports;
 
+use link::Link;
 use platform_store_double::Store;
 use ports::free_port;
 
@@ -33,11 +38,17 @@
 impl Host {
     /// Starts a host that uses the store at `store`.
     fn start(name: &str, store: SocketAddr) -> Self {
+        Self::start_with_share(name, store, 1.0)
+    }
+
+    /// Starts a host with this share of a core; the hosts with the largest become homes.
+    fn start_with_share(name: &str, store: SocketAddr, share: f64) -> Self {
         let [front, probe, peer_address, metrics] = [(); 4].map(|()| free_port());
         let text = format!(
             r#"{{"nodeName":"{name}","ip":"127.0.0.1","zone":"a",
             "bindAddrs":{{"frontend":"127.0.0.1:{front}","readiness":"127.0.0.1:{probe}"}},
             "internalPortRange":[{peer_address},{peer_address}],"bounds":{{"graceS":6}},
+            "limits":{{"cpuShare":{share}}},
             "platform":{{"address":"{store}"}},"cloudApi":{{"address":"{store}"}}}}"#
         );
         let settings = std::env::temp_dir().join(format!("medlarstile-{name}-{peer_address}"));
@@ -62,16 +73,21 @@
         Self { child, log, settings, peer_address, _watch: watch }
     }
 
-    /// Reads the log up to the line with `message`.
-    fn wait_for(&mut self, message: &str) -> String {
+    /// Reads the log up to the line with `message`; none if the host has ended before.
+    fn find(&mut self, message: &str) -> Option<String> {
         let mut line = String::new();
         while self.log.read_line(&mut line).expect("text") > 0 {
             if line.contains(message) {
-                return line;
+                return Some(line);
             }
             line.clear();
         }
-        panic!("the host ended without {message:?}");
+        None
+    }
+
+    /// Reads the log up to the line with `message`.
+    fn wait_for(&mut self, message: &str) -> String {
+        self.find(message).unwrap_or_else(|| panic!("the host ended without {message:?}"))
     }
 
     fn signal(&self, signal: Signal) {
@@ -125,6 +141,68 @@
     assert!(line.contains(r#""version":"8""#), "{line}");
 }
 
+/// Time after the loss of its connections within which a host has the latest configuration again:
+/// the smallest `contactMs` of the users' deployments.
+const CONTACT_LIMIT: Duration = Duration::from_secs(4);
+
+/// A configuration with one group whose endpoints accept so few connections that a fleet of four
+/// hosts has one home.
+fn one_home(version: u64) -> String {
+    format!(
+        r#"{{"version":{version},"routes":[],"tenants":[],"limits":{{}},
+        "services":[{{"name":"db","maxConnections":4}}]}}"#
+    )
+}
+
+/// Guards against a host that goes on waiting on a connection to the store which has gone silent
+/// without a reset, and meanwhile refuses the databases of a newer version.
+#[parameterized(
+    a_single_host = { "a_single_host", 1, false },
+    a_home_and_its_followers = { "a_home_and_its_followers", 4, false },
+    followers_of_a_lost_home = { "followers_of_a_lost_home", 4, true },
+)]
+fn a_version_is_in_force_after_connections_to_the_store_went_silent(
+    case: &str,
+    count: usize,
+    lose: bool,
+) {
+    let store = Store::default();
+    store.put("op", "config", one_home(3).as_bytes());
+    let links: Vec<Link> = (0..count).map(|_| Link::to(store.serve(None))).collect();
+    let mut hosts: Vec<Host> = links
+        .iter()
+        .enumerate()
+        .map(|(place, link)| {
+            let share = if place == 0 { 1.0 } else { 0.5 };
+            Host::start_with_share(&format!("h{place}"), link.address, share)
+        })
+        .collect();
+    for host in &mut hosts {
+        host.wait_for("configuration: version is in use");
+        if count > 1 {
+            host.wait_for("peer: connected");
+        }
+    }
+    // The followers have stopped reading the store by then.
+    std::thread::sleep(Duration::from_secs(3));
+    links.iter().for_each(Link::silence_open);
+    if lose {
+        hosts.remove(0);
+    }
+    let silenced = Instant::now();
+    store.put("op", "config", one_home(8).as_bytes());
+    let mut version_line = |host: &mut Host| host.find("configuration: version is in use");
+    let lines: Option<Vec<String>> = hosts.iter_mut().map(&mut version_line).collect();
+    let took = silenced.elapsed();
+    let in_force =
+        lines.is_some_and(|lines| lines.iter().all(|line| line.contains(r#""version":"8""#)));
+    let result = match in_force && took < CONTACT_LIMIT {
+        true => Ok(()),
+        false => Err(format!("in force on all hosts: {in_force}, after {took:?}")),
+    };
+    known_red::check(&format!("platform_process/silent/{case}"), result);
+}
+
 /// Guards against a host that exits, or whose links no longer time out, after another host was
 /// paused. The cause was a timer set to a time in the past; the soak test found it with seeds 1, 2
 /// and 5.
--- a/tests/soak/link.rs
+++ b/tests/soak/link.rs
@@ -1,4 +1,5 @@
-//! A loopback proxy that delays, silences, cuts one way and resets the connections through it.
+//! A loopback proxy that delays, silences, cuts one way and resets the connections through it. Open
+//! connections can also go silent for good while new ones work.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -28,13 +29,23 @@
     mode: Arc<AtomicU8>,
     /// Connections of an earlier generation are reset.
     generation: Arc<AtomicU64>,
+    /// Number of connections opened so far.
+    opened: Arc<AtomicU64>,
+    /// Connections up to this number stay open and carry nothing any more.
+    silenced: Arc<AtomicU64>,
 }
 
 impl Link {
     pub fn to(target: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let link = Self { address, mode: Arc::default(), generation: Arc::default() };
+        let link = Self {
+            address,
+            mode: Arc::default(),
+            generation: Arc::default(),
+            opened: Arc::default(),
+            silenced: Arc::default(),
+        };
         let shared = link.clone();
         thread::spawn(move || {
             for near in listener.incoming().map_while(Result::ok) {
@@ -55,21 +66,29 @@
         self.generation.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Makes all open connections silent for good, without a reset; new ones work.
+    pub fn silence_open(&self) {
+        self.silenced.store(self.opened.load(Ordering::Relaxed), Ordering::Relaxed);
+    }
+
     fn join(&self, near: &TcpStream, far: &TcpStream) {
         let born = self.generation.load(Ordering::Relaxed);
+        let number = self.opened.fetch_add(1, Ordering::Relaxed) + 1;
         for (from, to, answers) in [(near, far, false), (far, near, true)] {
             let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { return };
             let link = self.clone();
-            thread::spawn(move || link.pump(from, to, answers, born));
+            thread::spawn(move || link.pump(from, to, answers, born, number));
         }
     }
 
-    fn holds(&self, answers: bool) -> bool {
+    fn holds(&self, answers: bool, number: u64) -> bool {
         let mode = self.mode.load(Ordering::Relaxed);
-        mode == Mode::Silent as u8 || (answers && mode == Mode::NoAnswers as u8)
+        mode == Mode::Silent as u8
+            || (answers && mode == Mode::NoAnswers as u8)
+            || number <= self.silenced.load(Ordering::Relaxed)
     }
 
-    fn pump(&self, mut from: TcpStream, mut to: TcpStream, answers: bool, born: u64) {
+    fn pump(&self, mut from: TcpStream, mut to: TcpStream, answers: bool, born: u64, number: u64) {
         let mut chunk = [0; 8192];
         let current = || self.generation.load(Ordering::Relaxed) == born;
         // Options of a socket that is already closed do not matter.
@@ -81,7 +100,7 @@
                     if self.mode.load(Ordering::Relaxed) == Mode::Delay as u8 {
                         thread::sleep(Duration::from_millis(120));
                     }
-                    while self.holds(answers) && current() {
+                    while self.holds(answers, number) && current() {
                         thread::sleep(LOOK);
                     }
                     if !current() || to.write_all(&chunk[..count]).is_err() {
