Let open connections go silent for good in the soak

Cause: the soak cut a link as a whole or reset its connections, so that no run had open connections without a sign of life beside new ones that work, which the users' platform announces. Change: every other break of a link silences its open connections on all hosts, without another draw, so that the seeds keep their other faults.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -61,6 +61,8 @@
     due: Vec<(Instant, Undo)>,
     trace: Vec<String>,
     began: Instant,
+    /// Number of times that connections were reset or silenced.
+    breaks: u32,
 }
 
 /// The end of a fault.
@@ -89,7 +91,8 @@
         }
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let (due, trace, began) = (Vec::new(), Vec::new(), Instant::now());
-        let mut run = Self { shared, platform, hosts, links, rng, version: 0, due, trace, began };
+        let mut run =
+            Self { shared, platform, hosts, links, rng, version: 0, due, trace, began, breaks: 0 };
         run.configure(&[]);
         run
     }
@@ -172,8 +175,17 @@
             }
             8 => {
                 let place = self.rng.random_range(0..4);
-                self.links[host][place].reset();
-                return self.note(format!("link {place} of h{host}: reset"));
+                // Alternates without a draw, so that the seeds keep their other faults.
+                self.breaks += 1;
+                if self.breaks % 2 == 0 {
+                    self.links[host][place].reset();
+                    return self.note(format!("link {place} of h{host}: reset"));
+                }
+                for links in &self.links {
+                    links[place].silence_open();
+                }
+                self.shared.lock().calm_since = Some(Instant::now());
+                return self.note(format!("link {place} of all hosts: open connections silent"));
             }
             9 | 10 => {
                 let refuses = self.rng.random_bool(0.4);
