Notice a silent connection to the store within the platform's time limit

What callers saw: a database or key of a confirmed version was refused as unknown, by hosts that nothing had disturbed for longer than `contactMs`. Cause: a read that waits for a change learned of a dead connection only from its own time limit, and these limits were chosen for few calls, not for the time in which a version has to be in force. A home noticed after 3 s of waiting and 1.5 s for the answer, then paused for 0.4 s; the hosts that follow it heard of the version half a second later. A follower without homes began to read again on a connection that had been idle since its start and waited for 20 s on it, and becoming a home did not end that wait. Class: waiting without a bound that comes from a stated one. Change: `contactMs` and `configApplyMs` are read from the settings, and the shorter one sets how long a read waits, when its answer is overdue, and how old a home's read may be for others to follow it. A call without an answer is repeated at once on a new connection. A connection that has been unused for 2 s is replaced before a call, which also holds for claims and promotions. No read waits longer on a host that only relays. Why it works: the time until a dead connection is noticed, seven twelfths of the limit, leaves the rest for one read, one report and one request.

--- a/src/core/proxy/follow.rs
+++ b/src/core/proxy/follow.rs
@@ -10,20 +10,52 @@
 
 use crate::types::{DurationMs, HostId, Incarnation, MilliCores, RowVersion, Timestamp};
 
-/// Age of a home's last read above which the home does not count as a reader: it may be cut off from
-/// the store. A home's reads take up to 3 s if nothing changes.
-const READ_AGE_LIMIT: DurationMs = DurationMs(3_600);
+/// Shortest time for which a read waits for a change, which bounds the number of calls.
+const MIN_WAIT: DurationMs = DurationMs(300);
+/// Shortest time limit of an answer; a slow store takes a quarter of a second.
+const MIN_ANSWER_LIMIT: DurationMs = DurationMs(500);
 /// Time for which a report counts; reports arrive every half second.
 const REPORT_LIFETIME: DurationMs = DurationMs(1_500);
 /// Time after which an unanswered request is repeated.
 const REQUEST_LIFETIME: DurationMs = DurationMs(800);
 
+/// Times of the reads of the configuration.
+///
+/// A connection that has gone silent without a reset shows only when an answer is overdue. From that
+/// moment to the use of a new version, a home takes one wait, one time limit and one more read, and
+/// the hosts that follow it half a second more until its next report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FollowTimes {
+    /// Time for which the store waits for a change at most.
+    pub wait_ms: DurationMs,
+    /// Time limit of the answer, in addition to the wait.
+    pub answer_limit_ms: DurationMs,
+}
+
+impl FollowTimes {
+    /// Times with which a version is in force on all hosts within `limit` after the loss of a
+    /// connection: seven twelfths of it until the loss is noticed, the rest for the report and the
+    /// new reads.
+    pub fn new(limit: DurationMs) -> Self {
+        Self {
+            wait_ms: DurationMs(limit.0 / 3).max(MIN_WAIT),
+            answer_limit_ms: DurationMs(limit.0 / 4).max(MIN_ANSWER_LIMIT),
+        }
+    }
+
+    /// Age of a home's last read above which the home does not count as a reader: its connection may
+    /// be silent, or it is cut off from the store.
+    pub fn read_age_limit_ms(&self) -> DurationMs {
+        DurationMs(self.wait_ms.0 + self.answer_limit_ms.0)
+    }
+}
+
 /// What a host tells the hosts that follow it about its reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TablesRead {
     /// Highest version of a host's row that it has read.
     pub rows: RowVersion,
-    /// Time since it has last read the tables.
+    /// Time since it has last read the configuration.
     pub age_ms: DurationMs,
 }
 
@@ -39,10 +71,11 @@
 }
 
 /// Hosts that read the tables, as a host that follows them sees them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Readers {
+    times: FollowTimes,
     reported_at: BTreeMap<HostId, Timestamp>,
-    /// Latest time at which some reader had read the tables.
+    /// Latest time at which some reader had read the configuration.
     read_at: Option<Timestamp>,
     /// Hosts in this host's failure domain, from which large answers cost least.
     near: BTreeSet<HostId>,
@@ -51,6 +84,17 @@
 }
 
 impl Readers {
+    /// Creates an empty list; the hosts read the configuration with `times`.
+    pub fn new(times: FollowTimes) -> Self {
+        Self {
+            times,
+            reported_at: BTreeMap::new(),
+            read_at: None,
+            near: BTreeSet::new(),
+            requested: None,
+        }
+    }
+
     /// Processes a report. Returns the version above which rows are to be requested from the host,
     /// if it has read rows above `known`.
     pub fn on_report(
@@ -60,7 +104,7 @@
         read: TablesRead,
         known: RowVersion,
     ) -> Option<RowVersion> {
-        if read.age_ms > READ_AGE_LIMIT {
+        if read.age_ms > self.times.read_age_limit_ms() {
             self.reported_at.remove(&host);
             return None;
         }
@@ -98,7 +142,7 @@
         self.near.remove(host);
     }
 
-    /// Latest time at which some reader is known to have read the tables.
+    /// Latest time at which some reader is known to have read the configuration.
     pub fn read_at(&self) -> Option<Timestamp> {
         self.read_at
     }
--- a/src/net/proxy/feed.rs
+++ b/src/net/proxy/feed.rs
@@ -13,8 +13,8 @@
 use crate::platform::store::{self, RowsAnswer, StoreRow, StoreRows};
 use crate::types::{DurationMs, RowVersion, Timestamp};
 
-/// Time limit for an answer, in addition to the time for which the store may wait for a change.
-const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time limit for an answer with all rows, which may be a megabyte.
+const ALL_ROWS_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call; the store may be down for seconds, and every call has a cost.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Upper bound of that pause on a host that only relays sessions, where it doubles with each
@@ -25,7 +25,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct FeedTiming {
     /// Time for which the store waits for a change at most. A dead connection is detected after
-    /// this time.
+    /// this time and the time limit of the answer.
     pub wait_ms: DurationMs,
     /// Pause after a change, during which further changes accumulate.
     pub pause_ms: DurationMs,
@@ -41,6 +41,8 @@
     /// Timing on a host that only relays sessions, to which other hosts announce a newer
     /// configuration.
     pub passive: FeedTiming,
+    /// Time limit for an answer, in addition to the time for which the store may wait for a change.
+    pub answer_limit_ms: DurationMs,
     /// Whether a host that becomes active ends a call that waits for a change, because it has to
     /// know at once that nothing has changed.
     pub is_urgent: bool,
@@ -186,7 +188,7 @@
         }
         let request = store::get_rows(self.config.table, after.as_deref());
         let ret = ret_some_to!([cx], on_rows_read() as (CallResult));
-        call!([self.client], call(request, ANSWER_LIMIT, ret));
+        call!([self.client], call(request, ALL_ROWS_LIMIT, ret));
     }
 
     fn on_rows_read(&mut self, cx: CX![], result: CallResult) {
@@ -231,7 +233,7 @@
         self.sent_at = suspend_aware_clock();
         let request = store::get_changes(self.config.table, known, wait);
         let ret = ret_some_to!([cx], on_changes_read() as (CallResult));
-        let limit = wait.to_std() + ANSWER_LIMIT;
+        let limit = wait.to_std() + self.config.answer_limit_ms.to_std();
         call!([self.client], call(request, limit, ret));
     }
 
@@ -281,6 +283,8 @@
                 return None;
             }
             Ok(RowsAnswer::Refused(detail)) | Err(detail) => {
+                // The connection may have gone silent or be reset while new ones work.
+                let may_reconnect = self.reachable && outcome == ReadOutcome::NoAnswer;
                 if std::mem::replace(&mut self.reachable, false) {
                     tracing::warn!(
                         table,
@@ -291,6 +295,11 @@
                     );
                     fwd!([self.hub], FeedEvent::Reachable(table, false));
                 }
+                if may_reconnect {
+                    self.partial_rows.clear();
+                    self.schedule_follow(cx, Duration::ZERO);
+                    return None;
+                }
             }
         }
         self.partial_rows.clear();
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -24,7 +24,7 @@
 use super::store::{CallEnd, CallPurpose, CallQueue};
 use crate::core::life::DrainTimes;
 use crate::core::peer::PeerMessage;
-use crate::core::proxy::follow::{HostRow, Readers};
+use crate::core::proxy::follow::{FollowTimes, HostRow, Readers};
 use crate::core::proxy::group::EndpointEntry;
 use crate::core::proxy::job::Job;
 use crate::core::proxy::lease::{ClaimRows, LeadProof};
@@ -44,37 +44,52 @@
 pub(super) const OWN_TABLE: &str = "medlarstile";
 /// Key of the row with the secret that all hosts share.
 pub(super) const SECRET_KEY: &str = "fleet.secret";
-/// Feed of the operator's configuration. A dead connection is detected early enough that a version
-/// is in force in the required time after a network fault at a host.
-const CONFIGURATION_FEED: FeedConfig = FeedConfig {
-    table: store::CONFIGURATION_TABLE,
-    active: FeedTiming { wait_ms: DurationMs(3_000), pause_ms: DurationMs(50) },
-    passive: FeedTiming { wait_ms: DurationMs(20_000), pause_ms: DurationMs(400) },
-    is_urgent: false,
-};
-/// Feed of the endpoints' entries. Every heartbeat changes an entry, so changes are accumulated. A
-/// host that only relays sessions needs the entries only if it cannot reach a home, and then reads
-/// them at once.
-const ENDPOINT_FEED: FeedConfig = FeedConfig {
-    table: store::ENDPOINT_TABLE,
-    active: FeedTiming { wait_ms: DurationMs(1_500), pause_ms: DurationMs(1_000) },
-    passive: FeedTiming { wait_ms: DurationMs(10_000), pause_ms: DurationMs(15_000) },
-    is_urgent: false,
-};
-/// Feed of the hosts' own rows.
-const OWN_FEED: FeedConfig = FeedConfig {
-    table: OWN_TABLE,
-    active: FeedTiming { wait_ms: DurationMs(3_000), pause_ms: DurationMs(50) },
-    passive: FeedTiming { wait_ms: DurationMs(20_000), pause_ms: DurationMs(3_000) },
-    is_urgent: false,
-};
+/// Time for which the store waits for a change of the endpoints' entries. Every heartbeat changes
+/// one, so a longer silence shows a dead connection.
+const ENDPOINT_WAIT: DurationMs = DurationMs(1_500);
+/// Time for which the store waits for a change of the hosts' own rows.
+const OWN_WAIT: DurationMs = DurationMs(3_000);
 /// The same where a host needs a lease to use a primary. Each read renews the lease, so a host that
 /// runs sessions reads a few times within its duration.
-const LEASE_FEED: FeedConfig = FeedConfig {
-    active: FeedTiming { wait_ms: DurationMs(450), pause_ms: DurationMs(0) },
-    is_urgent: true,
-    ..OWN_FEED
-};
+const LEASE_WAIT: DurationMs = DurationMs(450);
+
+/// Feed of the operator's configuration.
+fn configuration_feed(times: FollowTimes) -> FeedConfig {
+    FeedConfig {
+        table: store::CONFIGURATION_TABLE,
+        active: FeedTiming { wait_ms: times.wait_ms, pause_ms: DurationMs(50) },
+        passive: FeedTiming { wait_ms: times.wait_ms, pause_ms: DurationMs(400) },
+        answer_limit_ms: times.answer_limit_ms,
+        is_urgent: false,
+    }
+}
+
+/// Feed of the endpoints' entries. Changes are accumulated. A host that only relays sessions needs
+/// the entries only if it cannot reach a home, and then reads them at once.
+fn endpoint_feed(times: FollowTimes) -> FeedConfig {
+    FeedConfig {
+        table: store::ENDPOINT_TABLE,
+        active: FeedTiming { wait_ms: ENDPOINT_WAIT, pause_ms: DurationMs(1_000) },
+        passive: FeedTiming { wait_ms: ENDPOINT_WAIT, pause_ms: DurationMs(15_000) },
+        answer_limit_ms: times.answer_limit_ms,
+        is_urgent: false,
+    }
+}
+
+/// Feed of the hosts' own rows.
+fn own_feed(times: FollowTimes, proof: LeadProof) -> FeedConfig {
+    let active = match proof {
+        LeadProof::Transaction => FeedTiming { wait_ms: OWN_WAIT, pause_ms: DurationMs(50) },
+        LeadProof::Lease => FeedTiming { wait_ms: LEASE_WAIT, pause_ms: DurationMs(0) },
+    };
+    FeedConfig {
+        table: OWN_TABLE,
+        active,
+        passive: FeedTiming { wait_ms: OWN_WAIT, pause_ms: DurationMs(3_000) },
+        answer_limit_ms: times.answer_limit_ms,
+        is_urgent: proof == LeadProof::Lease,
+    }
+}
 
 /// A caller whose session runs on another host.
 pub(super) struct RelayedCaller {
@@ -143,6 +158,7 @@
         let on_server_failed = ret_some_to!([cx], server_failed() as (StopCause));
         let readiness = actor!(cx, HttpServer::init(settings.readiness, respond), on_server_failed);
         let feeds = Self::start_feeds(cx, &settings);
+        let follow_times = FollowTimes::new(settings.configuration_limit_ms);
         let store_calls = fwd_to!([cx], on_call_ended() as (CallEnd));
         let store_calls = actor!(cx, CallQueue::init(settings.store, store_calls), ret_nop!());
         let promotions = fwd_to!([cx], on_call_ended() as (CallEnd));
@@ -187,7 +203,7 @@
             entries: BTreeMap::new(),
             configuration: None,
             hosts: BTreeMap::new(),
-            readers: Readers::default(),
+            readers: Readers::new(follow_times),
             read_at: BTreeMap::new(),
             roster: Roster::default(),
             removing: BTreeSet::new(),
@@ -210,11 +226,9 @@
         settings: &PlatformSettings,
     ) -> Vec<(FeedConfig, ActorOwn<TableFeed>)> {
         let store = settings.store;
-        let own_feed = match settings.lead_proof {
-            LeadProof::Transaction => OWN_FEED,
-            LeadProof::Lease => LEASE_FEED,
-        };
-        let configs = [CONFIGURATION_FEED, ENDPOINT_FEED, own_feed];
+        let times = FollowTimes::new(settings.configuration_limit_ms);
+        let own = own_feed(times, settings.lead_proof);
+        let configs = [configuration_feed(times), endpoint_feed(times), own];
         configs
             .into_iter()
             .map(|config| {
--- a/src/net/proxy/http.rs
+++ b/src/net/proxy/http.rs
@@ -13,8 +13,10 @@
 use stakker_mio::mio::Interest;
 use stakker_mio::{MioPoll, MioSource, Ready};
 
+use crate::net::reactor::suspend_aware_clock;
 use crate::net::stream::{Stream, StreamState};
 use crate::platform::store::{HttpAnswer, HttpRequest};
+use crate::types::{DurationMs, Timestamp};
 
 /// Size limit of the platform's answers, which hold at most 1 MB of rows, in base64 within JSON.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -24,6 +26,9 @@
 const MAX_HEADERS: usize = 64;
 /// Time after which a probe's connection is closed.
 const PROBE_LIMIT: Duration = Duration::from_secs(30);
+/// Time after which an unused connection is not used again: it may have gone silent, which only a
+/// time limit would show.
+const MAX_IDLE: DurationMs = DurationMs(2_000);
 /// Poll priority of the listening socket.
 const LISTENER_PRIORITY: u32 = 10;
 
@@ -52,13 +57,15 @@
 pub struct HttpClient {
     address: SocketAddr,
     stream: Option<Stream>,
+    /// When the connection last carried an answer.
+    used_at: Timestamp,
     pending: Option<PendingCall>,
 }
 
 impl HttpClient {
     /// Creates a client of the server at `address`; it connects on the first call.
     pub fn init(_: CX![], address: SocketAddr) -> Option<Self> {
-        Some(Self { address, stream: None, pending: None })
+        Some(Self { address, stream: None, used_at: Timestamp(0), pending: None })
     }
 
     /// Sends a request and passes the result to `ret`, at the latest after `limit`.
@@ -67,6 +74,9 @@
             ret!([ret], Err(CallFault::NotSent("another call is in progress".into())));
             return;
         }
+        if suspend_aware_clock() >= self.used_at + MAX_IDLE {
+            self.stream = None;
+        }
         let timer = after!(limit, [cx], on_timeout());
         self.pending = Some(PendingCall { ret, request, sent: false, timer });
         if self.stream.is_none() {
@@ -126,6 +136,7 @@
             return;
         };
         cx.timer_del(pending.timer);
+        self.used_at = suspend_aware_clock();
         ret!([pending.ret], Ok(answer));
     }
 
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -24,6 +24,10 @@
 /// from another host; well below the time in which a version has to be in force.
 const OUTDATED_LIMIT: DurationMs = DurationMs(800);
 
+/// Age of this host's last read of the hosts' rows above which no host follows it. Reads take up to
+/// 3 s if nothing changes.
+const OWN_ROWS_AGE_LIMIT: DurationMs = DurationMs(3_600);
+
 /// Links to the other hosts.
 pub struct Peers {
     link: ActorOwn<PeerActor>,
@@ -226,9 +230,10 @@
 
     /// What this host tells the hosts that follow it, if it reads the tables.
     fn tables_read(&self, now: Timestamp) -> Option<TablesRead> {
-        let read_at = [store::CONFIGURATION_TABLE, OWN_TABLE].map(|table| self.read_at.get(table));
-        let oldest = read_at.into_iter().min().flatten().filter(|_| self.core.runs_sessions())?;
-        Some(TablesRead { rows: self.newest_host_row(), age_ms: now.ms_since(*oldest) })
+        let age = |table| self.read_at.get(table).map(|at| now.ms_since(*at));
+        let rows_are_recent = age(OWN_TABLE)? <= OWN_ROWS_AGE_LIMIT && self.core.runs_sessions();
+        let age_ms = age(store::CONFIGURATION_TABLE).filter(|_| rows_are_recent)?;
+        Some(TablesRead { rows: self.newest_host_row(), age_ms })
     }
 
     /// Time since the configuration in use was last known to be the latest, from this host's own
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -14,6 +14,8 @@
 pub const FILE_VARIABLE: &str = "MEDLARSTILE_NODE_FILE";
 /// Processor capacity, in cores, of a host whose settings do not limit it.
 const DEFAULT_CORES: f64 = 1.0;
+/// Time within which a configuration has to be in force, of a platform that states none.
+const DEFAULT_CONFIGURATION_LIMIT: DurationMs = DurationMs(3_000);
 
 /// Settings of a host, as its settings file gives them.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -40,6 +42,9 @@
     pub stop_limit_ms: DurationMs,
     /// How an endpoint is proven to lead its group.
     pub lead_proof: LeadProof,
+    /// Time within which a version of the configuration has to be in force: after it was written,
+    /// and after the end of a disturbance of this host.
+    pub configuration_limit_ms: DurationMs,
 }
 
 #[derive(Deserialize)]
@@ -70,6 +75,19 @@
     /// Whether the platform refuses promotions with an outdated fencing token.
     #[serde(default)]
     require_fencing: bool,
+    /// Time after the end of a disturbance from which the other limits hold again.
+    contact_ms: Option<f64>,
+    /// Time from the acknowledgement of a version until it has to be in force.
+    config_apply_ms: Option<f64>,
+}
+
+impl Bounds {
+    /// The shorter of the two times that a version has to be in force after.
+    fn configuration_limit(&self) -> DurationMs {
+        let stated = [self.contact_ms, self.config_apply_ms].into_iter().flatten();
+        let shortest = stated.map(|limit_ms| DurationMs(limit_ms as u64)).min();
+        shortest.unwrap_or(DEFAULT_CONFIGURATION_LIMIT)
+    }
 }
 
 #[derive(Deserialize, Default)]
@@ -136,6 +154,7 @@
             store: file.platform.address,
             promotions: file.cloud_api.address,
             stop_limit_ms: DurationMs((seconds * 1_000.0) as u64),
+            configuration_limit_ms: file.bounds.configuration_limit(),
             lead_proof: if file.bounds.require_fencing {
                 LeadProof::Transaction
             } else {
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -164,6 +164,18 @@
     }
 }
 
+/// Guards against a host that takes longer to follow the configuration than its platform allows.
+#[parameterized(
+    stated = { r#""graceS":6,"contactMs":5000,"configApplyMs":4000"#, 4_000 },
+    fractions = { r#""graceS":6,"contactMs":2500.0"#, 2_500 },
+    not_stated = { r#""graceS":6"#, 3_000 },
+)]
+fn the_time_limit_of_the_configuration_is_read(bounds: &str, limit_ms: u64) {
+    let text = SETTINGS.replace(r#""graceS":6"#, bounds);
+    let settings = PlatformSettings::parse(&text, 9_464).expect("the settings are valid");
+    assert_eq!(settings.configuration_limit_ms, DurationMs(limit_ms));
+}
+
 /// Guards against a configuration that is misread.
 #[test]
 fn a_configuration_is_read() {
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -196,6 +196,7 @@
     let took = silenced.elapsed();
     let in_force =
         lines.is_some_and(|lines| lines.iter().all(|line| line.contains(r#""version":"8""#)));
+    println!("{case}: in force on all hosts: {in_force}, after {took:?}");
     let result = match in_force && took < CONTACT_LIMIT {
         true => Ok(()),
         false => Err(format!("in force on all hosts: {in_force}, after {took:?}")),
--- a/tests/proxy_follow.rs
+++ b/tests/proxy_follow.rs
@@ -1,6 +1,6 @@
 //! Hosts that read the store's tables through homes: whom they rely on, and what they ask for.
 
-use medlarstile::core::proxy::follow::{Readers, TablesRead};
+use medlarstile::core::proxy::follow::{FollowTimes, Readers, TablesRead};
 use medlarstile::types::{DurationMs, HostId, RowVersion, Timestamp};
 use yare::parameterized;
 
@@ -10,6 +10,11 @@
     format!("h{number}").parse().expect("a host")
 }
 
+/// Readers of a platform where a version has to be in force within 6.2 s; a read counts for 3.6 s.
+fn readers() -> Readers {
+    Readers::new(FollowTimes::new(DurationMs(6_200)))
+}
+
 fn read(rows: u64, age_ms: u64) -> TablesRead {
     TablesRead { rows: RowVersion(rows), age_ms: DurationMs(age_ms) }
 }
@@ -33,7 +38,7 @@
     }, 100, true },
 )]
 fn a_follower_relies_on_recent_readers(event: fn(&mut Readers), ms: u64, expected: bool) {
-    let mut readers = Readers::default();
+    let mut readers = readers();
     report(&mut readers, 0, 1, read(5, 3_000));
     event(&mut readers);
     assert_eq!(readers.is_any_reading(START + DurationMs(ms)), expected);
@@ -47,7 +52,7 @@
     old_read = { 6, 9_000, None },
 )]
 fn rows_are_requested_once(rows: u64, age_ms: u64, expected: Option<RowVersion>) {
-    let mut readers = Readers::default();
+    let mut readers = readers();
     assert_eq!(report(&mut readers, 0, 1, read(rows, age_ms)), expected);
     assert_eq!(report(&mut readers, 10, 2, read(rows, age_ms)), None);
     assert_eq!(report(&mut readers, 900, 1, read(rows, age_ms)), expected);
@@ -62,10 +67,26 @@
     the_near_one_is_lost = { &[3], 2, true },
 )]
 fn the_configuration_comes_from_a_near_reader(near: &[usize], asked: usize, expected: bool) {
-    let mut readers = Readers::default();
+    let mut readers = readers();
     for number in [1, 2] {
         report(&mut readers, 0, number, read(5, 0));
     }
     near.iter().for_each(|number| readers.on_opened(&host(*number), true));
     assert_eq!(readers.is_preferred(START, &host(asked)), expected);
 }
+
+/// Interval of the reports between hosts.
+const REPORT_INTERVAL_MS: u64 = 500;
+
+/// Guards against a silent connection to the store that is noticed so late that the hosts which
+/// follow this one have a version only after the time that the platform states.
+#[parameterized(
+    small_fleet = { 3_000 },
+    large_fleet = { 6_000 },
+    strict_platform = { 1_800 },
+)]
+fn a_silent_connection_is_noticed_within_the_limit(limit_ms: u64) {
+    let times = FollowTimes::new(DurationMs(limit_ms));
+    let noticed_ms = times.wait_ms.0 + times.answer_limit_ms.0;
+    assert!(noticed_ms + REPORT_INTERVAL_MS < limit_ms, "noticed after {noticed_ms} ms");
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -184,7 +184,8 @@
                 for links in &self.links {
                     links[place].silence_open();
                 }
-                self.shared.lock().calm_since = Some(Instant::now());
+                let calm_since = self.due.is_empty().then(Instant::now);
+                self.shared.lock().calm_since = calm_since;
                 return self.note(format!("link {place} of all hosts: open connections silent"));
             }
             9 | 10 => {
