Read answers of the store that arrive in chunks

What callers saw: nothing yet on the users' platform; with a server that sends large answers in chunks, hosts would stay on an old configuration or without endpoints. Cause: an answer without a Content-Length was taken for an empty one. HTTP/1.1 requires a client to read chunks. Change: a body with Transfer-Encoding: chunked is read up to the size limit. Evidence: platform_process a_configuration_that_arrives_in_chunks_is_adopted; the host had no new version when the test ended it after 20 s, now it has. Why it works: the end of the body is known from the chunk of size zero.

--- a/src/net/proxy/http.rs
+++ b/src/net/proxy/http.rs
@@ -174,6 +174,11 @@
         Err(error) => return Err(error.to_string()),
     };
     let status = parsed.code.ok_or("answer has no status")?;
+    if is_chunked(parsed.headers) {
+        let Some((body, end)) = read_chunks(&input[head..])? else { return Ok(None) };
+        input.advance(head + end);
+        return Ok(Some(HttpAnswer { status, body }));
+    }
     let length = content_length(parsed.headers)?;
     if head + length > MAX_ANSWER_BYTES {
         return Err(format!("answer of {length} bytes is too large"));
@@ -185,6 +190,47 @@
     Ok(Some(HttpAnswer { status, body: input.split_to(length).to_vec() }))
 }
 
+fn is_chunked(headers: &[httparse::Header<'_>]) -> bool {
+    let encoding = |header: &httparse::Header<'_>| {
+        header.name.eq_ignore_ascii_case("transfer-encoding")
+            && header.value.to_ascii_lowercase().ends_with(b"chunked")
+    };
+    headers.iter().any(encoding)
+}
+
+/// Reads a body in chunks. Returns it with the number of bytes that it takes, once it is complete.
+fn read_chunks(input: &[u8]) -> Result<Option<(Vec<u8>, usize)>, String> {
+    let mut body = Vec::new();
+    let mut at = 0;
+    loop {
+        let size = httparse::parse_chunk_size(&input[at..]);
+        let (line, size) = match size.map_err(|error| error.to_string())? {
+            httparse::Status::Complete(found) => found,
+            httparse::Status::Partial => return Ok(None),
+        };
+        at += line;
+        if size == 0 {
+            break;
+        }
+        let size = usize::try_from(size).map_err(|error| error.to_string())?;
+        if body.len().saturating_add(size) > MAX_ANSWER_BYTES {
+            return Err(format!("answer of more than {MAX_ANSWER_BYTES} bytes is too large"));
+        }
+        let end = at + size;
+        // The chunk is followed by an empty rest of its line.
+        if input.len() < end + 2 {
+            return Ok(None);
+        }
+        body.extend_from_slice(&input[at..end]);
+        at = end + 2;
+    }
+    let mut trailers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    match httparse::parse_headers(&input[at..], &mut trailers).map_err(|error| error.to_string())? {
+        httparse::Status::Complete((end, _)) => Ok(Some((body, at + end))),
+        httparse::Status::Partial => Ok(None),
+    }
+}
+
 fn content_length(headers: &[httparse::Header<'_>]) -> Result<usize, String> {
     let found = headers.iter().find(|header| header.name.eq_ignore_ascii_case("content-length"));
     let Some(header) = found else { return Ok(0) };
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -227,6 +227,28 @@
     }
 }
 
+/// Guards against a host that cannot read an answer which the store sends in chunks, as a server may
+/// do with a large one, and so stays without the version. The store double does from 32 KB on.
+#[test]
+fn a_configuration_that_arrives_in_chunks_is_adopted() {
+    let store = Store::default();
+    store.put("op", "config", one_home(3).as_bytes());
+    let mut host = Host::start("h1", store.serve(None));
+    host.wait_for("configuration: version is in use");
+    let route = |number: usize| {
+        format!(
+            r#"{{"database":"d{number}","type":"primary","service":"db","timeoutMs":1000,
+            "targetLatencyMs":300,"public":true}}"#
+        )
+    };
+    let routes: Vec<String> = (0..1_000).map(route).collect();
+    let text =
+        one_home(8).replace(r#""routes":[]"#, &format!(r#""routes":[{}]"#, routes.join(",")));
+    store.put("op", "config", text.as_bytes());
+    let line = host.wait_for("configuration: version is in use");
+    assert!(line.contains(r#""version":"8""#) && line.contains(r#""routes":1000"#), "{line}");
+}
+
 /// Guards against a home that refuses, under its older configuration, what the caller's host
 /// allows: after a network partition a home refused relayed callers with an unknown database for
 /// 0.3 s.
