Take an odd entry of an endpoint for none, also where it replaces a good one

Here no such entry ends a process or hides the others: nesting and numbers of unknown fields are skipped, those of known fields make the entry unreadable, which is logged. Two faults of the same kind were found: - An address with port 0, or an unspecified or multicast one, was accepted. Such an entry that claims to be the primary would have started failovers. - A changed row that cannot be read left the endpoint of the row's former value in use for good, while a read of all rows removed it. Change: these addresses are refused, and an unreadable row names no endpoint in both kinds of read. The rows are merged by `discovery::EntryTable`, so that the rule has a test without a store.

--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compact_str::CompactString;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use stakker::{
@@ -25,13 +24,13 @@
 use crate::core::life::DrainTimes;
 use crate::core::peer::PeerMessage;
 use crate::core::proxy::follow::{FollowTimes, HostRow, Readers};
-use crate::core::proxy::group::EndpointEntry;
 use crate::core::proxy::job::Job;
 use crate::core::proxy::lease::{ClaimRows, LeadProof};
 use crate::core::proxy::roster::Roster;
 use crate::core::proxy::{Proxy, ProxyEffect, ProxySpec};
 use crate::net::host::HostNotice;
 use crate::net::reactor::suspend_aware_clock;
+use crate::platform::discovery::EntryTable;
 use crate::platform::settings::PlatformSettings;
 use crate::platform::store;
 use crate::types::{
@@ -118,7 +117,7 @@
     pub(super) promotions: ActorOwn<CallQueue>,
     pub(super) callers: BTreeMap<SessionId, ActorOwn<LineCaller>>,
     pub(super) endpoints: BTreeMap<ConnectionId, ActorOwn<LineEndpoint>>,
-    pub(super) entries: BTreeMap<CompactString, EndpointEntry>,
+    pub(super) entries: EntryTable,
     /// Text of the operator's configuration in use.
     pub(super) configuration: Option<Bytes>,
     /// Rows of the hosts, with their versions.
@@ -200,7 +199,7 @@
             promotions,
             callers: BTreeMap::new(),
             endpoints: BTreeMap::new(),
-            entries: BTreeMap::new(),
+            entries: EntryTable::default(),
             configuration: None,
             hosts: BTreeMap::new(),
             readers: Readers::new(follow_times),
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -13,8 +13,8 @@
 use crate::core::proxy::failover::{Claim, ClaimError};
 use crate::core::proxy::follow::HostRow;
 use crate::net::reactor::suspend_aware_clock;
+use crate::platform::configuration;
 use crate::platform::store::{self, StoreRow, WriteAnswer};
-use crate::platform::{configuration, discovery};
 use crate::types::{GroupId, HostId, RowVersion, Timestamp};
 use crate::wire::fleet_rows::{WireClaim, WireHostRow};
 
@@ -140,25 +140,8 @@
     }
 
     fn on_endpoint_rows(&mut self, rows: &FeedRows) {
-        if rows.is_complete {
-            self.entries.clear();
-        }
-        for row in &rows.rows {
-            let entry =
-                row.value.as_ref().map(|value| discovery::read(&row.key, row.version, value));
-            match entry {
-                Some(Ok(entry)) => {
-                    self.entries.insert(row.key.clone(), entry);
-                }
-                Some(Err(detail)) => {
-                    tracing::warn!(key = row.key.as_str(), detail, "discovery: entry is ignored");
-                }
-                None => {
-                    self.entries.remove(&row.key);
-                }
-            }
-        }
-        let entries = self.entries.values().cloned().collect();
+        self.entries.apply(rows.is_complete, &rows.rows);
+        let entries = self.entries.entries().cloned().collect();
         self.core.set_entries(suspend_aware_clock(), entries);
     }
 
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -10,7 +10,7 @@
 use medlarstile::error::{Error, ErrorKind, Ran};
 use medlarstile::platform::line::{self, CallerMessage, EndpointMessage, LineError};
 use medlarstile::platform::settings::PlatformSettings;
-use medlarstile::platform::store::{self, HttpAnswer, RowsAnswer, WriteAnswer};
+use medlarstile::platform::store::{self, HttpAnswer, RowsAnswer, StoreRow, WriteAnswer};
 use medlarstile::platform::{configuration, discovery};
 use medlarstile::types::{AccountId, DurationMs, Position, RowVersion, Term};
 use yare::parameterized;
@@ -215,6 +215,62 @@
     }
 }
 
+/// An entry of another writer, which a host has to ignore.
+fn odd_entry(kind: &str) -> Vec<u8> {
+    let entry = |address: &str, born: &str, extra: &str| {
+        format!(
+            r#"{{"service":"s1","address":"{address}","zone":"a","state":"ready",
+            "dbRole":"primary","born":{born},"extra":{extra}}}"#
+        )
+    };
+    let nested = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
+    let text = match kind {
+        "nested" => entry("127.0.0.1:80", &nested, "0"),
+        "nested_objects" => r#"{"service":"#.repeat(6_000),
+        "number_too_large" => entry("127.0.0.1:80", "1e999", "0"),
+        "number_above_64_bits" => entry("127.0.0.1:80", "99999999999999999999999", "0"),
+        "port_out_of_range" => entry("127.0.0.1:70000", "5", "0"),
+        "no_port" => entry("127.0.0.1:0", "5", "0"),
+        "no_host" => entry("0.0.0.0:80", "5", "0"),
+        "many_hosts" => entry("224.0.0.1:80", "5", "0"),
+        "cut_text" => return vec![b'{', b'"', 0xff, 0xfe],
+        other => panic!("{other}"),
+    };
+    text.into_bytes()
+}
+
+/// Guards against one odd entry of another writer that ends the process, that hides the other
+/// entries, or that leaves an endpoint in use which the row no longer names.
+#[parameterized(
+    nested = { "nested" },
+    nested_objects = { "nested_objects" },
+    number_too_large = { "number_too_large" },
+    number_above_64_bits = { "number_above_64_bits" },
+    port_out_of_range = { "port_out_of_range" },
+    no_port = { "no_port" },
+    no_host = { "no_host" },
+    many_hosts = { "many_hosts" },
+    cut_text = { "cut_text" },
+)]
+fn an_odd_entry_names_no_endpoint(kind: &str) {
+    let good = br#"{"service":"s1","address":"127.0.0.1:80","zone":"a","state":"ready",
+        "dbRole":"replica","extra":{"a":[1e999,{}]}}"#;
+    let row = |key: &str, version: u64, value: &[u8]| StoreRow {
+        key: key.into(),
+        value: Some(value.to_vec()),
+        version: RowVersion(version),
+    };
+    let mut table = discovery::EntryTable::default();
+    let mut apply = |is_complete: bool, rows: &[StoreRow]| -> Vec<String> {
+        table.apply(is_complete, rows);
+        table.entries().map(|entry| entry.endpoint.to_string()).collect()
+    };
+    let rows = [row("i-1", 1, good), row("i-2", 2, &odd_entry(kind)), row("i-3", 3, good)];
+    assert_eq!(apply(true, &rows), ["i-1", "i-3"]);
+    assert_eq!(apply(false, &[row("i-1", 4, &odd_entry(kind))]), ["i-3"]);
+    assert_eq!(apply(false, &[row("i-1", 5, good), row("i-4", 6, good)]), ["i-1", "i-3", "i-4"]);
+}
+
 fn answer(status: u16, body: &str) -> HttpAnswer {
     HttpAnswer { status, body: body.as_bytes().to_vec() }
 }
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -249,6 +249,40 @@
     assert!(line.contains(r#""version":"8""#) && line.contains(r#""routes":1000"#), "{line}");
 }
 
+/// Guards against a host that ends, or no longer follows the store, after another writer has left
+/// odd entries among those of the endpoints.
+#[test]
+fn a_host_survives_odd_entries_of_endpoints() {
+    let nested = "[".repeat(20_000) + &"]".repeat(20_000);
+    let entry = |address: &str, born: &str| {
+        format!(
+            r#"{{"service":"db","address":"{address}","zone":"a","state":"ready",
+            "dbRole":"primary","born":{born},"extra":{nested}}}"#
+        )
+    };
+    let store = Store::default();
+    store.put("op", "config", one_home(3).as_bytes());
+    store.put("servers", "i-nested", entry("127.0.0.1:1", "5").as_bytes());
+    store.put("servers", "i-port", entry("127.0.0.1:70000", "5").as_bytes());
+    let mut host = Host::start("h1", store.serve(None));
+    host.wait_for("host: callers are accepted");
+    for (version, value) in [
+        (8, entry("127.0.0.1:0", "5")),
+        (9, entry("127.0.0.1:1", "1e999")),
+        (10, nested.clone()),
+        (11, r#"{"service":"#.repeat(6_000)),
+        (12, "\u{0}\u{1}".to_owned()),
+    ] {
+        store.put("servers", "i-odd", value.as_bytes());
+        host.wait_for("discovery: entry is ignored");
+        store.put("op", "config", one_home(version).as_bytes());
+        let line = host.wait_for("configuration: version is in use");
+        assert!(line.contains(&format!(r#""version":"{version}""#)), "{line}");
+    }
+    host.signal(Signal::TERM);
+    host.wait_for("host: stopped");
+}
+
 /// Guards against a home that refuses, under its older configuration, what the caller's host
 /// allows: after a network partition a home refused relayed callers with an unknown database for
 /// 0.3 s.
