Merge the entries of endpoints in the core, not in the platform's codecs

The table that decides what a removed or unreadable row means stood in src/platform, which only translates. It moves to core/proxy/entries.rs and takes decoded entries; the codec keeps the check of an address, and the host logs an entry that is ignored.

--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod connection;
 mod dispatch;
+pub mod entries;
 mod events;
 pub mod failover;
 pub mod follow;
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -23,6 +23,7 @@
 use super::store::{CallEnd, CallPurpose, CallQueue};
 use crate::core::life::DrainTimes;
 use crate::core::peer::PeerMessage;
+use crate::core::proxy::entries::EntryTable;
 use crate::core::proxy::follow::{FollowTimes, HostRow, Readers};
 use crate::core::proxy::job::Job;
 use crate::core::proxy::lease::{ClaimRows, LeadProof};
@@ -30,7 +31,6 @@
 use crate::core::proxy::{Proxy, ProxyEffect, ProxySpec};
 use crate::net::host::HostNotice;
 use crate::net::reactor::suspend_aware_clock;
-use crate::platform::discovery::EntryTable;
 use crate::platform::settings::PlatformSettings;
 use crate::platform::store;
 use crate::types::{
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -12,9 +12,10 @@
 use super::store::{CallEnd, CallPurpose};
 use crate::core::proxy::failover::{Claim, ClaimError};
 use crate::core::proxy::follow::HostRow;
+use crate::core::proxy::group::EndpointEntry;
 use crate::net::reactor::suspend_aware_clock;
-use crate::platform::configuration;
 use crate::platform::store::{self, StoreRow, WriteAnswer};
+use crate::platform::{configuration, discovery};
 use crate::types::{GroupId, HostId, RowVersion, Timestamp};
 use crate::wire::fleet_rows::{WireClaim, WireHostRow};
 
@@ -140,8 +141,9 @@
     }
 
     fn on_endpoint_rows(&mut self, rows: &FeedRows) {
-        self.entries.apply(rows.is_complete, &rows.rows);
-        let entries = self.entries.entries().cloned().collect();
+        let decoded = rows.rows.iter().map(|row| (row.key.clone(), read_entry(row)));
+        self.entries.apply(rows.is_complete, decoded);
+        let entries = self.entries.iter().cloned().collect();
         self.core.set_entries(suspend_aware_clock(), entries);
     }
 
@@ -232,6 +234,16 @@
     }
 }
 
+fn read_entry(row: &StoreRow) -> Option<EndpointEntry> {
+    match discovery::read(&row.key, row.version, row.value.as_deref()?) {
+        Ok(entry) => Some(entry),
+        Err(detail) => {
+            tracing::warn!(key = row.key.as_str(), detail, "discovery: entry is ignored");
+            None
+        }
+    }
+}
+
 fn read_claim(row: &StoreRow) -> Option<Claim> {
     let value = row.value.as_deref()?;
     match WireClaim::read(value) {
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -1,11 +1,8 @@
 //! Decodes the entries with which endpoints register themselves in the store.
 
-use std::collections::BTreeMap;
-
 use compact_str::CompactString;
 use serde::Deserialize;
 
-use super::store::StoreRow;
 use crate::core::proxy::group::EndpointEntry;
 use crate::types::RowVersion;
 
@@ -39,7 +36,7 @@
 ///
 /// # Errors
 ///
-/// A description of what is wrong with the entry, which then names no endpoint.
+/// A description of what is wrong with the entry.
 pub fn read(id: &str, version: RowVersion, bytes: &[u8]) -> Result<EndpointEntry, String> {
     let json: JsonEntry = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
     let ip = json.address.ip();
@@ -57,38 +54,3 @@
         version,
     })
 }
-
-/// The endpoints that the rows of the table name.
-#[derive(Debug, Default)]
-pub struct EntryTable {
-    entries: BTreeMap<CompactString, EndpointEntry>,
-}
-
-impl EntryTable {
-    /// Applies all rows of the table if `is_complete`, otherwise its changed rows. A row that cannot
-    /// be read names no endpoint, and the endpoint that it named before is gone.
-    pub fn apply(&mut self, is_complete: bool, rows: &[StoreRow]) {
-        if is_complete {
-            self.entries.clear();
-        }
-        for row in rows {
-            let entry = row.value.as_ref().map(|value| read(&row.key, row.version, value));
-            match entry {
-                Some(Ok(entry)) => {
-                    self.entries.insert(row.key.clone(), entry);
-                    continue;
-                }
-                Some(Err(detail)) => {
-                    tracing::warn!(key = row.key.as_str(), detail, "discovery: entry is ignored");
-                }
-                None => {}
-            }
-            self.entries.remove(&row.key);
-        }
-    }
-
-    /// All endpoints.
-    pub fn entries(&self) -> impl Iterator<Item = &EndpointEntry> {
-        self.entries.values()
-    }
-}
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -3,6 +3,8 @@
 use bytes::{Bytes, BytesMut};
 use medlarstile::core::proxy::catalog::{CallerKey, ReadRule};
 use medlarstile::core::proxy::connection::Owner;
+use medlarstile::core::proxy::entries::EntryTable;
+use medlarstile::core::proxy::group::EndpointEntry;
 use medlarstile::core::proxy::job::{Refusal, Setup, Work};
 use medlarstile::core::proxy::statement::{Access, PreparedStatement, Statement, StatementPayload};
 use medlarstile::core::proxy::Answer;
@@ -10,7 +12,7 @@
 use medlarstile::error::{Error, ErrorKind, Ran};
 use medlarstile::platform::line::{self, CallerMessage, EndpointMessage, LineError};
 use medlarstile::platform::settings::PlatformSettings;
-use medlarstile::platform::store::{self, HttpAnswer, RowsAnswer, StoreRow, WriteAnswer};
+use medlarstile::platform::store::{self, HttpAnswer, RowsAnswer, WriteAnswer};
 use medlarstile::platform::{configuration, discovery};
 use medlarstile::types::{AccountId, DurationMs, Position, RowVersion, Term};
 use yare::parameterized;
@@ -255,15 +257,13 @@
 fn an_odd_entry_names_no_endpoint(kind: &str) {
     let good = br#"{"service":"s1","address":"127.0.0.1:80","zone":"a","state":"ready",
         "dbRole":"replica","extra":{"a":[1e999,{}]}}"#;
-    let row = |key: &str, version: u64, value: &[u8]| StoreRow {
-        key: key.into(),
-        value: Some(value.to_vec()),
-        version: RowVersion(version),
+    let row = |key: &str, version: u64, value: &[u8]| {
+        (key.into(), discovery::read(key, RowVersion(version), value).ok())
     };
-    let mut table = discovery::EntryTable::default();
-    let mut apply = |is_complete: bool, rows: &[StoreRow]| -> Vec<String> {
-        table.apply(is_complete, rows);
-        table.entries().map(|entry| entry.endpoint.to_string()).collect()
+    let mut table = EntryTable::default();
+    let mut apply = |is_complete: bool, rows: &[(_, Option<EndpointEntry>)]| -> Vec<String> {
+        table.apply(is_complete, rows.iter().cloned());
+        table.iter().map(|entry| entry.endpoint.to_string()).collect()
     };
     let rows = [row("i-1", 1, good), row("i-2", 2, &odd_entry(kind)), row("i-3", 3, good)];
     assert_eq!(apply(true, &rows), ["i-1", "i-3"]);
