Apply a changed time limit of the configuration at SIGHUP

Cause: the times of the store's reads were computed when a host started, so that a host whose settings were read again kept the old ones. Change: a changed limit starts the feeds anew with its times. The age up to which the hosts' rows count is derived from the time for which their read waits.

--- a/src/core/proxy/follow.rs
+++ b/src/core/proxy/follow.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Replaces the times with which the hosts read the configuration.
+    pub fn set_times(&mut self, times: FollowTimes) {
+        self.times = times;
+    }
+
     /// Processes a report. Returns the version above which rows are to be requested from the host,
     /// if it has read rows above `known`.
     pub fn on_report(
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -47,7 +47,7 @@
 /// one, so a longer silence shows a dead connection.
 const ENDPOINT_WAIT: DurationMs = DurationMs(1_500);
 /// Time for which the store waits for a change of the hosts' own rows.
-const OWN_WAIT: DurationMs = DurationMs(3_000);
+pub(super) const OWN_WAIT: DurationMs = DurationMs(3_000);
 /// The same where a host needs a lease to use a primary. Each read renews the lease, so a host that
 /// runs sessions reads a few times within its duration.
 const LEASE_WAIT: DurationMs = DurationMs(450);
@@ -237,13 +237,17 @@
             .collect()
     }
 
-    /// Applies settings that were read again: new addresses of the platform's services take effect
-    /// at once. A host that the platform moves to other addresses of its own is restarted.
+    /// Applies settings that were read again: new addresses of the platform's services and a new time
+    /// limit of the configuration take effect at once. A host that the platform moves to other addresses of its own is restarted.
     pub fn reload(&mut self, cx: CX![], settings: PlatformSettings) {
         let changed = settings != self.settings;
         tracing::info!(changed, store = %settings.store, "host: settings were read again");
-        if settings.store != self.settings.store {
+        let limit_changed = settings.configuration_limit_ms != self.settings.configuration_limit_ms;
+        if limit_changed || settings.store != self.settings.store {
             self.feeds = Self::start_feeds(cx, &settings);
+            self.readers.set_times(FollowTimes::new(settings.configuration_limit_ms));
+        }
+        if settings.store != self.settings.store {
             let store_calls = fwd_to!([cx], on_call_ended() as (CallEnd));
             self.store_calls = actor!(cx, CallQueue::init(settings.store, store_calls), ret_nop!());
         }
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -5,7 +5,7 @@
 use stakker::{actor, call, fwd_to, ret_nop, ActorOwn, CX};
 
 use super::feed::Pace;
-use super::host::{ProxyHost, OWN_TABLE, SECRET_KEY};
+use super::host::{ProxyHost, OWN_TABLE, OWN_WAIT, SECRET_KEY};
 use super::store::CallPurpose;
 use crate::auth::Secret;
 use crate::core::peer::{Envelope, Hello, MessageNumber, PeerMessage};
@@ -24,9 +24,8 @@
 /// from another host; well below the time in which a version has to be in force.
 const OUTDATED_LIMIT: DurationMs = DurationMs(800);
 
-/// Age of this host's last read of the hosts' rows above which no host follows it. Reads take up to
-/// 3 s if nothing changes.
-const OWN_ROWS_AGE_LIMIT: DurationMs = DurationMs(3_600);
+/// Age of this host's last read of the hosts' rows above which no host follows it.
+const OWN_ROWS_AGE_LIMIT: DurationMs = DurationMs(OWN_WAIT.0 + 600);
 
 /// Links to the other hosts.
 pub struct Peers {
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -182,6 +182,7 @@
     a_single_host = { 1, false, CONTACT_LIMIT },
     a_home_and_its_followers = { 4, false, CONTACT_LIMIT },
     followers_of_a_lost_home = { 4, true, CONTACT_LIMIT },
+    a_host_with_a_limit_that_was_reloaded = { 1, false, 5 * CONTACT_LIMIT },
 )]
 fn a_version_is_in_force_after_connections_to_the_store_went_silent(
     count: usize,
