Read on a new connection when a feed is resumed

Cause: a feed that other hosts had stood in for went on with its own connection unless that had been unused for 2 s. If the connection had gone silent, a host whose home was lost within these 2 s noticed it only after one more wait and time limit, 1.75 s with a limit of 3 s, on top of the 2 s until it resumes. The sleep of 3 s in the test had kept this case out. Change: resuming opens a new connection. The retry after a call without an answer is written once.

--- a/src/net/proxy/feed.rs
+++ b/src/net/proxy/feed.rs
@@ -160,13 +160,20 @@
         if before == pace {
             return;
         }
-        tracing::info!(table = self.config.table, ?before, ?pace, "store: pace of the reads changed");
+        tracing::info!(
+            table = self.config.table,
+            ?before,
+            ?pace,
+            "store: pace of the reads changed"
+        );
         if pace == Pace::Suspended {
             return;
         }
         let becomes_active = pace == Pace::Active;
         self.asks_now = becomes_active && self.config.is_urgent;
         if std::mem::take(&mut self.is_idle) {
+            // The connection may have gone silent while it was unused.
+            self.client = actor!(cx, HttpClient::init(self.address), ret_nop!());
             self.follow(cx);
         } else if !becomes_active {
         } else if let Some(pause) = self.pause.take() {
@@ -287,9 +294,8 @@
                 return None;
             }
             Ok(RowsAnswer::Refused(detail)) | Err(detail) => {
-                // The connection may have gone silent or be reset while new ones work.
-                let may_reconnect = self.reachable && outcome == ReadOutcome::NoAnswer;
-                if std::mem::replace(&mut self.reachable, false) {
+                let was_reachable = std::mem::replace(&mut self.reachable, false);
+                if was_reachable {
                     tracing::warn!(
                         table,
                         detail,
@@ -299,14 +305,14 @@
                     );
                     fwd!([self.hub], FeedEvent::Reachable(table, false));
                 }
-                if may_reconnect {
-                    self.partial_rows.clear();
+                self.partial_rows.clear();
+                if was_reachable && outcome == ReadOutcome::NoAnswer {
+                    // The connection may have gone silent or been reset while new ones work.
                     self.schedule_follow(cx, Duration::ZERO);
                     return None;
                 }
             }
         }
-        self.partial_rows.clear();
         self.schedule_follow(cx, self.retry_pause);
         if self.pace != Pace::Active {
             self.retry_pause = (self.retry_pause * 2).min(MAX_RETRY_PAUSE);
