--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -4,6 +4,7 @@
 pub mod batch;
 pub mod fleet_rows;
 pub mod peer;
+pub mod peer_claims;
 pub mod peer_frame;
 pub mod pg;
 pub mod platform;
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -6,20 +6,19 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use super::fleet_rows::{WireClaim, WireHostRow};
+use super::fleet_rows::WireHostRow;
+use super::peer_claims::{WireClaimRows, WireKnowledge};
 use super::peer_frame::PeerFault;
 use super::tables::read_config;
 use crate::auth::PeerProof;
 use crate::core::limit::{GrantId, TokenRequest, Transfer};
 use crate::core::peer::{Envelope, Hello, MessageNumber, PeerMessage, PeerTables};
 use crate::core::promotion::{GroupRecord, Phase};
-use crate::core::proxy::failover::Claim;
 use crate::core::proxy::follow::{HostRow, TablesRead};
-use crate::core::proxy::lease::{ClaimRows, Echo, Knowledge};
 use crate::core::view::{Member, Snapshot, Statement};
 use crate::types::{
     AccountId, AttemptId, CommitSeq, DurationMs, EndpointId, GroupId, HostId, Incarnation,
-    MilliTokens, Position, RowVersion, TableVersion, Term, Timestamp,
+    MilliTokens, Position, RowVersion, TableVersion, Term,
 };
 
 /// A message with its number.
@@ -74,31 +73,6 @@
     HostRows(Vec<(CompactString, u64, WireHostRow)>),
 }
 
-/// What a host knows about claims; times are in microseconds on the sender's clock.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireKnowledge {
-    sent_at_us: u64,
-    echo: Option<WireEcho>,
-    newest: u64,
-    complete: u64,
-    age_us: u64,
-}
-
-/// A message that the sender has received; its send time is on the clock of its own sender.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireEcho {
-    sent_at_us: u64,
-    held_us: u64,
-}
-
-/// Rows of groups.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireClaimRows {
-    after: u64,
-    complete: u64,
-    rows: Vec<(CompactString, u64, WireClaim)>,
-}
-
 /// Identity of a host, with the proof that it knows the fleet's secret.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireHello {
@@ -296,57 +270,6 @@
     }
 }
 
-impl From<&Knowledge> for WireKnowledge {
-    fn from(knowledge: &Knowledge) -> Self {
-        Self {
-            sent_at_us: knowledge.sent_at.0,
-            echo: knowledge
-                .echo
-                .map(|echo| WireEcho { sent_at_us: echo.sent_at.0, held_us: echo.held_us }),
-            newest: knowledge.newest.0,
-            complete: knowledge.complete.0,
-            age_us: knowledge.age_us,
-        }
-    }
-}
-
-impl From<WireKnowledge> for Knowledge {
-    fn from(wire: WireKnowledge) -> Self {
-        Self {
-            sent_at: Timestamp(wire.sent_at_us),
-            echo: wire
-                .echo
-                .map(|echo| Echo { sent_at: Timestamp(echo.sent_at_us), held_us: echo.held_us }),
-            newest: RowVersion(wire.newest),
-            complete: RowVersion(wire.complete),
-            age_us: wire.age_us,
-        }
-    }
-}
-
-impl From<&ClaimRows> for WireClaimRows {
-    fn from(rows: &ClaimRows) -> Self {
-        let row = |(group, version, claim): &(GroupId, RowVersion, Claim)| {
-            (CompactString::from(group.as_str()), version.0, WireClaim::from(claim))
-        };
-        let (after, complete) = (rows.after.0, rows.complete.0);
-        Self { after, complete, rows: rows.rows.iter().map(row).collect() }
-    }
-}
-
-impl TryFrom<WireClaimRows> for ClaimRows {
-    type Error = PeerFault;
-
-    fn try_from(wire: WireClaimRows) -> Result<Self, PeerFault> {
-        let row = |(group, version, claim): (CompactString, u64, WireClaim)| {
-            Ok((group.parse()?, RowVersion(version), Claim::try_from(claim)?))
-        };
-        let rows: Result<_, PeerFault> = wire.rows.into_iter().map(row).collect();
-        let (after, complete) = (RowVersion(wire.after), RowVersion(wire.complete));
-        Ok(Self { after, complete, rows: rows? })
-    }
-}
-
 impl From<(&Hello, &PeerProof)> for WireHello {
     fn from((hello, proof): (&Hello, &PeerProof)) -> Self {
         Self {
