Log the era of the store, and rows that are ignored as outdated

What could not be seen: whether a host has noticed that the store came back from an older copy, and whether it reads rows and ignores them. A read of all rows below the highest version seen was dropped without a line. Change: the header Store-Era is decoded with each answer; a change of it is logged as store: was restored from an older copy, and is the gauge medlarstile_store_era. Outdated rows are logged with their version and the one before, and counted as outcome outdated of medlarstile_store_reads_total. No decision is changed. Tests: log_events, platform_codec.

--- a/src/net/proxy/feed.rs
+++ b/src/net/proxy/feed.rs
@@ -11,7 +11,7 @@
 use crate::core::proxy::lease::StoreRead;
 use crate::net::reactor::suspend_aware_clock;
 use crate::platform::store::{self, RowsAnswer, StoreRow, StoreRows};
-use crate::types::{DurationMs, RowVersion, Timestamp};
+use crate::types::{DurationMs, RowVersion, StoreEra, Timestamp};
 
 /// Time limit for an answer with all rows, which may be a megabyte.
 const ALL_ROWS_LIMIT: Duration = Duration::from_millis(1_500);
@@ -79,6 +79,8 @@
     Read(&'static str, StoreRead),
     /// The table has become readable (true) or unreadable (false).
     Reachable(&'static str, bool),
+    /// The store was restored from an older copy since the last read.
+    Restored(&'static str, StoreEra),
     /// A read of the table ended.
     CallEnded(&'static str, ReadOutcome),
 }
@@ -91,6 +93,8 @@
     Rows,
     /// The store no longer has the requested changes.
     HistoryGone,
+    /// Rows of an older version of the store than an earlier answer; they are ignored.
+    Outdated,
     /// The store refused the read, or its answer cannot be decoded.
     Refused,
     /// There was no answer.
@@ -107,6 +111,8 @@
     known_version: Option<RowVersion>,
     /// Newest version of the store seen in an answer.
     newest_version: RowVersion,
+    /// Era of the store in its last answer; `None` before the first one.
+    era: Option<StoreEra>,
     /// Rows of the pages read so far while all rows are read.
     partial_rows: Vec<StoreRow>,
     reachable: bool,
@@ -141,6 +147,7 @@
             client,
             known_version: None,
             newest_version: RowVersion(0),
+            era: None,
             partial_rows: Vec::new(),
             reachable: true,
             pace: Pace::Passive,
@@ -205,14 +212,21 @@
     fn on_rows_read(&mut self, cx: CX![], result: CallResult) {
         let Some(rows) = self.accept_answer(cx, result) else { return };
         let last = rows.rows.last().map(|row| row.key.clone());
-        let StoreRows { rows, version, has_more, .. } = rows;
+        let StoreRows { rows, version, era, has_more, .. } = rows;
         self.partial_rows.extend(rows);
         match last.filter(|_| has_more) {
             Some(last) => self.read_all(cx, Some(last)),
             None => {
                 let rows = std::mem::take(&mut self.partial_rows);
-                // An answer older than an earlier one is stale and is ignored.
-                if version >= self.newest_version {
+                if version < self.newest_version {
+                    // An answer older than an earlier one is stale.
+                    tracing::warn!(table = self.config.table, %version,
+                        newest = %self.newest_version, %era, "store: outdated rows are ignored");
+                    fwd!(
+                        [self.hub],
+                        FeedEvent::CallEnded(self.config.table, ReadOutcome::Outdated)
+                    );
+                } else {
                     self.send_rows(rows, true);
                     self.known_version = Some(version);
                     self.newest_version = version;
@@ -277,6 +291,11 @@
         let now = suspend_aware_clock();
         match answer {
             Ok(RowsAnswer::Rows(rows)) => {
+                if let Some(before) = self.era.replace(rows.era).filter(|era| *era != rows.era) {
+                    tracing::warn!(table, %before, era = %rows.era, version = %rows.version,
+                        known = ?self.known_version, "store: was restored from an older copy");
+                    fwd!([self.hub], FeedEvent::Restored(table, rows.era));
+                }
                 self.retry_pause = RETRY_PAUSE;
                 self.answered_at = now;
                 if !std::mem::replace(&mut self.reachable, true) {
--- a/src/net/proxy/http.rs
+++ b/src/net/proxy/http.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
+use compact_str::CompactString;
 use derive_more::Display;
 use stakker::{actor, after, fwd_to, ret, stop, ActorOwn, FixedTimerKey, Ret, CX};
 use stakker_mio::mio::net::{TcpListener, TcpStream};
@@ -15,7 +16,7 @@
 
 use crate::net::reactor::suspend_aware_clock;
 use crate::net::stream::{Stream, StreamState};
-use crate::platform::store::{HttpAnswer, HttpRequest};
+use crate::platform::store::{HttpAnswer, HttpRequest, ERA_HEADER};
 use crate::types::{DurationMs, Timestamp};
 
 /// Size limit of the platform's answers, which hold at most 1 MB of rows, in base64 within JSON.
@@ -174,10 +175,11 @@
         Err(error) => return Err(error.to_string()),
     };
     let status = parsed.code.ok_or("answer has no status")?;
+    let era = header(parsed.headers, ERA_HEADER).map(CompactString::from_utf8_lossy);
     if is_chunked(parsed.headers) {
         let Some((body, end)) = read_chunks(&input[head..])? else { return Ok(None) };
         input.advance(head + end);
-        return Ok(Some(HttpAnswer { status, body }));
+        return Ok(Some(HttpAnswer { status, era, body }));
     }
     let length = content_length(parsed.headers)?;
     if head + length > MAX_ANSWER_BYTES {
@@ -187,15 +189,17 @@
         return Ok(None);
     }
     input.advance(head);
-    Ok(Some(HttpAnswer { status, body: input.split_to(length).to_vec() }))
+    Ok(Some(HttpAnswer { status, era, body: input.split_to(length).to_vec() }))
+}
+
+/// Value of the first header with this name.
+fn header<'a>(headers: &[httparse::Header<'a>], name: &str) -> Option<&'a [u8]> {
+    headers.iter().find(|header| header.name.eq_ignore_ascii_case(name)).map(|header| header.value)
 }
 
 fn is_chunked(headers: &[httparse::Header<'_>]) -> bool {
-    let encoding = |header: &httparse::Header<'_>| {
-        header.name.eq_ignore_ascii_case("transfer-encoding")
-            && header.value.to_ascii_lowercase().ends_with(b"chunked")
-    };
-    headers.iter().any(encoding)
+    header(headers, "transfer-encoding")
+        .is_some_and(|value| value.to_ascii_lowercase().ends_with(b"chunked"))
 }
 
 /// Reads a body in chunks. Returns it with the number of bytes that it takes, once it is complete.
@@ -232,9 +236,8 @@
 }
 
 fn content_length(headers: &[httparse::Header<'_>]) -> Result<usize, String> {
-    let found = headers.iter().find(|header| header.name.eq_ignore_ascii_case("content-length"));
-    let Some(header) = found else { return Ok(0) };
-    let text = std::str::from_utf8(header.value).map_err(|error| error.to_string())?;
+    let Some(value) = header(headers, "content-length") else { return Ok(0) };
+    let text = std::str::from_utf8(value).map_err(|error| error.to_string())?;
     text.trim().parse().map_err(|_| format!("content length {text:?} is not a number"))
 }
 
--- a/src/net/proxy/report.rs
+++ b/src/net/proxy/report.rs
@@ -16,7 +16,7 @@
 use super::store::CallEnd;
 use crate::core::proxy::statement_record::StatementRecord;
 use crate::core::proxy::Proxy;
-use crate::types::{DurationMs, EndpointId};
+use crate::types::{DurationMs, EndpointId, StoreEra};
 
 /// Upper bounds of the latency buckets in seconds, around the usual targets of 100 to 600 ms.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 3.0];
@@ -62,6 +62,7 @@
     calls: Family<CallLabels, Counter>,
     reads: Family<ReadLabels, Counter>,
     reachable: Family<TableLabels, Gauge>,
+    era: Gauge,
     configuration_age: Gauge<f64, AtomicU64>,
     sessions: Gauge,
     waiting: Gauge,
@@ -94,6 +95,7 @@
             calls: Family::default(),
             reads: Family::default(),
             reachable: Family::default(),
+            era: Gauge::default(),
             configuration_age: Gauge::default(),
             sessions: Gauge::default(),
             waiting: Gauge::default(),
@@ -142,6 +144,11 @@
             "Time since the version in use was last known to be the latest",
             self.configuration_age.clone(),
         );
+        registry.register(
+            "store_era",
+            "Era of the store, which rises when it is restored from an older copy",
+            self.era.clone(),
+        );
         registry.register(
             "store_reachable",
             "Whether a table of the store can be read",
@@ -232,6 +239,11 @@
         self.reads.get_or_create(&ReadLabels { table, outcome: outcome.to_string() }).inc();
     }
 
+    /// Records the era of the store.
+    pub fn on_era(&self, era: StoreEra) {
+        self.era.set(i64::try_from(era.0).unwrap_or(i64::MAX));
+    }
+
     /// Records the time since the version in use was last known to be the latest.
     pub fn on_configuration_age(&self, age_ms: DurationMs) {
         self.configuration_age.set(age_ms.0 as f64 / 1_000.0);
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -110,6 +110,7 @@
                 }
             }
             FeedEvent::Reachable(table, reachable) => self.report.on_reachable(table, reachable),
+            FeedEvent::Restored(_, era) => self.report.on_era(era),
             FeedEvent::CallEnded(table, outcome) => self.report.on_read(table, outcome),
         }
         self.carry_out(cx);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::proxy::failover::PromoteAnswer;
-use crate::types::{DurationMs, EndpointId, GroupId, HostId, RowVersion};
+use crate::types::{DurationMs, EndpointId, GroupId, HostId, RowVersion, StoreEra};
 
 /// Table of the operator's configuration.
 pub const CONFIGURATION_TABLE: &str = "op";
@@ -15,6 +15,9 @@
 /// Table of the endpoints' entries.
 pub const ENDPOINT_TABLE: &str = "servers";
 
+/// Header of the store's answers with its era.
+pub const ERA_HEADER: &str = "Store-Era";
+
 /// An HTTP request to the platform.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HttpRequest {
@@ -33,6 +36,8 @@
 pub struct HttpAnswer {
     /// HTTP status code.
     pub status: u16,
+    /// Value of [`ERA_HEADER`], if there is one.
+    pub era: Option<CompactString>,
     /// Response body.
     pub body: Vec<u8>,
 }
@@ -55,6 +60,8 @@
     pub rows: Vec<StoreRow>,
     /// Version of the store.
     pub version: RowVersion,
+    /// Era of the store.
+    pub era: StoreEra,
     /// Whether there are more rows after the last one.
     pub has_more: bool,
     /// Time on the store's steady clock in milliseconds.
@@ -203,7 +210,7 @@
 /// Decodes the answer to [`get_rows`] or [`get_changes`].
 pub fn read_rows(answer: &HttpAnswer) -> RowsAnswer {
     match answer.status {
-        200 => match decode_rows(&answer.body) {
+        200 => match decode_rows(answer) {
             Ok(rows) => RowsAnswer::Rows(rows),
             Err(detail) => RowsAnswer::Refused(detail),
         },
@@ -214,8 +221,7 @@
 
 /// Decodes the answer to [`put_row`].
 pub fn read_write(answer: &HttpAnswer) -> WriteAnswer {
-    let rows = |body| decode_rows(body).map_err(|detail| format!("body: {detail}"));
-    match (answer.status, rows(&answer.body)) {
+    match (answer.status, decode_rows(answer)) {
         (200, Ok(rows)) => WriteAnswer::Done(rows.version),
         (412, Ok(rows)) => WriteAnswer::Changed(rows.rows.into_iter().next()),
         (200 | 412, Err(detail)) => WriteAnswer::Refused(detail),
@@ -223,8 +229,10 @@
     }
 }
 
-fn decode_rows(body: &[u8]) -> Result<StoreRows, String> {
-    let json: JsonRows = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+fn decode_rows(answer: &HttpAnswer) -> Result<StoreRows, String> {
+    let json: JsonRows =
+        serde_json::from_slice(&answer.body).map_err(|error| format!("body: {error}"))?;
+    let era = decode_era(answer)?;
     let row = |row: JsonRow| {
         let value = row.value.filter(|_| !row.removed && row.ver > 0).map(|text| {
             STANDARD.decode(text).unwrap_or_else(|error| {
@@ -237,7 +245,14 @@
     };
     let (has_more, version) = (json.has_more, RowVersion(json.ver));
     let store_ms = json.now_ms.filter(|now_ms| *now_ms >= 0.0).map(|now_ms| now_ms as u64);
-    Ok(StoreRows { rows: json.rows.into_iter().map(row).collect(), version, has_more, store_ms })
+    let rows = json.rows.into_iter().map(row).collect();
+    Ok(StoreRows { rows, version, era, has_more, store_ms })
+}
+
+/// A store without the header has never been restored.
+fn decode_era(answer: &HttpAnswer) -> Result<StoreEra, String> {
+    let Some(text) = &answer.era else { return Ok(StoreEra(0)) };
+    text.trim().parse().map_err(|error| format!("{ERA_HEADER}: {text:?}: {error}"))
 }
 
 /// Decodes the answer to [`promote`].
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -11,5 +11,7 @@
     FailureDomain, GroupId, HostId, IdError, Incarnation, KeyId, ObjectName, PoolName, RequestId,
     RouteName, RowKey, SessionId, ShareSlot, TableName,
 };
-pub use position::{CommitSeq, Position, PositionError, Renewals, RowVersion, TableVersion, Term};
+pub use position::{
+    CommitSeq, Position, PositionError, Renewals, RowVersion, StoreEra, TableVersion, Term,
+};
 pub use time::{DurationMs, Timestamp};
--- a/src/types/position.rs
+++ b/src/types/position.rs
@@ -32,6 +32,8 @@
     TableVersion;
     /// Version of one row of the platform's table service; 0 means that the row is absent.
     RowVersion;
+    /// Number that the platform's store raises each time that it is restored from an older copy.
+    StoreEra;
     /// Sequence number of a commit of the platform's table service, counted over all tables.
     CommitSeq;
     /// Number of times that the holder of a row has renewed it.
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -272,7 +272,7 @@
 }
 
 fn answer(status: u16, body: &str) -> HttpAnswer {
-    HttpAnswer { status, body: body.as_bytes().to_vec() }
+    HttpAnswer { status, era: None, body: body.as_bytes().to_vec() }
 }
 
 /// Guards against a discarded change history or a refusal that is taken for an empty table.
