Reproduce hosts that keep an old configuration after a restore of the store

What callers saw: a database or key of a confirmed version is refused, or a dropped one is served, until as many transactions were made as the restore lost. Reproduction: real processes against the store double, which can now go back to a copy of its rows in a new era and answers 410 above its version. 20 versions of the configuration are lost and the operator writes the next one. Two ways: fewer rows are written again than were lost, or the versions pass the mark of the host, so that it sees no 410. The bound is the smallest contactMs of the users, 4 s. The host processes of the tests move to a module of their own.

--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -1,136 +1,24 @@
 //! Runs the process of a host on the platform: its signals, settings, links and relayed sessions.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, ChildStdout, Command, Stdio};
-use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
-use std::sync::{Arc, Mutex};
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::Signal;
 use yare::parameterized;
 
+#[allow(dead_code)]
+mod host_process;
 #[path = "soak/link.rs"]
 #[allow(dead_code)]
 mod link;
+#[allow(dead_code)]
 mod platform_store_double;
 mod ports;
 
+use host_process::{Host, HostSpec, CONTACT_LIMIT, LIMIT};
 use link::Link;
 use platform_store_double::Store;
-use ports::free_port;
-
-/// Time after which a host is killed, so that a test does not wait forever.
-const LIMIT: Duration = Duration::from_secs(20);
-/// Time after the loss of its connections within which a host has the latest configuration again:
-/// the smallest `contactMs` of the users' deployments.
-const CONTACT_LIMIT: Duration = Duration::from_secs(4);
-
-/// A running host process. It is killed when it is dropped, or after [`LIMIT`].
-struct Host {
-    child: Arc<Mutex<Child>>,
-    log: BufReader<ChildStdout>,
-    settings: PathBuf,
-    /// Address for other hosts.
-    peer_address: SocketAddr,
-    _watch: Sender<()>,
-}
-
-/// What differs between the hosts of the tests.
-struct HostSpec {
-    /// Address of the store.
-    store: SocketAddr,
-    /// Share of a core; the hosts with the largest become homes.
-    share: f64,
-    /// Time within which a version of the configuration has to be in force.
-    limit: Duration,
-}
-
-impl HostSpec {
-    fn at(store: SocketAddr) -> Self {
-        Self { store, share: 1.0, limit: CONTACT_LIMIT }
-    }
-
-    fn start(&self, name: &str) -> Host {
-        let Self { store, share, limit } = self;
-        let limit_ms = limit.as_millis();
-        let [front, probe, peer_address, metrics] = [(); 4].map(|()| free_port());
-        let text = format!(
-            r#"{{"nodeName":"{name}","ip":"127.0.0.1","zone":"a",
-            "bindAddrs":{{"frontend":"127.0.0.1:{front}","readiness":"127.0.0.1:{probe}"}},
-            "internalPortRange":[{peer_address},{peer_address}],
-            "bounds":{{"graceS":6,"contactMs":{limit_ms}}},"limits":{{"cpuShare":{share}}},
-            "platform":{{"address":"{store}"}},"cloudApi":{{"address":"{store}"}}}}"#
-        );
-        let settings = std::env::temp_dir().join(format!("medlarstile-{name}-{peer_address}"));
-        std::fs::write(&settings, text).expect("the settings are written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_medlarstile"))
-            .args(["--log-format", "json", "--log-output", "stdout", "platform-host"])
-            .args(["--metrics-port", &metrics.to_string()])
-            .env("MEDLARSTILE_NODE_FILE", &settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the host starts");
-        let log = BufReader::new(child.stdout.take().expect("a log"));
-        let child = Arc::new(Mutex::new(child));
-        let (watch, ended) = channel::<()>();
-        let watched = Arc::clone(&child);
-        std::thread::spawn(move || {
-            if ended.recv_timeout(LIMIT) == Err(RecvTimeoutError::Timeout) {
-                drop(watched.lock().expect("the child").kill());
-            }
-        });
-        let peer_address = SocketAddr::from(([127, 0, 0, 1], peer_address));
-        Host { child, log, settings, peer_address, _watch: watch }
-    }
-}
-
-impl Host {
-    /// Starts a host that uses the store at `store`.
-    fn start(name: &str, store: SocketAddr) -> Self {
-        HostSpec::at(store).start(name)
-    }
-
-    /// Changes the time within which a version has to be in force, and waits until the host has
-    /// read its settings again.
-    fn set_limit(&mut self, limit: Duration) {
-        let text = std::fs::read_to_string(&self.settings).expect("the settings");
-        let (start, rest) = text.split_once(r#""contactMs":"#).expect("the limit");
-        let rest = rest.trim_start_matches(|digit: char| digit.is_ascii_digit());
-        let text = format!(r#"{start}"contactMs":{}{rest}"#, limit.as_millis());
-        std::fs::write(&self.settings, text).expect("the settings are written");
-        self.signal(Signal::HUP);
-        self.wait_for("host: settings were read again");
-    }
-
-    /// Reads the log up to the line with `message`.
-    fn wait_for(&mut self, message: &str) -> String {
-        let mut line = String::new();
-        while self.log.read_line(&mut line).expect("text") > 0 {
-            if line.contains(message) {
-                return line;
-            }
-            line.clear();
-        }
-        panic!("the host ended without {message:?}");
-    }
-
-    fn signal(&self, signal: Signal) {
-        let id = self.child.lock().expect("the child").id();
-        let pid = i32::try_from(id).ok().and_then(Pid::from_raw).expect("a process id");
-        kill_process(pid, signal).expect("the signal is sent");
-    }
-}
-
-impl Drop for Host {
-    fn drop(&mut self) {
-        let mut child = self.child.lock().expect("the child");
-        drop(child.kill());
-        drop(child.wait());
-        drop(std::fs::remove_file(&self.settings));
-    }
-}
 
 /// Guards against a host that SIGHUP kills because the signal has no handler, and against one that
 /// does not stop on SIGTERM.
--- /dev/null
+++ b/tests/platform_restore.rs
@@ -0,0 +1,100 @@
+//! Hosts on the platform after its store was restored from an older copy: what was written since is
+//! gone, and versions are given out again.
+
+use std::time::Instant;
+
+use yare::parameterized;
+
+#[allow(dead_code)]
+mod host_process;
+mod known_red;
+#[allow(dead_code)]
+mod platform_store_double;
+mod ports;
+
+use host_process::{Host, HostSpec, CONTACT_LIMIT};
+use platform_store_double::{Rows, Store};
+
+/// Versions of the configuration that are lost.
+const LOST: std::ops::Range<u64> = 4..24;
+/// Version that the operator writes after the restore.
+const NEXT: u64 = 24;
+
+/// A configuration with one group whose endpoints accept so few connections that a fleet of four
+/// hosts has one home.
+fn configuration(version: u64) -> Vec<u8> {
+    let text = format!(
+        r#"{{"version":{version},"routes":[],"tenants":[],"limits":{{}},
+        "services":[{{"name":"db","maxConnections":4}}]}}"#
+    );
+    text.into_bytes()
+}
+
+/// Starts one home and hosts that follow it, and waits until each of them is what it will be.
+fn start(store: &Store, count: usize) -> Vec<Host> {
+    let start = |place: usize| {
+        let share = if place == 0 { 1.0 } else { 0.5 };
+        HostSpec { share, ..HostSpec::at(store.serve(None)) }.start(&format!("h{place}"))
+    };
+    let mut hosts: Vec<Host> = (0..count).map(start).collect();
+    for (place, host) in hosts.iter_mut().enumerate() {
+        let pace = if place == 0 { "Active" } else { "Suspended" };
+        host.wait_for(&format!(r#""table":"op","before":"Passive","pace":"{pace}""#));
+    }
+    hosts
+}
+
+/// Reads the log of a host up to the use of a version; false if the host has ended before.
+fn uses(host: &mut Host, version: u64) -> bool {
+    let wanted = format!(r#""version":"{version}""#);
+    while let Some(line) = host.find("configuration: version is in use") {
+        if line.contains(&wanted) {
+            return true;
+        }
+    }
+    false
+}
+
+/// The operator's next version alone, after which fewer rows were written than were lost.
+fn next(rows: &mut Rows, _: u64) {
+    rows.put("op", "config", &configuration(NEXT));
+}
+
+/// The same, and so many rows of endpoints that the versions of all rows are given out again.
+fn next_and_more(rows: &mut Rows, lost: u64) {
+    next(rows, lost);
+    while rows.version() <= lost {
+        rows.put("servers", "i-1", b"{}");
+    }
+}
+
+/// Guards against a host that keeps the configuration from before a restore of the store: it ignored
+/// rows below the highest version that it had seen, and missed those below its own mark.
+#[parameterized(
+    fewer_writes_than_lost = { "fewer_writes_than_lost", 1, next },
+    versions_given_out_again = { "versions_given_out_again", 1, next_and_more },
+    a_home_and_its_followers = { "a_home_and_its_followers", 4, next },
+)]
+fn a_version_is_in_force_after_a_restore(case: &str, count: usize, write: fn(&mut Rows, u64)) {
+    let store = Store::default();
+    store.put("op", "config", &configuration(3));
+    let mut hosts = start(&store, count);
+    let copy = store.copy();
+    for version in LOST {
+        store.put("op", "config", &configuration(version));
+    }
+    for host in &mut hosts {
+        assert!(uses(host, NEXT - 1));
+    }
+    let lost = store.copy().version();
+    store.restore(&copy, |rows| write(rows, lost));
+    let restored = Instant::now();
+    let all = hosts.iter_mut().all(|host| uses(host, NEXT));
+    let took = restored.elapsed();
+    println!("in force after {took:?}");
+    let result = (all && took < CONTACT_LIMIT).then_some(());
+    known_red::check(
+        &format!("platform_restore/{case}"),
+        result.ok_or(format!("in force on all hosts: {all}, after {took:?}")),
+    );
+}
--- a/tests/platform_store_double/mod.rs
+++ b/tests/platform_store_double/mod.rs
@@ -3,25 +3,44 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
 
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
 use serde_json::{json, Value};
-use tiny_http::{Method, Request, Response, Server};
+use tiny_http::{Header, Method, Request, Response, Server};
 
 /// Time for which a feed request waits for a change at most.
 const FEED_WAIT: Duration = Duration::from_millis(300);
 /// Requests served concurrently at one address.
 const WORKERS: usize = 8;
 
-#[derive(Default)]
-struct Rows {
+/// The rows at one moment.
+#[derive(Clone, Default)]
+pub struct Rows {
     version: u64,
+    /// Number of restores.
+    era: u64,
     /// Version and base64 value by table and key.
     rows: BTreeMap<(String, String), (u64, String)>,
 }
 
+impl Rows {
+    /// Writes a row.
+    pub fn put(&mut self, table: &str, key: &str, value: &[u8]) {
+        let text = STANDARD.encode(value);
+        self.version += 1;
+        self.rows.insert((table.into(), key.into()), (self.version, text));
+    }
+
+    /// Version of the newest row.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+}
+
 /// The store; clones share its rows.
 #[derive(Clone, Default)]
 pub struct Store(Arc<(Mutex<Rows>, Condvar)>);
@@ -29,15 +48,35 @@
 impl Store {
     /// Writes a row, as the operator or an endpoint does.
     pub fn put(&self, table: &str, key: &str, value: &[u8]) {
-        use base64::Engine;
-        let text = base64::engine::general_purpose::STANDARD.encode(value);
-        let mut rows = self.0 .0.lock().expect("the rows");
-        rows.version += 1;
-        let version = rows.version;
-        rows.rows.insert((table.into(), key.into()), (version, text));
+        self.lock().put(table, key, value);
+        self.0 .1.notify_all();
+    }
+
+    /// The rows as they are now.
+    pub fn copy(&self) -> Rows {
+        self.lock().clone()
+    }
+
+    /// Goes back to a copy of the rows, in a new era, and writes at once what `write` does.
+    pub fn restore(&self, copy: &Rows, write: impl FnOnce(&mut Rows)) {
+        let mut rows = self.lock();
+        let era = rows.era + 1;
+        *rows = Rows { era, ..copy.clone() };
+        write(&mut rows);
         self.0 .1.notify_all();
     }
 
+    /// Value of a row.
+    pub fn get(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let rows = self.lock();
+        let (_, text) = rows.rows.get(&(table.into(), key.into()))?;
+        Some(STANDARD.decode(text).expect("base64"))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Rows> {
+        self.0 .0.lock().expect("the rows")
+    }
+
     /// Starts a server for one host and returns its address; reads of the table `refused` fail.
     pub fn serve(&self, refused: Option<&'static str>) -> SocketAddr {
         let server = Arc::new(Server::http("127.0.0.1:0").expect("an address"));
@@ -47,7 +86,9 @@
             thread::spawn(move || {
                 while let Ok(mut request) = server.recv() {
                     let (status, body) = store.answer(&mut request, refused);
-                    let response = Response::from_string(body.to_string());
+                    let era = Header::from_bytes("Store-Era", store.lock().era.to_string());
+                    let response =
+                        Response::from_string(body.to_string()).with_header(era.expect("a header"));
                     // The host may have disconnected.
                     drop(request.respond(response.with_status_code(status)));
                 }
@@ -70,15 +111,19 @@
             return (503, json!({}));
         }
         let after = query.get("after").map_or(0, |text| text.parse().expect("a version"));
-        (200, self.read(&query["table"], after, path.ends_with("feed")))
+        self.read(&query["table"], after, path.ends_with("feed"))
     }
 
-    fn read(&self, table: &str, after: u64, wait: bool) -> Value {
-        let mut rows = self.0 .0.lock().expect("the rows");
+    fn read(&self, table: &str, after: u64, wait: bool) -> (u16, Value) {
+        let mut rows = self.lock();
         let newer = |rows: &Rows| rows.rows.iter().any(|((t, _), (v, _))| t == table && *v > after);
         if wait && !newer(&rows) {
             rows = self.0 .1.wait_timeout(rows, FEED_WAIT).expect("the rows").0;
         }
+        if after > rows.version {
+            // Such a version was given out before a restore.
+            return (410, json!({}));
+        }
         let found =
             rows.rows.iter().filter(|((t, _), (version, _))| t == table && *version > after);
         let found: Vec<Value> = found
@@ -86,7 +131,7 @@
                 json!({"table": table, "part": "", "key": key, "value": value, "ver": version})
             })
             .collect();
-        json!({"rows": found, "hasMore": false, "ver": rows.version})
+        (200, json!({"rows": found, "hasMore": false, "ver": rows.version}))
     }
 
     fn transact(&self, body: &Value) -> (u16, Value) {
@@ -94,7 +139,7 @@
             let text = |field: &str| entry[field].as_str().expect("a text").to_owned();
             (text("table"), text("key"))
         };
-        let mut rows = self.0 .0.lock().expect("the rows");
+        let mut rows = self.lock();
         for expected in body["expect"].as_array().expect("a list") {
             let known = rows.rows.get(&name(expected)).map_or(0, |(version, _)| *version);
             if Some(known) != expected["ver"].as_u64() {
