Keep the hosts that a restore of the store loses, and list them again

What callers saw: nothing yet. After a restore to a copy from before the hosts' start, each host took itself for the only one: it closed its links, and with them went the reports by which the hosts divide the rates of accounts, so that each could grant the whole rate (QUOTA). Hosts that started later found none of the others. Cause: a row that is missing in a read of all rows counted as removed, and a host wrote its row only at its start. Change: rows of an earlier era that are missing are kept. A host whose own row was last known in an earlier era than other rows writes it again, on a host that follows others too. A row of an earlier run, as the copy may have it, does not replace that of a later one. A row of the same run that is read again no longer resets what is known of the host's link: a dead host would have counted as present for 3 s. A removal whose row the store does not have ends.

--- a/src/core/proxy/roster.rs
+++ b/src/core/proxy/roster.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::follow::HostRow;
 use super::home::HomeCandidate;
-use crate::types::{DurationMs, HostId, MilliCores, RowVersion, Timestamp};
+use crate::types::{DurationMs, HostId, Incarnation, MilliCores, RowVersion, Timestamp};
 
 /// Time in which a wanted link is expected to open, even when all hosts start at once. Without a
 /// limit a host that was removed for good would count as present for as long as its row exists.
@@ -20,7 +21,9 @@
 #[derive(Debug)]
 struct ListedHost {
     processor: MilliCores,
-    /// Version of its row; a restarted host writes a new one.
+    /// Run of its process.
+    incarnation: Incarnation,
+    /// Version of its row.
     version: RowVersion,
     /// Since when there is no link to it.
     absent_since: Timestamp,
@@ -40,19 +43,21 @@
 }
 
 impl Roster {
-    /// Adds a host whose row was read. A newer row of a known host means that it has restarted.
-    pub fn insert(
-        &mut self,
-        now: Timestamp,
-        host: HostId,
-        processor: MilliCores,
-        version: RowVersion,
-    ) {
-        if self.hosts.get(&host).is_some_and(|known| known.version >= version) {
-            return;
+    /// Adds a host whose row was read. A row of another run means that the host has restarted; a
+    /// newer one of the same run was written again, or read again after a restore of the store.
+    pub fn insert(&mut self, now: Timestamp, host: HostId, version: RowVersion, row: &HostRow) {
+        if let Some(known) = self.hosts.get_mut(&host) {
+            if known.version >= version {
+                return;
+            }
+            if known.incarnation == row.incarnation {
+                (known.version, known.processor) = (version, row.processor);
+                return;
+            }
         }
         let listed_host = ListedHost {
-            processor,
+            processor: row.processor,
+            incarnation: row.incarnation,
             version,
             absent_since: now,
             wanted_since: None,
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -133,6 +133,8 @@
     pub(super) hosts_read: bool,
     pub(super) peers: Option<Peers>,
     pub(super) incarnation: Incarnation,
+    /// Whether this host's row is being written; the store has not accepted it yet.
+    pub(super) is_registering: bool,
     pub(super) report: Report,
     pub(super) next_session: u64,
 }
@@ -209,6 +211,7 @@
             hosts_read: false,
             peers: None,
             incarnation,
+            is_registering: true,
             report,
             next_session: 0,
         })
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -212,8 +212,9 @@
                 }
                 PeerMessage::HostRows(rows) => {
                     for (host, version, row) in rows {
-                        self.adopt_host_row(host, version, row);
+                        self.adopt_host_row(cx, host, version, row);
                     }
+                    self.register_again(cx, self.newest_host_row());
                     self.update_hosts();
                 }
                 other => tracing::debug!(peer = host.as_str(), ?other, "peer: message is not used"),
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -29,17 +29,32 @@
 impl ProxyHost {
     /// Writes this host's row, which stays until the host is removed from the fleet.
     pub(super) fn write_host_row(&mut self, _: CX![]) {
-        let row = HostRow {
-            address: self.settings.peers,
-            incarnation: self.incarnation,
-            processor: self.settings.processor,
-        };
-        let value = WireHostRow::from(row).to_json();
+        self.is_registering = true;
+        let value = WireHostRow::from(self.own_row()).to_json();
         let key = format_compact!("{HOST_KEY_PREFIX}{}", self.settings.host);
         let request = store::put_row(OWN_TABLE, &key, None, Some(&value));
         call!([self.store_calls], call(CallPurpose::Register, request));
     }
 
+    fn own_row(&self) -> HostRow {
+        HostRow {
+            address: self.settings.peers,
+            incarnation: self.incarnation,
+            processor: self.settings.processor,
+        }
+    }
+
+    /// Writes this host's row again if a restore of the store has lost it: the row was known in an
+    /// earlier era than `read`, up to which all hosts' rows have been read.
+    pub(super) fn register_again(&mut self, cx: CX![], read: RowVersion) {
+        let known = self.hosts.get(&self.settings.host);
+        let is_lost = known.is_some_and(|(version, _)| version.era() < read.era());
+        if is_lost && !self.is_registering {
+            tracing::warn!(era = %read.era(), "store: row of this host was lost, writing it again");
+            self.write_host_row(cx);
+        }
+    }
+
     pub(super) fn write_claim(&mut self, group: &GroupId, version: RowVersion, claim: &Claim) {
         let value = WireClaim::from(claim).to_json();
         let key = format_compact!("{GROUP_KEY_PREFIX}{group}");
@@ -72,6 +87,10 @@
             CallEnd::Written(CallPurpose::Remove(host), answer) => {
                 tracing::info!(removed = host.as_str(), ?answer, "store: removal of a row ended");
                 self.removing.remove(&host);
+                if matches!(answer, Some(WriteAnswer::Changed(version, _)) if version.is_absent()) {
+                    self.hosts.remove(&host);
+                    self.roster.remove(&host);
+                }
             }
             // This host's secret was accepted, or another host's was first; the feed delivers it.
             CallEnd::Written(
@@ -82,11 +101,13 @@
                 tracing::warn!(?answer, "store: shared secret was not written");
                 after!(REWRITE_PAUSE, [cx], propose_secret());
             }
+            CallEnd::Written(_, Some(WriteAnswer::Done(version))) => {
+                self.is_registering = false;
+                self.adopt_host_row(cx, self.settings.host.clone(), version, self.own_row());
+            }
             CallEnd::Written(purpose, answer) => {
-                if !matches!(answer, Some(WriteAnswer::Done(_))) {
-                    tracing::warn!(?purpose, ?answer, "store: row was not written");
-                    after!(REWRITE_PAUSE, [cx], write_host_row());
-                }
+                tracing::warn!(?purpose, ?answer, "store: row was not written");
+                after!(REWRITE_PAUSE, [cx], write_host_row());
             }
             CallEnd::Promoted(group, answer) => self.core.on_promoted(now, &group, answer),
         }
@@ -152,8 +173,15 @@
         if rows.is_complete {
             let host_of = |row: &StoreRow| row.key.strip_prefix(HOST_KEY_PREFIX)?.parse().ok();
             let listed: BTreeSet<HostId> = rows.rows.iter().filter_map(host_of).collect();
-            self.hosts.retain(|host, _| listed.contains(host));
-            self.roster.retain(&listed);
+            // A row of an earlier era that is missing was lost by a restore and is written again by
+            // its host, which goes on meanwhile and keeps its share of the rates.
+            let is_kept = |host: &HostId, version: RowVersion| {
+                listed.contains(host)
+                    || version.era() < rows.version.era()
+                    || version > rows.version
+            };
+            self.hosts.retain(|host, (version, _)| is_kept(host, *version));
+            self.roster.retain(&self.hosts.keys().cloned().collect());
             self.hosts_read = true;
         }
         for row in &rows.rows {
@@ -179,6 +207,9 @@
         {
             self.propose_secret(cx);
         }
+        if rows.is_complete {
+            self.register_again(cx, rows.version);
+        }
         self.update_hosts();
     }
 
@@ -195,7 +226,7 @@
                 if host == self.settings.host {
                     self.core.on_listed();
                 }
-                self.adopt_host_row(host, row.version, host_row.into());
+                self.adopt_host_row(cx, host, row.version, host_row.into());
             }
             Some(Err(error)) => {
                 tracing::warn!(host = host.as_str(), %error, "store: row of a host cannot be read")
@@ -211,13 +242,27 @@
     }
 
     /// Adopts a host's row from the store or from another host, unless a newer one is known.
-    pub(super) fn adopt_host_row(&mut self, host: HostId, version: RowVersion, row: HostRow) {
-        if self.hosts.get(&host).is_some_and(|(known, _)| *known >= version) {
-            return;
+    pub(super) fn adopt_host_row(
+        &mut self,
+        cx: CX![],
+        host: HostId,
+        version: RowVersion,
+        mut row: HostRow,
+    ) {
+        if let Some((known_version, known)) = self.hosts.get(&host) {
+            if *known_version >= version {
+                return;
+            }
+            // A restored store has the row of an earlier run of the process.
+            if known_version.era() < version.era() && row.incarnation < known.incarnation {
+                row = known.clone();
+                if host == self.settings.host && !self.is_registering {
+                    self.write_host_row(cx);
+                }
+            }
         }
         if host != self.settings.host {
-            let now = suspend_aware_clock();
-            self.roster.insert(now, host.clone(), row.processor, version);
+            self.roster.insert(suspend_aware_clock(), host.clone(), version, &row);
         }
         self.hosts.insert(host, (version, row));
     }
--- a/tests/platform_restore.rs
+++ b/tests/platform_restore.rs
@@ -1,7 +1,7 @@
 //! Hosts on the platform after its store was restored from an older copy: what was written since is
 //! gone, and versions are given out again.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use yare::parameterized;
 
@@ -67,6 +67,37 @@
     }
 }
 
+/// Guards against hosts that are listed no more after a restore of the store, or whose fleet has no
+/// secret any more: hosts that start later find none of them.
+#[parameterized(
+    nothing_is_left = { |_| {}, 1 },
+    earlier_runs_are_left = { |rows| {
+        for host in ["host.h0", "host.h1"] {
+            let row = br#"{"address":"127.0.0.1:1","incarnation":1,"processor":250}"#;
+            rows.put("medlarstile", host, row);
+        }
+    }, 4 },
+    followers_are_lost_too = { |_| {}, 4 },
+)]
+fn hosts_are_listed_again_after_a_restore(older: fn(&mut Rows), count: usize) {
+    let store = Store::default();
+    store.put("op", "config", &configuration(3));
+    let mut copy = store.copy();
+    older(&mut copy);
+    let hosts = start(&store, count);
+    store.restore(&copy, |_| {});
+    let restored = Instant::now();
+    let is_listed = |(place, host): (usize, &Host)| {
+        let row = store.get("medlarstile", &format!("host.h{place}")).unwrap_or_default();
+        String::from_utf8_lossy(&row).contains(&host.peer_address.to_string())
+    };
+    while !hosts.iter().enumerate().all(is_listed) {
+        assert!(restored.elapsed() < CONTACT_LIMIT, "the hosts are not listed");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    println!("listed again after {:?}", restored.elapsed());
+}
+
 /// Guards against a host that keeps the configuration from before a restore of the store: it ignored
 /// rows below the highest version that it had seen, and missed those below its own mark.
 #[parameterized(
--- a/tests/proxy_roster.rs
+++ b/tests/proxy_roster.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeSet;
 
+use medlarstile::core::proxy::follow::HostRow;
 use medlarstile::core::proxy::roster::Roster;
-use medlarstile::types::{HostId, MilliCores, RowVersion, Timestamp};
+use medlarstile::types::{HostId, Incarnation, MilliCores, RowVersion, Timestamp};
 use yare::parameterized;
 
 const START: Timestamp = Timestamp(1_000_000);
@@ -21,10 +22,19 @@
 /// A roster with the host `h2`, whose row has version 5.
 fn roster() -> Roster {
     let mut roster = Roster::default();
-    roster.insert(START, host("h2"), MilliCores(250), RowVersion(5));
+    roster.insert(START, host("h2"), RowVersion(5), &row(1));
     roster
 }
 
+/// The row that a run of the host `h2` writes.
+fn row(incarnation: u64) -> HostRow {
+    HostRow {
+        address: "127.0.0.1:7000".parse().expect("an address"),
+        incarnation: Incarnation(incarnation),
+        processor: MilliCores(250),
+    }
+}
+
 /// Guards against a removed host that counts as present forever, and against a starting host that
 /// does not count as present until its link is open.
 #[parameterized(
@@ -42,8 +52,12 @@
     link_lost = { |roster| { roster.on_opened(host("h2")); roster.on_closed(START, &host("h2")) }, 1, false },
     restarted = { |roster| {
         roster.on_closed(START, &host("h2"));
-        roster.insert(after_start(SECOND_US), host("h2"), MilliCores(250), RowVersion(9));
+        roster.insert(after_start(SECOND_US), host("h2"), RowVersion(9), &row(2));
     }, 2, true },
+    lost_and_row_written_again = { |roster| {
+        roster.on_closed(START, &host("h2"));
+        roster.insert(after_start(SECOND_US), host("h2"), RowVersion(9), &row(1));
+    }, 2, false },
     unlisted = { |roster| roster.remove(&host("h2")), 1, false },
 )]
 fn host_presence(prepare: fn(&mut Roster), seconds: u64, expected: bool) {
@@ -61,7 +75,7 @@
     link_open = { |roster| roster.on_opened(host("h2")), 5, false },
     closed_recently = { |roster| roster.on_closed(after_start(HOUR_US), &host("h2")), 2, false },
     restarted = { |roster| {
-        roster.insert(after_start(HOUR_US), host("h2"), MilliCores(250), RowVersion(9));
+        roster.insert(after_start(HOUR_US), host("h2"), RowVersion(9), &row(2));
     }, 2, false },
 )]
 fn rows_of_absent_hosts_are_removed(prepare: fn(&mut Roster), hours: u64, removed: bool) {
@@ -76,7 +90,7 @@
 #[test]
 fn a_full_read_removes_hosts_without_a_row() {
     let mut roster = roster();
-    roster.insert(START, host("h3"), MilliCores(250), RowVersion(6));
+    roster.insert(START, host("h3"), RowVersion(6), &row(1));
     roster.retain(&BTreeSet::from([host("h3")]));
     let listed: Vec<HostId> = roster.candidates().into_iter().map(|one| one.host).collect();
     assert_eq!(listed, [host("h3")]);
