Make and write claims again that a restore of the store has lost

What callers saw: nothing yet. A group whose row the restore had lost kept a failed primary: each further claim expected a version that the store no longer had, and none was accepted until the versions had caught up. A host that started after the restore did not know the term of the last promotion, so that it could promote an endpoint that had missed it (STALE). Cause: a group's row was taken for the latest there is, whatever the store held. Change: a row that is read in a later era is compared with the known claim. The same content changes only the version. If the known claim is newer, by its term and by the step of the attempt, the row was lost: a failover in progress ends and makes a new claim, and a confirmed primary is written again by all hosts that know it, at different moments; the first write that is accepted ends the others. Rows that are missing in a read of all rows count as lost too. A row that is written again with the same content does not start the time anew in which no other host may claim.

--- a/src/core/proxy/failover/mod.rs
+++ b/src/core/proxy/failover/mod.rs
@@ -57,6 +57,8 @@
 const LATE_PROMOTION_LIMIT: DurationMs = DurationMs(8_000);
 /// Time between two attempts to write the new primary to the row.
 const FINISH_INTERVAL: DurationMs = DurationMs(300);
+/// Time between two attempts to write the row again that a restore of the store has lost.
+const REWRITE_INTERVAL: DurationMs = DurationMs(700);
 /// Time between two status requests to an endpoint.
 const STATUS_INTERVAL: DurationMs = DurationMs(60);
 /// Delay before the next attempt after a failed one.
@@ -117,6 +119,21 @@
     pub term: Term,
 }
 
+impl Claim {
+    /// Whether this claim, of an earlier era of the store, is newer than the row that was read after
+    /// a restore, so that the restore has lost it.
+    pub fn supersedes(&self, read: Option<&Claim>) -> bool {
+        let Some(read) = read else { return true };
+        let same_attempt = (&read.holder, read.attempt) == (&self.holder, self.attempt);
+        let step_is_lost = match (&read.leader, &self.leader) {
+            (None, Some(_)) => same_attempt,
+            (Some(_), None) => !same_attempt,
+            _ => false,
+        };
+        read.term < self.term || read.term == self.term && step_is_lost
+    }
+}
+
 /// An action that the owner of a failover carries out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FailoverEffect {
@@ -219,8 +236,12 @@
     row_seen_at: Timestamp,
     /// Whether the row was looked up, so that version 0 means that it does not exist.
     is_row_read: bool,
-    /// Content of this version, if it can be read.
+    /// Content of this version, if it can be read, or the newer one that a restore has lost.
     row: Option<Claim>,
+    /// Whether a restore of the store has lost this content.
+    is_row_lost: bool,
+    /// Earliest time at which this host writes it again.
+    rewrite_at: Timestamp,
     /// The claims without a confirmed primary that the row ends with.
     open_claim: Option<OpenClaim>,
     /// Hosts that have confirmed this host's claim.
@@ -262,6 +283,8 @@
             row_seen_at: Timestamp(0),
             is_row_read: false,
             row: None,
+            is_row_lost: false,
+            rewrite_at: Timestamp(0),
             open_claim: None,
             confirmations: Confirmations::default(),
             written: VecDeque::new(),
@@ -326,8 +349,8 @@
 
     fn lead(&self) -> Lead {
         match &self.row {
-            _ if self.row_version == RowVersion(0) && self.is_row_read => Lead::Any,
             Some(Claim { leader: Some(leader), .. }) => Lead::Only(leader.clone()),
+            None if self.row_version.is_absent() && self.is_row_read => Lead::Any,
             _ => Lead::Unknown,
         }
     }
@@ -350,6 +373,7 @@
         let needed = needed || self.is_abandoned(now);
         match self.state() {
             FailoverState::Watching => {
+                self.rewrite_lost_row(now, &mut out);
                 self.start_if_needed(now, needed, snapshot, evidence, &mut out);
             }
             FailoverState::Claiming | FailoverState::Recording => {
--- a/src/core/proxy/failover/row.rs
+++ b/src/core/proxy/failover/row.rs
@@ -2,10 +2,10 @@
 
 use super::{
     Claim, Failover, FailoverEffect, FailoverEvent, FailoverState, Lead, OpenClaim, CLAIM_LIMIT,
-    PROMOTION_WINDOW,
+    PROMOTION_WINDOW, REWRITE_INTERVAL, STAGGER,
 };
 use crate::core::proxy::lease::{Evidence, LeadProof, ANSWER_GRACE};
-use crate::types::{HostId, RowVersion, Term, Timestamp};
+use crate::types::{DurationMs, HostId, RowVersion, Term, Timestamp};
 
 impl Failover {
     pub(super) fn row_is_own(&self) -> bool {
@@ -25,7 +25,12 @@
         claim: Option<Claim>,
     ) {
         let former = self.lead();
-        (self.row_version, self.row_seen_at) = (version, now);
+        (self.row_version, self.is_row_lost) = (version, false);
+        if claim.is_some() && claim == self.row {
+            // It was written again, or read again after a restore of the store.
+            return;
+        }
+        self.row_seen_at = now;
         self.row_term = self.row_term.max(claim.as_ref().map_or(Term(0), |claim| claim.term));
         self.row = claim;
         if matches!(self.lead(), Lead::Only(_)) {
@@ -63,16 +68,45 @@
         if version <= self.row_version {
             return out;
         }
+        let is_restored = version.era() > self.row_version.era();
+        if is_restored && self.row.as_ref().is_some_and(|known| known.supersedes(claim)) {
+            self.row_version = version;
+            self.on_row_lost(now, &mut out);
+            return out;
+        }
+        let is_same = claim.is_some() && claim == self.row.as_ref();
         self.set_row(now, lease_end, version, claim.cloned());
         if claim.is_some_and(|claim| self.is_attempt(claim)) {
             self.on_own_row(now, &mut out);
-        } else if self.state() != FailoverState::Watching {
+        } else if !is_same && self.state() != FailoverState::Watching {
             tracing::info!(token = %version, "failover: another host has claimed the group");
             self.fire(now, FailoverEvent::Failed, &mut out);
         }
         out
     }
 
+    /// Called when a restore of the store has lost the row that this host knows. A claim that was in
+    /// progress is made again if it is still needed; the last confirmed primary is written again.
+    fn on_row_lost(&mut self, now: Timestamp, out: &mut Vec<FailoverEffect>) {
+        tracing::warn!(version = %self.row_version, known = ?self.row,
+            "failover: row of the group was lost");
+        self.is_row_lost = true;
+        self.rewrite_at = now + DurationMs(STAGGER.0 * self.stagger_step);
+        self.fire(now, FailoverEvent::Failed, out);
+    }
+
+    /// Writes the row again that a restore of the store has lost. All hosts do; the first write that
+    /// the store accepts changes the version that the others expect.
+    pub(super) fn rewrite_lost_row(&mut self, now: Timestamp, out: &mut Vec<FailoverEffect>) {
+        let Some(row) = self.row.as_ref().filter(|row| row.leader.is_some()) else { return };
+        if !self.is_row_lost || now < self.rewrite_at || !self.written.is_empty() {
+            return;
+        }
+        self.rewrite_at = now + REWRITE_INTERVAL;
+        self.written.push_back(row.clone());
+        out.push(FailoverEffect::Claim(self.row_version, row.clone()));
+    }
+
     /// Continues after this host's write has reached the row.
     pub(super) fn on_own_row(&mut self, now: Timestamp, out: &mut Vec<FailoverEffect>) {
         let Some(row) = &self.row else { return };
--- a/src/core/proxy/lead.rs
+++ b/src/core/proxy/lead.rs
@@ -1,6 +1,8 @@
 //! Use of a group's primary: whether it is proven to lead, and what the hosts tell each other about
 //! claims.
 
+use std::collections::BTreeSet;
+
 use super::failover::Claim;
 use super::group::GroupState;
 use super::lease::{ClaimRows, Knowledge, LeadProof, StoreRead};
@@ -99,6 +101,24 @@
         self.dispatch_changed_groups(now);
     }
 
+    /// Processes a read of all rows at `version`. A group's row of an earlier era that is not `listed`
+    /// was lost by a restore of the store.
+    pub fn on_claim_rows_read(
+        &mut self,
+        now: Timestamp,
+        version: RowVersion,
+        listed: &BTreeSet<GroupId>,
+    ) {
+        let is_lost = |(group, (known, _)): &(&GroupId, &(RowVersion, Option<Claim>))| {
+            known.era() < version.era() && !listed.contains(*group)
+        };
+        let lost: Vec<GroupId> =
+            self.claims.iter().filter(is_lost).map(|(group, _)| group.clone()).collect();
+        for group in lost {
+            self.adopt_claim_row(now, &group, version.absent(), None);
+        }
+    }
+
     /// Sends a host the groups' rows above a version.
     pub fn on_claims_requested(&mut self, host: HostId, after: RowVersion) {
         let newer = self.claims.iter().filter(|(_, (version, _))| *version > after);
@@ -143,8 +163,14 @@
         if version <= known {
             return;
         }
-        self.claims.insert(group.clone(), (version, claim.cloned()));
+        let lost = self.claims.get(group).and_then(|(_, claim)| claim.clone());
+        let lost = lost.filter(|lost| version.era() > known.era() && lost.supersedes(claim));
         self.evidence.on_row(version);
+        if lost.is_some() {
+            self.claims.insert(group.clone(), (version, lost));
+            return;
+        }
+        self.claims.insert(group.clone(), (version, claim.cloned()));
         let Some(claim) = claim.filter(|_| self.spec.lead_proof == LeadProof::Lease) else {
             return;
         };
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -208,6 +208,9 @@
             self.propose_secret(cx);
         }
         if rows.is_complete {
+            let group_of = |row: &StoreRow| row.key.strip_prefix(GROUP_KEY_PREFIX)?.parse().ok();
+            let listed = rows.rows.iter().filter_map(group_of).collect();
+            self.core.on_claim_rows_read(now, rows.version, &listed);
             self.register_again(cx, rows.version);
         }
         self.update_hosts();
--- a/tests/proxy_failover.rs
+++ b/tests/proxy_failover.rs
@@ -7,7 +7,7 @@
 use medlarstile::core::proxy::job::{Order, StatusReport};
 use medlarstile::core::proxy::lease::{Evidence, LeadProof};
 use medlarstile::types::{
-    AttemptId, DurationMs, EndpointId, HostId, Position, RowVersion, Term, Timestamp,
+    AttemptId, DurationMs, EndpointId, HostId, Position, RowVersion, StoreEra, Term, Timestamp,
 };
 use yare::parameterized;
 
@@ -231,3 +231,83 @@
     rig.advance(20);
     assert_eq!(rig.promotions(), [(endpoint("c"), RowVersion(7))]);
 }
+
+/// Version of a row in the era before a restore of the store, and in the one after it.
+const ERAS: [StoreEra; 2] = [StoreEra(1), StoreEra(2)];
+
+fn version(era: StoreEra, number: u64) -> RowVersion {
+    RowVersion::in_era(era, number).expect("a version")
+}
+
+/// The row with which a host has confirmed a primary.
+fn finished(holder: &str, leader: &str, term: u64) -> Claim {
+    Claim {
+        holder: host(holder),
+        attempt: AttemptId(9),
+        leader: Some(endpoint(leader)),
+        chosen: None,
+        term: Term(term),
+    }
+}
+
+/// Guards against a group that keeps its failed primary after a restore of the store, because each
+/// claim expects a version that the store no longer has, and against promotions without a claim
+/// in the store, or under a token below one that was used.
+#[parameterized(
+    row_is_absent = { 0, None, false },
+    row_is_older = { 40, Some(finished("h2", "a", 1)), false },
+    row_is_an_earlier_term = { 40, Some(finished("h2", "a", 0)), false },
+    row_is_as_known = { 60, None, true },
+)]
+fn a_failover_goes_on_after_a_restore(number: u64, read: Option<Claim>, is_kept: bool) {
+    let mut rig = Rig::new(snapshot(0));
+    let former = finished("h2", "a", 1);
+    rig.failover.on_row(rig.now, rig.now, version(ERAS[0], 50), Some(&former));
+    rig.advance(3_400);
+    let effects = rig.failover.on_claimed(rig.now, rig.now, Ok(version(ERAS[0], 97)));
+    rig.effects_seen.extend(effects);
+    assert_eq!(rig.failover.state(), FailoverState::Surveying);
+    let own = rig.failover.row().1.cloned();
+    let read = if is_kept { own } else { read };
+    rig.failover.on_row(rig.now, rig.now, version(ERAS[1], number), read.as_ref());
+    rig.effects_seen.clear();
+    let token = if is_kept { version(ERAS[1], number) } else { version(ERAS[1], number + 1) };
+    if !is_kept {
+        rig.advance(500);
+        let expected = rig.effects_seen.iter().find_map(|effect| match effect {
+            FailoverEffect::Claim(expected, _) => Some(*expected),
+            _ => None,
+        });
+        assert_eq!(expected, Some(version(ERAS[1], number)));
+        let effects = rig.failover.on_claimed(rig.now, rig.now, Ok(token));
+        rig.effects_seen.extend(effects);
+    }
+    rig.status("b", status(Role::Replica, 1, 10));
+    rig.status("c", status(Role::Replica, 1, 11));
+    rig.advance(20);
+    assert_eq!(rig.promotions(), [(endpoint("c"), token)]);
+}
+
+/// Guards against the promotion of an endpoint that missed an earlier one, by a host that starts
+/// after a restore of the store has lost the term of that promotion.
+#[parameterized(
+    absent = { 0, None, true },
+    earlier_term = { 40, Some(finished("h2", "a", 2)), true },
+    own_claim_before_it_was_finished = { 40, Some(Claim { leader: None, ..finished("h2", "b", 3) }), true },
+    the_same = { 40, Some(finished("h2", "b", 3)), false },
+    a_later_claim = { 40, Some(finished("h3", "c", 4)), false },
+)]
+fn the_last_promotion_is_written_again(number: u64, read: Option<Claim>, is_written: bool) {
+    let mut rig = Rig::new(snapshot(0));
+    let known = finished("h2", "b", 3);
+    rig.failover.on_row(rig.now, rig.now, version(ERAS[0], 97), Some(&known));
+    rig.failover.on_row(rig.now, rig.now, version(ERAS[1], number), read.as_ref());
+    let writes = |rig: &mut Rig| {
+        rig.now += DurationMs(20);
+        rig.failover.tick(rig.now, false, &rig.snapshot, &Evidence::default())
+    };
+    let expected = FailoverEffect::Claim(version(ERAS[1], number), known.clone());
+    assert_eq!(writes(&mut rig), if is_written { vec![expected] } else { Vec::new() });
+    rig.failover.on_row(rig.now, rig.now, version(ERAS[1], 98), Some(&known));
+    assert_eq!(writes(&mut rig), []);
+}
