Keep what endpoints have reported last across a restore of the store

What callers saw: nothing yet. Until the endpoints have written their rows again, a restored store has older ones: of an endpoint that is shutting down, as ready, which then got new work (DRAIN); of a former primary, as the primary, to which writes and primary reads were sent and refused; of one that has left, whose address another one may have. Cause: a row that is read was taken for the endpoint's latest report. Change: the entry holds the number of the report, which an endpoint counts from its start. An entry that the restore has lost counts as missing, as before, and is taken as it is written again.

--- a/src/core/proxy/group.rs
+++ b/src/core/proxy/group.rs
@@ -46,10 +46,20 @@
     /// Wall-clock time of its start in milliseconds, which distinguishes restarts under the same
     /// id.
     pub started_ms: u64,
+    /// Number of this report since its start, if it counts them.
+    pub report: Option<u64>,
     /// Version of its row.
     pub version: RowVersion,
 }
 
+impl EndpointEntry {
+    /// Whether the endpoint wrote this entry before the other one, as far as the two tell.
+    pub fn is_before(&self, other: &EndpointEntry) -> bool {
+        let both_count = self.report.is_some() && other.report.is_some();
+        both_count && (self.started_ms, self.report) < (other.started_ms, other.report)
+    }
+}
+
 /// Number of connections that a host tries to have at an endpoint. An endpoint counts connections of
 /// hosts that have lost power for some seconds, so that after a mass restart it accepts few; hosts
 /// that all try to open their full shares then refuse each other the rest.
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -163,9 +163,10 @@
 
     fn on_endpoint_rows(&mut self, rows: &FeedRows) {
         let decoded = rows.rows.iter().map(|row| (row.key.clone(), read_entry(row)));
-        self.entries.apply(rows.is_complete, decoded);
+        let now = suspend_aware_clock();
+        self.entries.apply(now, rows.version, rows.is_complete, decoded);
         let entries = self.entries.iter().cloned().collect();
-        self.core.set_entries(suspend_aware_clock(), entries);
+        self.core.set_entries(now, entries);
     }
 
     fn on_own_rows(&mut self, cx: CX![], rows: &FeedRows) {
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -16,6 +16,7 @@
     db_role: DbRole,
     #[serde(default)]
     born: u64,
+    sequence: Option<u64>,
 }
 
 #[derive(Deserialize, PartialEq, Eq)]
@@ -51,6 +52,7 @@
         leaving: json.state == State::Draining,
         claims_primary: json.db_role == DbRole::Primary,
         started_ms: json.born,
+        report: json.sequence,
         version,
     })
 }
--- a/tests/lead_model/mod.rs
+++ b/tests/lead_model/mod.rs
@@ -242,6 +242,7 @@
             leaving: false,
             claims_primary: place == self.world.primary,
             started_ms: 1,
+            report: None,
             version: RowVersion(1),
         });
         let entries = entries.collect();
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -14,7 +14,7 @@
 use medlarstile::platform::settings::PlatformSettings;
 use medlarstile::platform::store::{self, HttpAnswer, RowsAnswer, WriteAnswer};
 use medlarstile::platform::{configuration, discovery};
-use medlarstile::types::{AccountId, DurationMs, Position, RowVersion, Term};
+use medlarstile::types::{AccountId, DurationMs, Position, RowVersion, Term, Timestamp};
 use yare::parameterized;
 
 const SETTINGS: &str = r#"{"nodeName":"frontend-a-1","ip":"127.0.0.1","zone":"a","unknown":{},
@@ -262,7 +262,7 @@
     };
     let mut table = EntryTable::default();
     let mut apply = |is_complete: bool, rows: &[(_, Option<EndpointEntry>)]| -> Vec<String> {
-        table.apply(is_complete, rows.iter().cloned());
+        table.apply(Timestamp(1), RowVersion(6), is_complete, rows.iter().cloned());
         table.iter().map(|entry| entry.endpoint.to_string()).collect()
     };
     let rows = [row("i-1", 1, good), row("i-2", 2, &odd_entry(kind)), row("i-3", 3, good)];
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -71,6 +71,7 @@
         leaving: false,
         claims_primary,
         started_ms: 1,
+        report: None,
         version: RowVersion(1),
     }
 }
