Write the fleet's secret again after a restore of the store has lost it

What callers saw: nothing yet. After a restore to a copy from before the first start, the next host to start found no secret, had its own accepted and was linked to no other: sessions were not relayed to it, and it reserved an equal share of each rate that it could not learn of. Cause: the secret was proposed only by a host without links, and read only once. Change: a host with links proposes their secret when the row is missing. If another proposal is accepted first, all hosts use that one for the connections that open from then on, and keep the open ones. Evidence: platform_restore a_host_that_starts_after_a_restore_is_linked, both cases; before, the new host was not linked within the 20 s of the test.

--- a/src/net/peer/actor.rs
+++ b/src/net/peer/actor.rs
@@ -171,6 +171,12 @@
         self.rearm_timer(cx);
     }
 
+    /// Replaces the secret with which new connections are authenticated. Open ones are kept.
+    pub fn set_secret(&mut self, _: CX![], secret: Secret) {
+        let hello = self.identity.hello.clone();
+        self.identity = Rc::new(Identity { hello, secret });
+    }
+
     /// Closes all connections and accepts no more.
     pub fn close(&mut self, cx: CX![]) {
         let now = cx.now();
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -30,6 +30,8 @@
 /// Links to the other hosts.
 pub struct Peers {
     link: ActorOwn<PeerActor>,
+    /// Secret of the links that open from now on.
+    secret: Secret,
     last_number: u64,
     /// Hosts to which links are kept open.
     targets: Vec<PeerTarget>,
@@ -73,22 +75,34 @@
         }
     }
 
-    /// Proposes a random secret; all hosts use the first proposal that the store accepts.
+    /// Proposes a random secret; all hosts use the first proposal that the store accepts. A host that
+    /// has links proposes their secret, which a restore of the store has lost.
     pub(super) fn propose_secret(&mut self, _: CX![]) {
-        if self.peers.is_some() {
-            return;
-        }
-        let secret: [u8; SECRET_BYTES] = rand::random();
-        let text: String = secret.iter().map(|byte| format!("{byte:02x}")).collect();
+        let text = match &self.peers {
+            Some(peers) => peers.secret.expose().to_owned(),
+            None => {
+                let secret: [u8; SECRET_BYTES] = rand::random();
+                secret.iter().map(|byte| format!("{byte:02x}")).collect()
+            }
+        };
         let absent = Some(RowVersion(0));
         let request = store::put_row(OWN_TABLE, SECRET_KEY, absent, Some(text.as_bytes()));
         call!([self.store_calls], call(CallPurpose::Agree, request));
     }
 
-    /// Opens the socket of the links once the row with the secret is read.
+    /// Opens the socket of the links once the row with the secret is read. After a restore of the
+    /// store the row may have another secret, which hosts that start from then on use.
     pub(super) fn on_secret_row(&mut self, cx: CX![], row: &StoreRow) {
         let secret = row.value.as_deref().and_then(|value| std::str::from_utf8(value).ok());
-        let Some(secret) = secret.filter(|_| self.peers.is_none()) else { return };
+        let Some(secret) = secret else { return };
+        if let Some(peers) = &mut self.peers {
+            if peers.secret.expose() != secret {
+                tracing::warn!("peer: the fleet has another secret");
+                peers.secret = Secret::new(secret);
+                call!([peers.link], set_secret(Secret::new(secret)));
+            }
+            return;
+        }
         let socket = UdpSocket::bind(self.settings.peers)
             .and_then(|socket| socket.set_nonblocking(true).map(|()| socket));
         let socket = match socket {
@@ -109,6 +123,7 @@
         let link = actor!(cx, PeerActor::init(spec, events), ret_nop!());
         self.peers = Some(Peers {
             link,
+            secret: Secret::new(secret),
             last_number: 0,
             targets: Vec::new(),
             outdated_since: None,
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -202,10 +202,7 @@
                 }
             }
         }
-        if rows.is_complete
-            && self.peers.is_none()
-            && !rows.rows.iter().any(|row| row.key == SECRET_KEY)
-        {
+        if rows.is_complete && !rows.rows.iter().any(|row| row.key == SECRET_KEY) {
             self.propose_secret(cx);
         }
         if rows.is_complete {
--- a/tests/platform_restore.rs
+++ b/tests/platform_restore.rs
@@ -98,6 +98,28 @@
     println!("listed again after {:?}", restored.elapsed());
 }
 
+/// Guards against a fleet whose secret a restore of the store has lost, so that hosts which start
+/// later agree on another one and cannot be reached by the others.
+#[parameterized(
+    own_secret_is_first = { None },
+    another_secret_is_first = { Some("5e".repeat(32)) },
+)]
+fn a_host_that_starts_after_a_restore_is_linked(other: Option<String>) {
+    let store = Store::default();
+    store.put("op", "config", &configuration(3));
+    let copy = store.copy();
+    let mut hosts = start(&store, 4);
+    store.restore(&copy, |rows| {
+        if let Some(other) = &other {
+            rows.put("medlarstile", "fleet.secret", other.as_bytes());
+        }
+    });
+    hosts[0].wait_for("store: row of this host was lost");
+    let mut late = HostSpec::at(store.serve(None)).start("h9");
+    late.wait_for("peer: connected");
+    hosts[0].wait_for("h9");
+}
+
 /// Guards against a host that keeps the configuration from before a restore of the store: it ignored
 /// rows below the highest version that it had seen, and missed those below its own mark.
 #[parameterized(
