Restore the store from an older copy in the soak

Each third trouble of the platform, counted without a draw so that the seeds keep their other faults, now takes the store away from all hosts and brings it back in a new era from a copy of up to 12 s ago. The operator writes its configuration again at once, the endpoints theirs at their next heartbeat, counted. What the hosts wrote since the copy is gone. The key that is withdrawn at the end of each run has to be out of force within the bound as before.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -63,6 +63,10 @@
     began: Instant,
     /// Number of times that connections were reset or silenced.
     breaks: u32,
+    /// Number of times that the platform misbehaved.
+    troubles: u32,
+    /// Number of times that the endpoints have written their rows.
+    beats: u64,
 }
 
 /// The end of a fault.
@@ -72,6 +76,7 @@
     Restart(usize),
     Link(usize, usize),
     Platform(usize),
+    Restore(Duration),
     Revive(usize),
     CatchUp(usize),
 }
@@ -91,8 +96,20 @@
         }
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let (due, trace, began) = (Vec::new(), Vec::new(), Instant::now());
-        let mut run =
-            Self { shared, platform, hosts, links, rng, version: 0, due, trace, began, breaks: 0 };
+        let mut run = Self {
+            shared,
+            platform,
+            hosts,
+            links,
+            rng,
+            version: 0,
+            due,
+            trace,
+            began,
+            breaks: 0,
+            troubles: 0,
+            beats: 0,
+        };
         run.configure(&[]);
         run
     }
@@ -122,14 +139,16 @@
     }
 
     /// Writes the endpoints' rows, as each of them does at its heartbeat.
-    fn beat(&self) {
+    fn beat(&mut self) {
+        self.beats += 1;
+        self.platform.copy();
         let entries: Vec<(String, Value)> = {
             let world = self.shared.lock();
             let alive = world.members.iter().enumerate().filter(|(_, member)| member.alive);
             let entry = |(place, member): (usize, &world::Member)| {
                 let role = if world.primary == place { "primary" } else { "replica" };
                 let entry = json!({"service": GROUP, "address": place, "zone": format!("z{place}"),
-                    "state": "ready", "dbRole": role, "born": 1});
+                    "state": "ready", "dbRole": role, "born": 1, "sequence": self.beats});
                 (member.id.clone(), entry)
             };
             alive.map(entry).collect()
@@ -191,9 +210,16 @@
             9 | 10 => {
                 let refuses = self.rng.random_bool(0.4);
                 let late = Duration::from_millis(self.rng.random_range(0..3_000));
-                let trouble = Trouble { refuses, loses_answers: !refuses, late };
-                self.platform.trouble(host, trouble);
-                Undo::Platform(host)
+                self.troubles += 1;
+                // Takes its turn without a draw, so that the seeds keep their other faults.
+                if self.troubles % 3 == 1 {
+                    self.platform.take_down();
+                    Undo::Restore(late * 4)
+                } else {
+                    let trouble = Trouble { refuses, loses_answers: !refuses, late };
+                    self.platform.trouble(host, trouble);
+                    Undo::Platform(host)
+                }
             }
             11 | 12 => {
                 let mut world = self.shared.lock();
@@ -254,6 +280,7 @@
                     self.links[host][place].reset();
                 }
                 Undo::Platform(host) => self.platform.trouble(host, Trouble::default()),
+                Undo::Restore(age) => self.platform.restore(age),
                 Undo::Revive(place) => self.shared.lock().members[place].alive = true,
                 Undo::CatchUp(place) => self.shared.lock().members[place].behind = false,
             }
@@ -330,9 +357,10 @@
     }
     let found = world.violations.clone();
     println!(
-        "seed {seed}: {} served, term {}, {} violations",
+        "seed {seed}: {} served, term {}, {} restores, {} violations",
         world.served,
         world.term,
+        run.platform.restores(),
         found.len()
     );
     drop(world);
--- a/tests/soak/platform.rs
+++ b/tests/soak/platform.rs
@@ -9,7 +9,7 @@
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use serde_json::{json, Value};
-use tiny_http::{Method, Request, Response, Server};
+use tiny_http::{Header, Method, Request, Response, Server};
 
 use super::world::Shared;
 
@@ -39,6 +39,12 @@
     version: u64,
     rows: BTreeMap<RowName, RowState>,
     trouble: BTreeMap<usize, Trouble>,
+    /// Whether all calls are answered with 503.
+    is_down: bool,
+    /// Number of restores.
+    era: u64,
+    /// Copies of the rows with their versions, oldest first.
+    copies: Vec<(Instant, u64, BTreeMap<RowName, RowState>)>,
 }
 
 /// The platform.
@@ -62,6 +68,37 @@
         Instant::now()
     }
 
+    /// Takes a copy of the rows.
+    pub fn copy(&self) {
+        let mut rows = self.rows.0.lock().expect("the rows");
+        let copy = (Instant::now(), rows.version, rows.rows.clone());
+        rows.copies.push(copy);
+    }
+
+    /// Takes the store away from all hosts.
+    pub fn take_down(&self) {
+        self.rows.0.lock().expect("the rows").is_down = true;
+    }
+
+    /// Brings the store back from the newest copy that has this age, or the oldest; the operator
+    /// writes its row again.
+    pub fn restore(&self, age: Duration) {
+        let mut rows = self.rows.0.lock().expect("the rows");
+        let is_old = |(at, ..): &&(Instant, u64, _)| at.elapsed() >= age;
+        let copy = rows.copies.iter().rev().find(is_old).or(rows.copies.first());
+        let (_, version, copied) = copy.expect("a copy").clone();
+        let name: RowName = ("op".into(), "config".into());
+        let (_, configuration) = rows.rows.get(&name).expect("a configuration").clone();
+        (rows.version, rows.rows) = (version + 1, copied);
+        rows.rows.insert(name, (version + 1, configuration));
+        (rows.is_down, rows.era) = (false, rows.era + 1);
+        self.rows.1.notify_all();
+    }
+
+    pub fn restores(&self) -> u64 {
+        self.rows.0.lock().expect("the rows").era
+    }
+
     pub fn trouble(&self, host: usize, trouble: Trouble) {
         self.rows.0.lock().expect("the rows").trouble.insert(host, trouble);
     }
@@ -76,7 +113,9 @@
             thread::spawn(move || {
                 while let Ok(mut request) = server.recv() {
                     if let Some((status, body)) = platform.answer(host, &addresses, &mut request) {
-                        let response = Response::from_string(body.to_string());
+                        let era = platform.rows.0.lock().expect("the rows").era.to_string();
+                        let era = Header::from_bytes("Store-Era", era).expect("a header");
+                        let response = Response::from_string(body.to_string()).with_header(era);
                         // A host that has gone needs no answer.
                         drop(request.respond(response.with_status_code(status)));
                     } else {
@@ -95,9 +134,11 @@
         addresses: &[SocketAddr],
         request: &mut Request,
     ) -> Option<(u16, Value)> {
-        let trouble = self.rows.0.lock().expect("the rows").trouble.get(&host).copied();
-        let trouble = trouble.unwrap_or_default();
-        if trouble.refuses {
+        let (trouble, is_down) = {
+            let rows = self.rows.0.lock().expect("the rows");
+            (rows.trouble.get(&host).copied().unwrap_or_default(), rows.is_down)
+        };
+        if trouble.refuses || is_down {
             return Some((503, json!({})));
         }
         if *request.method() == Method::Get {
@@ -107,7 +148,7 @@
                 form_urlencoded::parse(query.as_bytes()).into_owned().collect();
             let after = query.get("after").map_or(0, |text| text.parse().expect("a version"));
             let feed = path.ends_with("feed");
-            return Some((200, self.read(&query["table"], after, feed, addresses)));
+            return Some(self.read(&query["table"], after, feed, addresses));
         }
         let mut body = String::new();
         request.as_reader().read_to_string(&mut body).expect("a text");
@@ -121,12 +162,15 @@
         (!trouble.loses_answers).then_some(answer)
     }
 
-    fn read(&self, table: &str, after: u64, feed: bool, addresses: &[SocketAddr]) -> Value {
+    fn read(&self, table: &str, after: u64, feed: bool, addresses: &[SocketAddr]) -> (u16, Value) {
         let mut rows = self.rows.0.lock().expect("the rows");
         let newer = |rows: &Rows| rows.rows.iter().any(|((t, _), (v, _))| t == table && *v > after);
         if feed && !newer(&rows) {
             rows = self.rows.1.wait_timeout(rows, MOST_WAIT).expect("the rows").0;
         }
+        if after > rows.version {
+            return (410, json!({}));
+        }
         let found = rows.rows.iter().filter(|((t, _), (version, value))| {
             t == table && *version > after && (feed || value.is_some())
         });
@@ -138,7 +182,7 @@
                 "removed": removed})
         };
         let found: Vec<Value> = found.map(row).collect();
-        json!({"rows": found, "hasMore": false, "ver": rows.version})
+        (200, json!({"rows": found, "hasMore": false, "ver": rows.version}))
     }
 
     fn transact(&self, body: &Value) -> (u16, Value) {
