Restore the store from an older copy in the histories of the lead

Histories of a group with the store down and then restored from a copy of up to 20 s ago, together with cuts, crashes, freezes, restarts and late calls: with leases, and for the first time with a platform that checks fencing tokens and takes the lead from the old primary. The store compares the numbers of versions alone, as the platform's does. A token that two hosts use is a violation in both.

--- a/tests/lead_history.rs
+++ b/tests/lead_history.rs
@@ -54,6 +54,14 @@
     }
 }
 
+fn restore(rng: &mut ChaCha8Rng, hosts: usize) -> Fault {
+    let draws: [Draw; 4] = [some_cut, store_fault, process_fault, domain_cut];
+    match rng.random_range(0..2) {
+        0 => Fault::Restore(rng.random_range(0..20_000) * MS),
+        _ => draws[rng.random_range(0..draws.len())](rng, hosts),
+    }
+}
+
 fn any_fault(rng: &mut ChaCha8Rng, hosts: usize) -> Fault {
     let draws: [Draw; 4] = [domain_cut, some_cut, store_fault, process_fault];
     draws[rng.random_range(0..draws.len())](rng, hosts)
@@ -69,7 +77,8 @@
         })
         .collect();
     let last = faults.iter().map(|(_, to, _)| *to).max().unwrap_or_default();
-    Plan { hosts, faults, ends: last + RECOVERY_MS * MS, lead_proof: LeadProof::Lease }
+    let (ends, lead_proof) = (last + RECOVERY_MS * MS, LeadProof::Lease);
+    Plan { hosts, faults, ends, lead_proof, is_fenced: false }
 }
 
 /// Seeds that failed before. Guards against samples of an old primary that were answered after the
@@ -85,19 +94,27 @@
     assert!(world.violations.is_empty(), "{plan:?}: {:?}", world.violations);
 }
 
-/// Guards against two primaries in use at a time, and against a group that stays without one.
+/// The same where the platform checks fencing tokens, which the hosts rely on.
+fn fenced(plan: Plan) -> Plan {
+    Plan { lead_proof: LeadProof::Transaction, is_fenced: true, ..plan }
+}
+
+/// Guards against two primaries in use at a time, against a token that two hosts use, and against a
+/// group that stays without a primary.
 #[parameterized(
-    domain_is_cut_off = { domain_cut, 1, 1_000 },
-    links_are_cut = { some_cut, 4, 2_000 },
-    store_fails = { store_fault, 4, 3_000 },
-    processes_fail = { process_fault, 4, 4_000 },
-    everything_fails = { any_fault, 7, 5_000 },
+    domain_is_cut_off = { domain_cut, 1, 1_000, |plan| plan },
+    links_are_cut = { some_cut, 4, 2_000, |plan| plan },
+    store_fails = { store_fault, 4, 3_000, |plan| plan },
+    processes_fail = { process_fault, 4, 4_000, |plan| plan },
+    everything_fails = { any_fault, 7, 5_000, |plan| plan },
+    store_is_restored = { restore, 6, 6_000, |plan| plan },
+    store_is_restored_with_fencing = { restore, 6, 7_000, fenced },
 )]
-fn only_one_primary_is_used(draw: Draw, count: usize, first_seed: u64) {
+fn only_one_primary_is_used(draw: Draw, count: usize, first_seed: u64, vary: fn(Plan) -> Plan) {
     let histories = std::env::var("LEAD_HISTORIES").ok().and_then(|text| text.parse().ok());
     let mut promotions = 0;
     for seed in first_seed..first_seed + histories.unwrap_or(HISTORIES) {
-        let plan = plan(seed, draw, count);
+        let plan = vary(plan(seed, draw, count));
         let world = Simulation::run(seed, plan.clone());
         assert!(world.violations.is_empty(), "seed {seed}, {plan:?}: {:?}", world.violations);
         let recovered = world.last_write_at + 2_000 * MS >= plan.ends;
--- a/tests/lead_model/mod.rs
+++ b/tests/lead_model/mod.rs
@@ -45,6 +45,8 @@
     /// A host and an endpoint reach each other and nothing else.
     DomainCut(usize, usize),
     StoreDown,
+    /// The store is down and comes back from a copy that was this old when it went.
+    Restore(u64),
     /// The store does not serve a host.
     TurnedAway(usize),
     Freeze(usize),
@@ -61,6 +63,8 @@
     pub faults: Vec<(u64, u64, Fault)>,
     pub ends: u64,
     pub lead_proof: LeadProof,
+    /// Whether the platform checks fencing tokens.
+    pub is_fenced: bool,
 }
 
 enum Call {
@@ -72,7 +76,7 @@
 enum Input {
     Tick,
     Peer(usize, Message),
-    Rows { version: u64, claim: Option<Claim>, read: StoreRead },
+    Rows { version: RowVersion, claim: Option<Claim>, read: StoreRead },
     FeedCall,
     Called(u64, CallEnd),
     Opened(ConnectionId),
@@ -176,7 +180,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             queue: BTreeMap::new(),
             hosts: Vec::new(),
-            world: World::new(),
+            world: World::new(plan.is_fenced),
             faults: Vec::new(),
             next_id: 0,
             statements: BTreeMap::new(),
@@ -279,7 +283,7 @@
             Fault::DomainCut(host, endpoint) => {
                 [host, endpoint].contains(&one) != [host, endpoint].contains(&other)
             }
-            Fault::StoreDown => one == 200 || other == 200,
+            Fault::StoreDown | Fault::Restore(_) => one == 200 || other == 200,
             Fault::TurnedAway(host) => (host, 200) == (one, other) || (host, 200) == (other, one),
             _ => false,
         };
@@ -342,6 +346,11 @@
                     self.input(host, 0, input);
                 }
             }
+            Fault::Restore(age) if !begins => {
+                let went_at = self.plan.faults.iter().find(|(.., one)| *one == fault);
+                let (went_at, ..) = went_at.expect("the fault");
+                self.world.restore(went_at.saturating_sub(age));
+            }
             Fault::Restart(host) if begins => {
                 let incarnation = self.hosts[host].incarnation + 1;
                 self.hosts[host] = self.new_host(host, incarnation);
@@ -360,7 +369,7 @@
         if !self.linked(host, 200) {
             return self.input(host, 1_900 * MS, Input::FeedCall);
         }
-        if self.world.claim.0 <= known && known > 0 && self.now < sent + FEED_WAIT {
+        if self.world.claim.0 .0 <= known && known > 0 && self.now < sent + FEED_WAIT {
             return self.push(5 * MS, Event::Feed { host, incarnation, sent, known });
         }
         let (version, claim) = self.world.claim.clone();
@@ -383,16 +392,18 @@
                 let incarnation = u64::MAX;
                 self.push(delay, Event::Store { host, incarnation, id, call });
             } else if let Call::Promote(endpoint, token) = call {
-                if self.world.order_promotion(token, &endpoint) {
+                if self.world.order_promotion(host, token, &endpoint) {
                     self.push(delay, Event::Promotion(endpoint));
                 }
             }
             return;
         }
         let end = match call {
-            Call::Claim(version, claim) => CallEnd::Claimed(self.world.swap(version, claim)),
+            Call::Claim(version, claim) => {
+                CallEnd::Claimed(self.world.swap(self.now, version, claim))
+            }
             Call::Promote(endpoint, token) => {
-                let accepted = self.world.order_promotion(token, &endpoint);
+                let accepted = self.world.order_promotion(host, token, &endpoint);
                 if accepted {
                     let delay = self.rng.random_range(300..700) * MS;
                     self.push(delay, Event::Promotion(endpoint));
@@ -449,11 +460,13 @@
             },
             Input::Rows { version, claim, read } => {
                 core.on_listed();
-                if version > 0 {
-                    core.on_claim_row(now, &group, version.into(), claim.as_ref());
+                if version.is_absent() {
+                    core.on_claim_rows_read(now, version, &BTreeSet::new());
+                } else {
+                    core.on_claim_row(now, &group, version, claim.as_ref());
                 }
                 core.on_store_read(now, StoreRead { received_at: now, ..read });
-                self.hosts[host].known = version.max(1);
+                self.hosts[host].known = version.0.max(1);
                 self.input(host, 0, Input::FeedCall);
             }
             Input::FeedCall => {
--- a/tests/lead_model/world.rs
+++ b/tests/lead_model/world.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use medlarstile::core::proxy::failover::{Claim, ClaimError};
-use medlarstile::types::{EndpointId, Position, RowVersion, Term};
+use medlarstile::types::{EndpointId, Position, RowVersion, StoreEra, Term};
 
 pub const ENDPOINTS: [&str; 3] = ["a", "b", "c"];
 /// Time after which an old primary that reaches the new one becomes a replica.
@@ -32,9 +32,15 @@
     pub endpoints: Vec<Endpoint>,
     /// The endpoint that was promoted last.
     pub primary: usize,
-    pub claim: (u64, Option<Claim>),
-    pub version: u64,
-    highest_token: u64,
+    /// The group's row; an absent one has the number 0.
+    pub claim: (RowVersion, Option<Claim>),
+    /// The row's former contents, with the times of their writes.
+    history: Vec<(u64, u64, Option<Claim>)>,
+    version: u64,
+    era: StoreEra,
+    /// Whether the platform checks fencing tokens and takes the lead from the old primary.
+    is_fenced: bool,
+    highest_token: (u64, usize),
     /// Acknowledged commits that no promotion has rolled back, with the time of the answer.
     acknowledged: BTreeMap<u64, u64>,
     committed: BTreeSet<u64>,
@@ -45,7 +51,7 @@
 }
 
 impl World {
-    pub fn new() -> Self {
+    pub fn new(is_fenced: bool) -> Self {
         let endpoint = |place: usize| Endpoint {
             leads: (place == 0).then_some(1),
             term: 1,
@@ -56,9 +62,12 @@
         Self {
             endpoints: (0..ENDPOINTS.len()).map(endpoint).collect(),
             primary: 0,
-            claim: (0, None),
+            claim: (RowVersion(0), None),
+            history: vec![(0, 0, None)],
             version: 10,
-            highest_token: 0,
+            era: StoreEra(0),
+            is_fenced,
+            highest_token: (0, 0),
             acknowledged: BTreeMap::new(),
             committed: BTreeSet::new(),
             runs: BTreeMap::new(),
@@ -150,24 +159,51 @@
         }
     }
 
-    /// Writes a claim if the row has the expected version.
-    pub fn swap(&mut self, expected: RowVersion, claim: Claim) -> Result<RowVersion, ClaimError> {
-        if self.claim.0 != expected.0 {
+    fn row_version(&self, number: u64) -> RowVersion {
+        RowVersion::in_era(self.era, number).expect("a version")
+    }
+
+    /// Writes a claim if the row has the expected version, of which the store knows the number.
+    pub fn swap(
+        &mut self,
+        now: u64,
+        expected: RowVersion,
+        claim: Claim,
+    ) -> Result<RowVersion, ClaimError> {
+        if self.claim.0.number() != expected.number() {
             let (version, claim) = self.claim.clone();
-            return Err(ClaimError::Taken(RowVersion(version), claim));
+            return Err(ClaimError::Taken(version, claim));
         }
         self.version += 1;
-        self.claim = (self.version, Some(claim));
-        Ok(RowVersion(self.version))
+        self.claim = (self.row_version(self.version), Some(claim.clone()));
+        self.history.push((now, self.version, Some(claim)));
+        Ok(self.claim.0)
+    }
+
+    /// Brings the store back from a copy of this time.
+    pub fn restore(&mut self, copied_at: u64) {
+        self.history.retain(|(at, ..)| *at <= copied_at);
+        let (_, number, claim) = self.history.last().expect("the first content").clone();
+        self.era = self.era.next();
+        self.version = number.max(10);
+        self.claim = (self.row_version(number), claim);
     }
 
     /// Notes the token of a promotion when it reaches the platform; false if nothing happens.
-    pub fn order_promotion(&mut self, token: RowVersion, endpoint: &EndpointId) -> bool {
-        if token.0 < self.highest_token {
-            let highest = self.highest_token;
-            self.violations.push(format!("ONE: token {token} after {highest}"));
+    pub fn order_promotion(
+        &mut self,
+        host: usize,
+        token: RowVersion,
+        endpoint: &EndpointId,
+    ) -> bool {
+        let (highest, holder) = self.highest_token;
+        if token.0 < highest && self.is_fenced {
+            return false;
+        }
+        if token.0 < highest || (token.0 == highest && holder != host) {
+            self.violations.push(format!("ONE: h{host} has token {token}, h{holder} {highest}"));
         }
-        self.highest_token = self.highest_token.max(token.0);
+        self.highest_token = self.highest_token.max((token.0, host));
         place_of(endpoint).is_some_and(|place| self.endpoints[place].alive)
     }
 
@@ -181,6 +217,9 @@
         }
         let newest = self.endpoints.iter().map(|one| one.term.max(one.leads.unwrap_or(0))).max();
         let term = newest.unwrap_or(0) + 1;
+        if self.is_fenced {
+            self.endpoints.iter_mut().for_each(|endpoint| endpoint.leads = None);
+        }
         let endpoint = &mut self.endpoints[place];
         (endpoint.leads, endpoint.term, endpoint.reached_newer_ms) = (Some(term), term, 0);
         let log: BTreeSet<u64> = endpoint.log.iter().copied().collect();
