Write a host's row again if the store was restored as it accepted the row

Cause: the answer to the write may arrive after the rows of the next era were read, from which the row was already missing; the host then noticed only at the next read of all rows. Change: the loss is checked after the answer too, against the newest era that was read.

--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -135,6 +135,8 @@
     pub(super) incarnation: Incarnation,
     /// Whether this host's row is being written; the store has not accepted it yet.
     pub(super) is_registering: bool,
+    /// Version of the store at the last read of all rows of [`OWN_TABLE`].
+    pub(super) own_table_read: RowVersion,
     pub(super) report: Report,
     pub(super) next_session: u64,
 }
@@ -212,6 +214,7 @@
             peers: None,
             incarnation,
             is_registering: true,
+            own_table_read: RowVersion(0),
             report,
             next_session: 0,
         })
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -229,7 +229,7 @@
                     for (host, version, row) in rows {
                         self.adopt_host_row(cx, host, version, row);
                     }
-                    self.register_again(cx, self.newest_host_row());
+                    self.register_again(cx);
                     self.update_hosts();
                 }
                 other => tracing::debug!(peer = host.as_str(), ?other, "peer: message is not used"),
@@ -239,7 +239,7 @@
     }
 
     /// Version up to which all hosts' rows are known.
-    fn newest_host_row(&self) -> RowVersion {
+    pub(super) fn newest_host_row(&self) -> RowVersion {
         self.hosts.values().map(|(version, _)| *version).max().unwrap_or_default()
     }
 
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -45,12 +45,13 @@
     }
 
     /// Writes this host's row again if a restore of the store has lost it: the row was known in an
-    /// earlier era than `read`, up to which all hosts' rows have been read.
-    pub(super) fn register_again(&mut self, cx: CX![], read: RowVersion) {
+    /// earlier era than the newest one of which rows have been read.
+    pub(super) fn register_again(&mut self, cx: CX![]) {
+        let era = self.own_table_read.max(self.newest_host_row()).era();
         let known = self.hosts.get(&self.settings.host);
-        let is_lost = known.is_some_and(|(version, _)| version.era() < read.era());
+        let is_lost = known.is_some_and(|(version, _)| version.era() < era);
         if is_lost && !self.is_registering {
-            tracing::warn!(era = %read.era(), "store: row of this host was lost, writing it again");
+            tracing::warn!(%era, "store: row of this host was lost, writing it again");
             self.write_host_row(cx);
         }
     }
@@ -104,6 +105,8 @@
             CallEnd::Written(_, Some(WriteAnswer::Done(version))) => {
                 self.is_registering = false;
                 self.adopt_host_row(cx, self.settings.host.clone(), version, self.own_row());
+                // The store may have been restored since it accepted the row.
+                self.register_again(cx);
             }
             CallEnd::Written(purpose, answer) => {
                 tracing::warn!(?purpose, ?answer, "store: row was not written");
@@ -209,7 +212,8 @@
             let group_of = |row: &StoreRow| row.key.strip_prefix(GROUP_KEY_PREFIX)?.parse().ok();
             let listed = rows.rows.iter().filter_map(group_of).collect();
             self.core.on_claim_rows_read(now, rows.version, &listed);
-            self.register_again(cx, rows.version);
+            self.own_table_read = rows.version;
+            self.register_again(cx);
         }
         self.update_hosts();
     }
