List a host again whose earlier run's row a restore has brought back

What callers saw: nothing yet. A host that follows others was not listed again after a restore to a copy with the row of its earlier run, so that hosts which started later dialed an address and a run that no longer exist. Cause: the other hosts kept the content of the later run under the version of the restored row, and told the host that its row was in the store. Change: the row of an earlier run is not adopted at all, so that the known one stays of the earlier era and counts as lost. The removal of a row whose version differs adopts that version.

--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -16,7 +16,7 @@
 use crate::net::reactor::suspend_aware_clock;
 use crate::platform::store::{self, StoreRow, WriteAnswer};
 use crate::platform::{configuration, discovery};
-use crate::types::{GroupId, HostId, RowVersion, Timestamp};
+use crate::types::{GroupId, HostId, RowVersion, StoreEra, Timestamp};
 use crate::wire::fleet_rows::{WireClaim, WireHostRow};
 
 /// Prefix of the keys of the hosts' rows.
@@ -49,8 +49,13 @@
     pub(super) fn register_again(&mut self, cx: CX![]) {
         let era = self.own_table_read.max(self.newest_host_row()).era();
         let known = self.hosts.get(&self.settings.host);
-        let is_lost = known.is_some_and(|(version, _)| version.era() < era);
-        if is_lost && !self.is_registering {
+        if known.is_some_and(|(version, _)| version.era() < era) {
+            self.write_lost_host_row(cx, era);
+        }
+    }
+
+    fn write_lost_host_row(&mut self, cx: CX![], era: StoreEra) {
+        if !self.is_registering {
             tracing::warn!(%era, "store: row of this host was lost, writing it again");
             self.write_host_row(cx);
         }
@@ -88,9 +93,17 @@
             CallEnd::Written(CallPurpose::Remove(host), answer) => {
                 tracing::info!(removed = host.as_str(), ?answer, "store: removal of a row ended");
                 self.removing.remove(&host);
-                if matches!(answer, Some(WriteAnswer::Changed(version, _)) if version.is_absent()) {
-                    self.hosts.remove(&host);
-                    self.roster.remove(&host);
+                match (answer, self.hosts.get_mut(&host)) {
+                    (Some(WriteAnswer::Changed(version, _)), _) if version.is_absent() => {
+                        self.hosts.remove(&host);
+                        self.roster.remove(&host);
+                    }
+                    (Some(WriteAnswer::Changed(version, _)), Some((known_version, row))) => {
+                        // The row of an earlier run, after a restore of the store.
+                        *known_version = version;
+                        self.roster.insert(now, host, version, row);
+                    }
+                    _ => {}
                 }
             }
             // This host's secret was accepted, or another host's was first; the feed delivers it.
@@ -252,18 +265,18 @@
         cx: CX![],
         host: HostId,
         version: RowVersion,
-        mut row: HostRow,
+        row: HostRow,
     ) {
         if let Some((known_version, known)) = self.hosts.get(&host) {
             if *known_version >= version {
                 return;
             }
-            // A restored store has the row of an earlier run of the process.
             if known_version.era() < version.era() && row.incarnation < known.incarnation {
-                row = known.clone();
-                if host == self.settings.host && !self.is_registering {
-                    self.write_host_row(cx);
+                // A restored store has the row of an earlier run. That of the present one is lost.
+                if host == self.settings.host {
+                    self.write_lost_host_row(cx, version.era());
                 }
+                return;
             }
         }
         if host != self.settings.host {
