Read all tables again as soon as one shows that the store was restored

What callers saw: nothing yet. Cause: the store keeps a read that waits for a change across the restore if the versions have passed its mark; it ends after up to 3 s. Change: a feed that learns of another era tells the others, which end their call and read all rows. The store double lets a read wait for changes of its own table, for as long as it asks.

--- a/src/net/proxy/feed.rs
+++ b/src/net/proxy/feed.rs
@@ -194,6 +194,21 @@
         }
     }
 
+    /// Called when another feed has learned that the store was restored. A call that waits for a change
+    /// would show it only at its end.
+    pub fn on_restored(&mut self, cx: CX![], era: StoreEra) {
+        if self.is_idle || self.era.is_none_or(|own| own >= era) {
+            return;
+        }
+        if let Some(pause) = self.pause.take() {
+            cx.timer_del(pause);
+        }
+        self.known_version = None;
+        self.partial_rows.clear();
+        self.client = actor!(cx, HttpClient::init(self.address), ret_nop!());
+        self.follow(cx);
+    }
+
     fn timing(&self) -> FeedTiming {
         match self.pace {
             Pace::Active => self.config.active,
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -146,7 +146,12 @@
                 }
             }
             FeedEvent::Reachable(table, reachable) => self.report.on_reachable(table, reachable),
-            FeedEvent::Restored(_, era) => self.report.on_era(era),
+            FeedEvent::Restored(_, era) => {
+                self.report.on_era(era);
+                for (_, feed) in &self.feeds {
+                    call!([feed], on_restored(era));
+                }
+            }
             FeedEvent::CallEnded(table, outcome) => self.report.on_read(table, outcome),
         }
         self.carry_out(cx);
--- a/tests/host_process/mod.rs
+++ b/tests/host_process/mod.rs
@@ -36,22 +36,25 @@
     pub share: f64,
     /// Time within which a version of the configuration has to be in force.
     pub limit: Duration,
+    /// Whether the platform checks fencing tokens; a host without leases reads the hosts' rows less
+    /// often.
+    pub checks_tokens: bool,
 }
 
 impl HostSpec {
     pub fn at(store: SocketAddr) -> Self {
-        Self { store, share: 1.0, limit: CONTACT_LIMIT }
+        Self { store, share: 1.0, limit: CONTACT_LIMIT, checks_tokens: false }
     }
 
     pub fn start(&self, name: &str) -> Host {
-        let Self { store, share, limit } = self;
+        let Self { store, share, limit, checks_tokens } = self;
         let limit_ms = limit.as_millis();
         let [front, probe, peer_address, metrics] = [(); 4].map(|()| free_port());
         let text = format!(
             r#"{{"nodeName":"{name}","ip":"127.0.0.1","zone":"a",
             "bindAddrs":{{"frontend":"127.0.0.1:{front}","readiness":"127.0.0.1:{probe}"}},
             "internalPortRange":[{peer_address},{peer_address}],
-            "bounds":{{"graceS":6,"contactMs":{limit_ms}}},"limits":{{"cpuShare":{share}}},
+            "bounds":{{"graceS":6,"contactMs":{limit_ms},"requireFencing":{checks_tokens}}},"limits":{{"cpuShare":{share}}},
             "platform":{{"address":"{store}"}},"cloudApi":{{"address":"{store}"}}}}"#
         );
         let settings = std::env::temp_dir().join(format!("medlarstile-{name}-{peer_address}"));
--- a/tests/platform_restore.rs
+++ b/tests/platform_restore.rs
@@ -67,6 +67,27 @@
     }
 }
 
+/// Guards against a host that learns of a restore only when its read of a table ends, which waits 3 s
+/// for a change of the hosts' rows, and so names hosts and claims that the store does not have.
+#[test]
+fn all_tables_are_read_again_at_once() {
+    let store = Store::default();
+    store.put("op", "config", &configuration(3));
+    let copy = store.copy();
+    let spec = HostSpec { checks_tokens: true, ..HostSpec::at(store.serve(None)) };
+    let mut host = spec.start("h0");
+    host.wait_for(r#""table":"medlarstile","before":"Passive","pace":"Active""#);
+    store.set_wait(Duration::from_secs(10));
+    // The reads that wait for the shorter time end first.
+    std::thread::sleep(Duration::from_millis(500));
+    let lost = store.copy().version();
+    store.restore(&copy, |rows| next_and_more(rows, lost));
+    let restored = Instant::now();
+    host.wait_for("store: row of this host was lost");
+    println!("noticed after {:?}", restored.elapsed());
+    assert!(restored.elapsed() < CONTACT_LIMIT / 4, "{:?}", restored.elapsed());
+}
+
 /// Guards against hosts that are listed no more after a restore of the store, or whose fleet has no
 /// secret any more: hosts that start later find none of them.
 #[parameterized(
--- a/tests/platform_store_double/mod.rs
+++ b/tests/platform_store_double/mod.rs
@@ -23,6 +23,8 @@
     version: u64,
     /// Number of restores.
     era: u64,
+    /// Time for which a feed request waits, if it is not [`FEED_WAIT`].
+    wait: Option<Duration>,
     /// Version and base64 value by table and key.
     rows: BTreeMap<(String, String), (u64, String)>,
 }
@@ -60,12 +62,17 @@
     /// Goes back to a copy of the rows, in a new era, and writes at once what `write` does.
     pub fn restore(&self, copy: &Rows, write: impl FnOnce(&mut Rows)) {
         let mut rows = self.lock();
-        let era = rows.era + 1;
-        *rows = Rows { era, ..copy.clone() };
+        let (era, wait) = (rows.era + 1, rows.wait);
+        *rows = Rows { era, wait, ..copy.clone() };
         write(&mut rows);
         self.0 .1.notify_all();
     }
 
+    /// Sets the time for which a feed request waits for a change at most.
+    pub fn set_wait(&self, wait: Duration) {
+        self.lock().wait = Some(wait);
+    }
+
     /// Value of a row.
     pub fn get(&self, table: &str, key: &str) -> Option<Vec<u8>> {
         let rows = self.lock();
@@ -111,14 +118,18 @@
             return (503, json!({}));
         }
         let after = query.get("after").map_or(0, |text| text.parse().expect("a version"));
-        self.read(&query["table"], after, path.ends_with("feed"))
+        let wait = query.get("waitMs").map(|text| text.parse().expect("a time"));
+        let wait = wait.filter(|_| path.ends_with("feed")).map(Duration::from_millis);
+        self.read(&query["table"], after, wait)
     }
 
-    fn read(&self, table: &str, after: u64, wait: bool) -> (u16, Value) {
+    fn read(&self, table: &str, after: u64, wait: Option<Duration>) -> (u16, Value) {
         let mut rows = self.lock();
         let newer = |rows: &Rows| rows.rows.iter().any(|((t, _), (v, _))| t == table && *v > after);
-        if wait && !newer(&rows) {
-            rows = self.0 .1.wait_timeout(rows, FEED_WAIT).expect("the rows").0;
+        if let Some(wait) = wait {
+            let wait = wait.min(rows.wait.unwrap_or(FEED_WAIT));
+            let waited = self.0 .1.wait_timeout_while(rows, wait, |rows| !newer(rows));
+            rows = waited.expect("the rows").0;
         }
         if after > rows.version {
             // Such a version was given out before a restore.
