--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -61,6 +61,7 @@
 
 /// Everything.
 pub struct World {
+    pub began: Instant,
     pub members: Vec<Member>,
     pub primary: usize,
     pub term: u64,
@@ -105,6 +106,7 @@
             connections: 0,
         };
         let world = World {
+            began: Instant::now(),
             members: (0..3).map(member).collect(),
             primary: 0,
             term: 1,
@@ -204,7 +206,9 @@
         let rate = found.map_or(0, |found| found.2);
         let most = (rate * QUOTA_WINDOW.as_secs() + rate) * 11 / 10 + QUOTA_SLACK;
         if recent as u64 > most {
-            self.violation(format!("QUOTA: more than {most} of {} in 5 s", asked.account));
+            let at = now.duration_since(self.began).as_millis();
+            let text = format!("QUOTA: {recent} of {} in 5 s, over {most}, {at} ms", asked.account);
+            self.violation(text);
         }
         let Some((key, acknowledged)) = &self.withdrawn else { return };
         let calm = self.calm_since.is_some_and(|since| since + CALM_AFTER < *acknowledged);
