Let the test of a reloaded limit lose a connection that is in use

The case a_host_with_a_limit_that_was_reloaded silenced the open connections before the feed that the reload starts had one, and so passed within 1 ms. The check is stricter than before.

--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -91,6 +91,8 @@
         host.wait_for(&format!(r#""table":"op","before":"Passive","pace":"{pace}""#));
         if limit_at_start != CONTACT_LIMIT {
             host.set_limit(CONTACT_LIMIT);
+            // The reads have begun anew, so that there is a connection to lose.
+            host.wait_for(r#""table":"op","before":"Passive","pace":"Active""#);
         }
     }
     links.iter().for_each(Link::silence_open);
