--- a/src/core/proxy/entries.rs
+++ b/src/core/proxy/entries.rs
@@ -24,8 +24,9 @@
 }
 
 impl EntryTable {
-    /// Applies rows read at `version` of the store: all if `is_complete`, otherwise the changed ones. A row that was removed or
-    /// cannot be read has no entry; the endpoint that it named before is gone in both cases.
+    /// Applies rows read at `version` of the store: all rows if `is_complete`, otherwise the changed
+    /// ones. A row that was removed or cannot be read has no entry; the endpoint that it named before
+    /// is gone in both cases.
     pub fn apply(
         &mut self,
         now: Timestamp,
--- a/src/core/proxy/failover/mod.rs
+++ b/src/core/proxy/failover/mod.rs
@@ -9,12 +9,15 @@
 //! the end of the other hosts' leases and names the chosen endpoint in the row before it asks for
 //! the promotion; later failovers promote no other endpoint while that promotion may be under way.
 
+mod claim;
 mod row;
 mod survey;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::LazyLock;
 
+pub use claim::{Claim, ClaimError};
+
 use crate::chart::{Chart, ChartError, Machine, NoGuard};
 use crate::chart_names;
 use crate::core::proxy::job::{Order, StatusReport};
@@ -103,37 +106,6 @@
 static CHART: LazyLock<FailoverChart> =
     LazyLock::new(|| chart().expect("charts are checked at start"));
 
-/// Content of a group's row: the current or the last failover.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Claim {
-    /// Host that wrote the claim.
-    pub holder: HostId,
-    /// Distinguishes the claims of one host, so that it recognises its own after a lost answer.
-    pub attempt: AttemptId,
-    /// The new primary, once it is confirmed.
-    pub leader: Option<EndpointId>,
-    /// Endpoint whose promotion may have been requested, where the platform checks no tokens.
-    pub chosen: Option<EndpointId>,
-    /// Term of the last completed promotion. An endpoint of a lower term has missed that promotion
-    /// and all later commits; promoting it would restore commits that were rolled back.
-    pub term: Term,
-}
-
-impl Claim {
-    /// Whether this claim, of an earlier era of the store, is newer than the row that was read after
-    /// a restore, so that the restore has lost it.
-    pub fn supersedes(&self, read: Option<&Claim>) -> bool {
-        let Some(read) = read else { return true };
-        let same_attempt = (&read.holder, read.attempt) == (&self.holder, self.attempt);
-        let step_is_lost = match (&read.leader, &self.leader) {
-            (None, Some(_)) => same_attempt,
-            (Some(_), None) => !same_attempt,
-            _ => false,
-        };
-        read.term < self.term || read.term == self.term && step_is_lost
-    }
-}
-
 /// An action that the owner of a failover carries out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FailoverEffect {
@@ -145,17 +117,6 @@
     Promote(EndpointId, RowVersion),
 }
 
-/// Why a claim was not written.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ClaimError {
-    /// The row has another version; its version and content.
-    Taken(RowVersion, Option<Claim>),
-    /// The store did not answer; the claim may have been written.
-    Unknown,
-    /// The store refused the write; nothing was written.
-    Refused,
-}
-
 /// The platform's answer to a promotion call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PromoteAnswer {
--- a/src/net/proxy/feed.rs
+++ b/src/net/proxy/feed.rs
@@ -194,8 +194,8 @@
         }
     }
 
-    /// Called when another feed has learned that the store was restored. A call that waits for a change
-    /// would show it only at its end.
+    /// Called when another feed has learned that the store was restored. A call that waits for a
+    /// change would show it only at its end.
     pub fn on_restored(&mut self, cx: CX![], era: StoreEra) {
         if self.is_idle || self.era.is_none_or(|own| own >= era) {
             return;
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -244,7 +244,8 @@
     }
 
     /// Applies settings that were read again: new addresses of the platform's services and a new time
-    /// limit of the configuration take effect at once. A host that the platform moves to other addresses of its own is restarted.
+    /// limit of the configuration take effect at once. A host that the platform moves to other
+    /// addresses of its own is restarted.
     pub fn reload(&mut self, cx: CX![], settings: PlatformSettings) {
         let changed = settings != self.settings;
         tracing::info!(changed, store = %settings.store, "host: settings were read again");
