--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -110,7 +110,11 @@
         store: &Arc<Store>,
         record: &Arc<Record>,
     ) -> Arc<Self> {
-        let log = vec![Entry { position: (1, 1), at: Instant::now() - Duration::from_secs(10), id: String::new() }];
+        let log = vec![Entry {
+            position: (1, 1),
+            at: Instant::now() - Duration::from_secs(10),
+            id: String::new(),
+        }];
         let group = Arc::new(Self {
             service: service.to_owned(),
             figures,
@@ -198,7 +202,10 @@
         let mut state = self.state.lock().unwrap();
         let Some(member) = state.members.iter().position(|member| member.primary) else { return };
         state.members[member].draining = true;
-        self.record.line("operator", &format!("{} is to be replaced and drains", state.members[member].id));
+        self.record.line(
+            "operator",
+            &format!("{} is to be replaced and drains", state.members[member].id),
+        );
         drop(state);
         self.beat(member);
     }
@@ -231,7 +238,10 @@
                 found.primary = place == member;
             }
             let count = state.members.len();
-            group.record.line("platform", &format!("{} leads term {}", state.members[member].id, state.term));
+            group.record.line(
+                "platform",
+                &format!("{} leads term {}", state.members[member].id, state.term),
+            );
             drop(state);
             (0..count).for_each(|place| {
                 group.beat(place);
@@ -288,7 +298,8 @@
             transaction: None,
         };
         self.occupy(member, self.figures.connect_ms);
-        let mut alive = output.write_all(format!("READY I {}\r\n", self.position(member)).as_bytes()).is_ok();
+        let mut alive =
+            output.write_all(format!("READY I {}\r\n", self.position(member)).as_bytes()).is_ok();
         while alive {
             let Some(line) = next() else { break };
             let Some((id, text)) =
@@ -312,7 +323,10 @@
                 let told = result.as_ref().map_or_else(|code| *code, |_| "COMPLETE");
                 self.record.line(
                     &self.id_of(member),
-                    &format!("connection {} of {}: {id} {text} -> {told} {state}", session.number, session.who),
+                    &format!(
+                        "connection {} of {}: {id} {text} -> {told} {state}",
+                        session.number, session.who
+                    ),
                 );
             }
             alive = output.write_all(answer.as_bytes()).is_ok();
@@ -350,7 +364,8 @@
 
     fn run(&self, session: &mut Session, id: &str, text: &str) -> Reply {
         let member = session.member;
-        let (after, text) = match text.strip_prefix("AFTER ").and_then(|rest| rest.split_once(' ')) {
+        let (after, text) = match text.strip_prefix("AFTER ").and_then(|rest| rest.split_once(' '))
+        {
             Some((position, rest)) => (parse_position(position), rest),
             None => (None, text),
         };
@@ -368,7 +383,12 @@
             }
             // A backend that has lost the lead refuses every statement of a plain transaction.
             let reads_only = words[0] == "COMMIT" && open.writes.is_empty();
-            if open.plain && open.leads != leads && !reads_only && words[0] != "ROLLBACK" && !open.failed {
+            if open.plain
+                && open.leads != leads
+                && !reads_only
+                && words[0] != "ROLLBACK"
+                && !open.failed
+            {
                 open.failed = true;
                 if words[0] == "COMMIT" {
                     session.transaction = None;
@@ -389,8 +409,13 @@
                     return refuse("LAGGING");
                 }
                 let number = self.counter.fetch_add(1, Ordering::Relaxed) + 1;
-                session.transaction =
-                    Some(Transaction { number, plain: !reads, leads, writes: Vec::new(), failed: false });
+                session.transaction = Some(Transaction {
+                    number,
+                    plain: !reads,
+                    leads,
+                    writes: Vec::new(),
+                    failed: false,
+                });
                 done()
             }
             "ROLLBACK" => {
@@ -408,7 +433,10 @@
             }
             "STATUS" | "PAUSE" | "RESUME" | "DEMOTE" => {
                 if words[0] == "DEMOTE" {
-                    self.demote(member, words.get(1).and_then(|term| term.parse().ok()).unwrap_or(0));
+                    self.demote(
+                        member,
+                        words.get(1).and_then(|term| term.parse().ok()).unwrap_or(0),
+                    );
                 }
                 if !self.occupy(member, 1) {
                     return refuse("BUSY");
@@ -460,14 +488,22 @@
                 if writes {
                     return (rows, result);
                 }
-                (vec![format!("row-{id}")], result)
+                let list = words.get(1).and_then(|item| item.strip_prefix("list")?.parse().ok());
+                (
+                    list.map_or_else(
+                        || vec![format!("row-{id}")],
+                        |rows| vec!["x".repeat(1_000); rows],
+                    ),
+                    result,
+                )
             }
             _ => refuse("MALFORMED"),
         }
     }
 
     fn note(&self, session: &Session, transaction: u64, id: &str, text: &str) -> Reply {
-        let signature = format!("{}.s{}", self.service, self.counter.fetch_add(1, Ordering::Relaxed) + 1);
+        let signature =
+            format!("{}.s{}", self.service, self.counter.fetch_add(1, Ordering::Relaxed) + 1);
         self.runs.lock().unwrap().push(Run {
             at: self.record.now_ms(),
             backend: self.id_of(session.member),
@@ -503,12 +539,15 @@
         let role = if found.primary { "primary" } else { "replica" };
         let (term, number) = state.received(member);
         let (held, lag) = (state.term, self.figures.lag_ms);
-        format!("{role} {} {term}.{number} {held} {lag} {} {}", state.term, found.busy, found.connections)
+        format!(
+            "{role} {} {term}.{number} {held} {lag} {} {}",
+            state.term, found.busy, found.connections
+        )
     }
 
-    /// Ids of the statements that reached a backend.
-    pub fn ids(&self) -> BTreeSet<String> {
-        self.runs.lock().unwrap().iter().map(|run| run.id.clone()).collect()
+    /// When a backend ran the statement with this id.
+    pub fn ran_at(&self, id: &str) -> Option<u64> {
+        self.runs.lock().unwrap().iter().find(|run| run.id == id).map(|run| run.at)
     }
 }
 
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -72,7 +72,10 @@
             Ok(_) if line.ends_with('\n') => Ok(line.trim_end().to_owned()),
             Ok(_) => Err(End::Closed),
             Err(error)
-                if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) =>
+                if matches!(
+                    error.kind(),
+                    std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                ) =>
             {
                 Err(End::Late)
             }
--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -8,13 +8,12 @@
 use crate::backend::Figures;
 use crate::client::{Client, End};
 use crate::host::{self, Host};
-use crate::{World, KEYS, ORDERS_DB};
+use crate::{KEYS, ORDERS_DB, World};
 
 const GRACE: Duration = Duration::from_secs(6);
 const GRACE_MS: u64 = 6_000;
 /// `timeoutMs` of the route.
 const TIMEOUT_MS: u64 = 2_000;
-const STATEMENTS: usize = 12;
 
 /// How a case is played.
 pub struct Plan {
@@ -23,6 +22,10 @@
     clients: usize,
     work_ms: u64,
     pause_ms: u64,
+    /// Reads of a transaction.
+    statements: usize,
+    /// Rows of 1 kB in the answer to the last read of a transaction.
+    list_rows: Option<usize>,
     /// Hosts that are stopped and started in turn.
     stopped: &'static [usize],
     /// Clients that the platform passes to the first host; the others are spread evenly.
@@ -36,6 +39,8 @@
     clients: 100,
     work_ms: 80,
     pause_ms: 500,
+    statements: 12,
+    list_rows: None,
     stopped: &[0, 1, 2, 3],
     at_first: 0,
 };
@@ -46,10 +51,28 @@
     clients: 90,
     work_ms: 90,
     pause_ms: 450,
+    statements: 12,
+    list_rows: None,
     stopped: &[0, 0],
     at_first: 70,
 };
 
+/// The fleet of [`RELAYED`]; each transaction ends with the read of a long list.
+pub const LISTS: Plan = Plan {
+    hosts: 4,
+    services: 3,
+    clients: 130,
+    work_ms: 24,
+    pause_ms: 500,
+    statements: 7,
+    list_rows: Some(800),
+    stopped: &[0, 1, 2, 3],
+    at_first: 0,
+};
+
+/// Time for which a host has had the backend's answer when the connection ends, in a case with lists.
+const DELIVERY_MS: u64 = 500;
+
 /// A statement whose connection ended without a complete answer.
 struct Cut {
     host: String,
@@ -59,12 +82,17 @@
 }
 
 /// Reads in one transaction. Returns false if the session has to be closed.
-fn transact(client: &mut Client, world: &Shared, who: &str, number: usize, pause: Duration) -> bool {
-    let limit = Duration::from_millis(10_000);
-    for step in 0..STATEMENTS + 2 {
+fn transact(client: &mut Client, world: &Shared, who: &str, number: usize, plan: &Plan) -> bool {
+    let pause = Duration::from_millis(plan.pause_ms);
+    // A client waits for its deadline; with lists it gives up a second after the route's timeout.
+    let limit = Duration::from_millis(if plan.list_rows.is_some() { 3_000 } else { 10_000 });
+    for step in 0..plan.statements + 2 {
         let text = match step {
             0 => "BEGIN READ".to_owned(),
-            step if step > STATEMENTS => "COMMIT".to_owned(),
+            step if step > plan.statements => "COMMIT".to_owned(),
+            step if step == plan.statements && plan.list_rows.is_some() => {
+                format!("READ list{}", plan.list_rows.unwrap_or(0))
+            }
             step => format!("READ item{step}"),
         };
         let id = format!("{who}n{number}s{step}");
@@ -78,7 +106,8 @@
                 }
             }
             Err(end) => {
-                let ended = world.record.line(who, &format!("gets {id} no complete answer: {end:?}"));
+                let ended =
+                    world.record.line(who, &format!("gets {id} no complete answer: {end:?}"));
                 if end == End::Closed {
                     let host = client.host.name.clone();
                     world.cuts.lock().unwrap().push(Cut { host, id, sent, ended });
@@ -86,7 +115,7 @@
                 return false;
             }
         }
-        if (1..=STATEMENTS).contains(&step) {
+        if (1..=plan.statements).contains(&step) {
             thread::sleep(pause);
         }
     }
@@ -100,7 +129,7 @@
     ending: AtomicBool,
 }
 
-pub fn play(plan: &Plan, trouble: bool, path: &str) -> Option<bool> {
+pub fn play(plan: &'static Plan, trouble: bool, path: &str) -> Option<bool> {
     let figures = Figures { work_ms: plan.work_ms, ..ORDERS_DB };
     let world = World::start(plan.hosts, plan.services, &figures)?;
     let shared = Arc::new(Shared {
@@ -109,7 +138,6 @@
         cuts: Mutex::default(),
         ending: AtomicBool::new(false),
     });
-    let pause = Duration::from_millis(plan.pause_ms);
     let (services, at_first) = (plan.services, plan.at_first);
     let clients: Vec<_> = (0..plan.clients)
         .map(|place| {
@@ -136,7 +164,7 @@
                             }
                         }
                     };
-                    if transact(&mut client, &shared, &who, number, pause) {
+                    if transact(&mut client, &shared, &who, number, plan) {
                         session = Some(client);
                     } else {
                         client.close();
@@ -173,7 +201,12 @@
         let Some((_, at)) = stop.filter(|(_, at)| cut.ended <= at + GRACE_MS + 1_000) else {
             continue;
         };
-        let passed_on = world.groups.iter().any(|group| group.ids().contains(&cut.id));
+        let ran = world.groups.iter().find_map(|group| group.ran_at(&cut.id));
+        // With lists only those count that the host had in full for some time.
+        let passed_on = match plan.list_rows {
+            None => ran.is_some(),
+            Some(_) => ran.is_some_and(|at| at + DELIVERY_MS <= cut.ended),
+        };
         let timed_out = cut.ended - cut.sent >= TIMEOUT_MS;
         let excused = cut.sent <= at + 3_000 && cut.ended >= at + GRACE_MS * 5 / 6;
         if passed_on && !timed_out && !excused {
@@ -188,7 +221,8 @@
         }
     }
     let runs: usize = world.groups.iter().map(|group| group.runs.lock().unwrap().len()).sum();
-    let summary = format!("{runs} statements run, {} hosts stopped, {lost} requests lost", stops.len());
+    let summary =
+        format!("{runs} statements run, {} hosts stopped, {lost} requests lost", stops.len());
     world.record.line("check", &summary);
     println!("{summary}");
     world.record.write(path);
--- a/review/standin/host.rs
+++ b/review/standin/host.rs
@@ -70,12 +70,14 @@
         });
         host.run();
         let probed = Arc::clone(&host);
-        thread::spawn(move || loop {
-            let ready = probed.probe();
-            let mut misses = probed.misses.lock().unwrap();
-            *misses = if ready { 0 } else { *misses + 1 };
-            drop(misses);
-            thread::sleep(Duration::from_secs(1));
+        thread::spawn(move || {
+            loop {
+                let ready = probed.probe();
+                let mut misses = probed.misses.lock().unwrap();
+                *misses = if ready { 0 } else { *misses + 1 };
+                drop(misses);
+                thread::sleep(Duration::from_secs(1));
+            }
         });
         host
     }
@@ -112,7 +114,9 @@
 
     fn probe(&self) -> bool {
         let limit = Duration::from_millis(900);
-        let Ok(mut stream) = TcpStream::connect_timeout(&self.readiness, limit) else { return false };
+        let Ok(mut stream) = TcpStream::connect_timeout(&self.readiness, limit) else {
+            return false;
+        };
         let _ = stream.set_read_timeout(Some(limit));
         let _ = stream.write_all(b"GET /api/readiness HTTP/1.1\r\nHost: probe\r\n\r\n");
         let mut answer = [0; 12];
@@ -127,7 +131,8 @@
     pub fn signal(&self, name: &str) {
         let child = self.child.lock().unwrap();
         if let Some(child) = &*child {
-            let _ = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+            let _ =
+                Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
         }
     }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -60,8 +60,7 @@
             groups.push(Group::start(&name, &ip, &zones, figures.clone(), &store, &record));
         }
         store.put("op", "config", &configuration(services, figures.connections));
-        let mut world =
-            Self { record, store, groups, hosts: Vec::new(), net, folder };
+        let mut world = Self { record, store, groups, hosts: Vec::new(), net, folder };
         for place in 0..hosts {
             let (name, ip) = (format!("frontend-{place}"), format!("{}.{}", world.net, 11 + place));
             let place = Place {
@@ -141,6 +140,7 @@
         "pinned" => pinned::play(trouble, record),
         "drain-relay" => drain::play(&drain::RELAYED, trouble, record),
         "drain-own" => drain::play(&drain::OWN, trouble, record),
+        "drain-lists" => drain::play(&drain::LISTS, trouble, record),
         _ => None,
     };
     std::process::exit(match broken {
--- a/review/standin/pinned.rs
+++ b/review/standin/pinned.rs
@@ -11,7 +11,7 @@
 use crate::client::{Answer, Client};
 use crate::host::{self, Host};
 use crate::record::Record;
-use crate::{World, KEYS, ORDERS_DB};
+use crate::{KEYS, ORDERS_DB, World};
 
 const SERVICES: usize = 3;
 const CLIENTS: usize = 24;
@@ -41,7 +41,12 @@
 }
 
 /// One transaction: a write, a pause, a prepared write, a pause, the commit.
-fn transact(client: &mut Client, record: &Record, who: &str, number: usize) -> Option<Acknowledged> {
+fn transact(
+    client: &mut Client,
+    record: &Record,
+    who: &str,
+    number: usize,
+) -> Option<Acknowledged> {
     let id = |step: usize| format!("{who}n{number}s{step}");
     let prepare = format!("PREPARE s1 WRITE shape{who}n{number}");
     ask(client, record, who, &id(0), &prepare)?.result.ok()?;
@@ -68,7 +73,11 @@
             Some(open) if !open.was_closed() => open,
             _ => {
                 let host = host::choose(hosts, place + number);
-                match Client::open(host, &format!("sheet{}", place / KEYS.len()), KEYS[place % KEYS.len()]) {
+                match Client::open(
+                    host,
+                    &format!("sheet{}", place / KEYS.len()),
+                    KEYS[place % KEYS.len()],
+                ) {
                     Some(open) => open,
                     None => {
                         thread::sleep(Duration::from_millis(200));
@@ -104,7 +113,11 @@
                         Some(open) if !open.was_closed() => open,
                         _ => {
                             let host = host::choose(&hosts, place + number);
-                            match Client::open(host, &format!("entry{}", place / KEYS.len()), KEYS[place % KEYS.len()]) {
+                            match Client::open(
+                                host,
+                                &format!("entry{}", place / KEYS.len()),
+                                KEYS[place % KEYS.len()],
+                            ) {
                                 Some(open) => open,
                                 None => {
                                     thread::sleep(Duration::from_millis(200));
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -152,7 +152,9 @@
                     Some(value) => format!(r#""value":"{value}""#),
                     None => r#""removed":true"#.into(),
                 };
-                format!(r#"{{"table":"{table}","part":"{part}","key":"{key}",{rest},"ver":{version}}}"#)
+                format!(
+                    r#"{{"table":"{table}","part":"{part}","key":"{key}",{rest},"ver":{version}}}"#
+                )
             })
             .collect();
         let (version, now) = (rows.version, self.now_ms());
@@ -202,15 +204,14 @@
         let status = match group {
             Some(group) if token >= *seen => {
                 *seen = token;
-                if group.promote(id) {
-                    200
-                } else {
-                    409
-                }
+                if group.promote(id) { 200 } else { 409 }
             }
             _ => 409,
         };
-        self.record.line("platform", &format!("promote {service} {id} by {holder} token {token} -> {status}"));
+        self.record.line(
+            "platform",
+            &format!("promote {service} {id} by {holder} token {token} -> {status}"),
+        );
         (status, "{}".into())
     }
 }
