--- a/review/standin/pinned.rs
+++ b/review/standin/pinned.rs
@@ -14,7 +14,7 @@
 use crate::{KEYS, ORDERS_DB, World};
 
 const SERVICES: usize = 3;
-const CLIENTS: usize = 24;
+const CLIENTS: usize = 40;
 /// Clients that read on replicas, one of each tenant for each service.
 const READERS: usize = 24;
 const LIMIT: Duration = Duration::from_millis(3_000);
@@ -115,7 +115,7 @@
                             let host = host::choose(&hosts, place + number);
                             match Client::open(
                                 host,
-                                &format!("entry{}", place / KEYS.len()),
+                                &format!("entry{}", place % SERVICES),
                                 KEYS[place % KEYS.len()],
                             ) {
                                 Some(open) => open,
