End a transaction whose endpoint refuses a setup step of a statement

Cause: a statement gets setup steps if its prepared statement or a variable is not yet on the connection. `on_setup_refused` took every refused step for a refused BEGIN and detached the request from its connection, also in the middle of a transaction. The statement then began a new transaction at the new primary. A COMMIT after a SET took the same path. The old connection went back to the pool with a transaction open on it. Ruled out: a refused statement itself (`on_refused`) ends the transaction; `request_lost` repeats a statement only if it starts the transaction. In the PostgreSQL front a request in a transaction is never sent again (`request_ended`, `request_lost`). Change: a request that continues a transaction ends with TransactionLost, which is true because no commit was sent, and the connection is closed, which rolls back. Evidence: `proxy` a_transaction_ends_with_a_refused_setup_step, five cases, all failed before the change (no answer, the statement was queued again) and pass after it.

--- a/src/core/proxy/events.rs
+++ b/src/core/proxy/events.rs
@@ -105,6 +105,9 @@
                 return self.mark_not_primary(now, id);
             }
         };
+        if self.requests.get(&request).is_some_and(Request::continues_transaction) {
+            return self.refuse_in_transaction(now, id, request, refusal);
+        }
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let endpoint = connection.endpoint.clone();
         connection.session = None;
@@ -120,7 +123,28 @@
         self.requeue_refused(now, request, id, &endpoint, refusal);
     }
 
-    /// Detaches a request from its connection: its transaction is not open on any endpoint.
+    /// Ends a transaction in which the endpoint refused a setup step of a statement. Its earlier
+    /// statements have run on this connection only, so the statement must not run on another one.
+    fn refuse_in_transaction(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        request: RequestId,
+        refusal: Refusal,
+    ) {
+        if refusal == Refusal::ReadOnly {
+            self.mark_not_primary(now, id);
+        }
+        // Which variables and statements the connection has is unknown; closing it rolls back.
+        self.close_connection(id);
+        self.end_waiting_transaction(now, request);
+        tracing::info!(?refusal, "request: a setup step was refused in an open transaction");
+        let detail = "the endpoint of the transaction refused a setup step of the statement";
+        self.refuse_request(now, request, Error::new(ErrorKind::TransactionLost, detail));
+    }
+
+    /// Detaches a request from its connection: its transaction is not open on any endpoint. Must not
+    /// be called for a request that continues a transaction.
     pub(super) fn detach(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.connection = None;
--- a/src/core/proxy/request.rs
+++ b/src/core/proxy/request.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// Whether earlier statements of its transaction have run on its connection.
+    pub fn continues_transaction(&self) -> bool {
+        !self.statement_kind.is_single() && !self.starts_transaction && self.connection.is_some()
+    }
+
     /// Whether it was sent to an endpoint.
     pub fn is_running(&self) -> bool {
         self.machine.state() == ProxyRequestState::Running
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -169,6 +169,44 @@
     assert_eq!(rig.last_answer().2, TransactionState::Idle);
 }
 
+/// Guards against a transaction that goes on at another primary, without its first write, after its
+/// endpoint has refused a setup step of a later statement: the commit was acknowledged.
+#[parameterized(
+    prepare = { false, Refusal::ReadOnly },
+    variable_of_a_commit = { true, Refusal::ReadOnly },
+    busy = { false, Refusal::Busy },
+    lagging = { false, Refusal::Lagging },
+    other = { true, Refusal::Other },
+)]
+fn a_transaction_ends_with_a_refused_setup_step(commit: bool, refusal: Refusal) {
+    let mut rig = Rig::new();
+    let session = rig.session(1, "orders");
+    let statement = PreparedStatement { access: Access::Write, text: "q".into() };
+    rig.send(session, Statement::Prepare { name: "s".into(), statement });
+    rig.send(session, BEGIN);
+    rig.send(session, WRITE);
+    let (connection, _, job) = rig.next_job();
+    rig.succeed(connection, &job, TransactionState::Open);
+    let next = if commit {
+        rig.send(session, Statement::Set { name: "v".into(), value: "1".into() });
+        Statement::Commit
+    } else {
+        Statement::Execute { name: "s".into(), arguments: "1 x".into() }
+    };
+    rig.send(session, next);
+    let (again, _, job) = rig.next_job();
+    assert_eq!((again, job.setup.len()), (connection, 1));
+    rig.core.on_job_end(rig.now, connection, JobEnd::SetupRefused(refusal));
+    rig.settle();
+    rig.pass(400);
+    let (_, answer, state) = rig.last_answer();
+    assert_eq!(refused(answer), Some(ErrorKind::TransactionLost));
+    let expected = if commit { TransactionState::Idle } else { TransactionState::Failed };
+    assert_eq!(*state, expected);
+    assert!(rig.closed.contains(&connection), "a transaction may still be open on it");
+    assert!(rig.jobs.is_empty(), "{:?}", rig.jobs);
+}
+
 /// Guards against session variables of one session that are visible in another.
 #[test]
 fn a_connection_is_set_to_the_variables_of_each_session() {
