End a stopping host whose open transactions leave no moment without a request

What callers saw: a stopping host with some dozens of open transactions passed on their statements until the platform killed it; statements at work got no answer (LOST). Cause: `Life::due` let the time for open transactions end only at a moment without any running request, and nothing refused the next statement of a transaction after that time. With many transactions there is no such moment. Both fronts share the chart and had the fault. Change: a new state `finishing` follows after that time, at once. On the platform, only COMMIT, ROLLBACK and statements without an effect on data still run in it; others are refused (not run, or transaction lost), and the session ends after that answer. What still runs shortly before the platform's SIGKILL is answered with an error that says whether it may have run. In the PostgreSQL front sessions end after their running request; none is ever aborted. A host then waits for its callers to be sent their last answers, 3 s at most, and sessions that ask to be opened after the notice period are refused. Why it works: the end no longer depends on what callers do. Each statement is either answered by its endpoint or by the host, before the process ends.

--- a/benches/policy/model/host.rs
+++ b/benches/policy/model/host.rs
@@ -71,7 +71,11 @@
             address,
             home,
             shares: ShareSettings::default(),
-            drain: DrainTimes { notice_ms: options.notice_ms, limit_ms: DurationMs(30_000) },
+            drain: DrainTimes {
+                notice_ms: options.notice_ms,
+                limit_ms: DurationMs(30_000),
+                finish_ms: None,
+            },
         };
         let rng = ChaCha8Rng::seed_from_u64(options.seed * 1_000_003 + incarnation);
         Self {
@@ -157,6 +161,8 @@
             HostEffect::Listen => self.hosts[host].listening = true,
             HostEffect::AnnounceLeaving => self.hosts[host].leaving = true,
             HostEffect::StopListening => self.hosts[host].listening = false,
+            // The model has no connections of callers apart from their sessions.
+            HostEffect::CloseCallers => {}
             HostEffect::Close => self.close_host(host),
         }
     }
--- a/src/core/broker/mod.rs
+++ b/src/core/broker/mod.rs
@@ -148,11 +148,6 @@
         self.requests.is_empty() && self.sessions.values().all(|session| session.pinned.is_none())
     }
 
-    /// Whether no request is left; transactions may still be open.
-    pub fn has_no_requests(&self) -> bool {
-        self.requests.is_empty()
-    }
-
     /// Number of open sessions.
     pub fn session_count(&self) -> usize {
         self.sessions.len()
--- a/src/core/host/effect.rs
+++ b/src/core/host/effect.rs
@@ -49,6 +49,8 @@
     AnnounceLeaving,
     /// Stop accepting callers.
     StopListening,
+    /// Close the connections of all callers once their last answers are sent.
+    CloseCallers,
     /// Close all connections and end the process, because no work is left.
     Close,
 }
--- a/src/core/host/mod.rs
+++ b/src/core/host/mod.rs
@@ -63,6 +63,8 @@
     roster: Roster,
     logins: BTreeMap<SessionId, Login>,
     tables_read_at: Option<Timestamp>,
+    /// Number of callers whose connections are open.
+    open_callers: usize,
     effects: Vec<HostEffect>,
     decisions: Vec<Decision>,
 }
@@ -88,6 +90,7 @@
             roster: Roster::default(),
             logins: BTreeMap::new(),
             tables_read_at: None,
+            open_callers: 0,
             effects: Vec::new(),
             decisions: Vec::new(),
             spec,
@@ -155,6 +158,11 @@
         self.advance_life(now);
     }
 
+    /// Sets the number of callers whose connections are open, with or without a session.
+    pub fn set_open_callers(&mut self, callers: usize) {
+        self.open_callers = callers;
+    }
+
     /// Starts a graceful stop, on request of the operator or the operating system.
     pub fn stop(&mut self, now: Timestamp) {
         self.life_event(now, LifeEvent::Stop);
@@ -177,8 +185,7 @@
         self.start_serving(now);
         let remaining = Remaining {
             idle: self.broker.is_drained(),
-            no_request: self.broker.has_no_requests(),
-            released: self.share_keeper.is_stopped(),
+            released: self.share_keeper.is_stopped() && self.open_callers == 0,
         };
         if let Some(event) = self.life.due(now, remaining) {
             self.life_event(now, event);
@@ -195,8 +202,11 @@
                     self.effects.push(HostEffect::StopListening);
                     self.refuse_new_work(now);
                 }
-                LifeAction::RollBack => self.roll_back(now),
+                LifeAction::EndTransactions => self.end_transactions(now),
+                // `DrainTimes::finish_ms` is not set: a running request is never aborted.
+                LifeAction::AbortRequests => {}
                 LifeAction::ReleaseShares => {
+                    self.effects.push(HostEffect::CloseCallers);
                     let mut effects = Vec::new();
                     self.share_keeper.stop(now, &mut effects);
                     self.share_effects(now, effects);
--- a/src/core/host/sessions.rs
+++ b/src/core/host/sessions.rs
@@ -201,7 +201,8 @@
         });
     }
 
-    pub(super) fn roll_back(&mut self, now: Timestamp) {
+    /// Closes all sessions, those with a running request after its answer.
+    pub(super) fn end_transactions(&mut self, now: Timestamp) {
         self.broker.evict_sessions(now, |_| {
             let detail = "the host stopped; the open transaction was rolled back";
             Some(Error::new(ErrorKind::HostDraining, detail))
--- a/src/core/life.rs
+++ b/src/core/life.rs
@@ -6,26 +6,39 @@
 use crate::chart_names;
 use crate::types::{DurationMs, Timestamp};
 
-/// Longest wait for the release of share slots. The leases of slots that are not released by then
-/// expire.
+/// Longest wait for the release of share slots and for callers that have not read their last
+/// answer. The leases of slots that are not released by then expire.
 const RELEASE_TIMEOUT: DurationMs = DurationMs(3_000);
 
 chart_names! {
     /// States of a host process.
     pub enum LifeState {
         Starting = "starting", Serving = "serving", Leaving = "leaving", Draining = "draining",
-        Releasing = "releasing", Stopped = "stopped",
+        Finishing = "finishing", Releasing = "releasing", Stopped = "stopped",
     }
     /// Events of a host process.
     pub enum LifeEvent {
         Ready = "ready", Stop = "stop", NoticePeriodOver = "notice_period_over", Idle = "idle",
-        DrainTimedOut = "drain_timed_out", Released = "released",
+        DrainTimedOut = "drain_timed_out", FinishTimedOut = "finish_timed_out",
+        Released = "released",
     }
     /// Actions of a host process.
     pub enum LifeAction {
         Listen = "listen", AnnounceLeaving = "announce_leaving",
-        RefuseNewWork = "refuse_new_work", RollBack = "roll_back",
-        ReleaseShares = "release_shares", Close = "close",
+        RefuseNewWork = "refuse_new_work", EndTransactions = "end_transactions",
+        AbortRequests = "abort_requests", ReleaseShares = "release_shares", Close = "close",
+    }
+}
+
+impl LifeState {
+    /// Whether new sessions are accepted.
+    pub fn accepts_sessions(self) -> bool {
+        matches!(self, Self::Starting | Self::Serving | Self::Leaving)
+    }
+
+    /// Whether statements other than the end of a transaction still run.
+    pub fn runs_statements(self) -> bool {
+        self.accepts_sessions() || self == Self::Draining
     }
 }
 
@@ -50,16 +63,17 @@
     pub notice_ms: DurationMs,
     /// Longest wait for open transactions after the notice period.
     pub limit_ms: DurationMs,
+    /// Longest wait for running requests after that; `None` if they are never aborted.
+    pub finish_ms: Option<DurationMs>,
 }
 
 /// Work that a stopping host has left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Remaining {
-    /// Whether there are no requests and no open transactions.
+    /// Whether there are no requests and no open transactions, neither of sessions on this host
+    /// nor of sessions that it relays.
     pub idle: bool,
-    /// Whether no request is running; transactions may be open.
-    pub no_request: bool,
-    /// Whether all share slots are released.
+    /// Whether all share slots are released and all answers sent.
     pub released: bool,
 }
 
@@ -99,11 +113,15 @@
             LifeState::Leaving if has_elapsed(self.times.notice_ms) => {
                 Some(LifeEvent::NoticePeriodOver)
             }
-            LifeState::Draining if remaining.idle => Some(LifeEvent::Idle),
-            // A running request is never interrupted; only idle transactions are rolled back.
-            LifeState::Draining if has_elapsed(self.times.limit_ms) && remaining.no_request => {
+            LifeState::Draining | LifeState::Finishing if remaining.idle => Some(LifeEvent::Idle),
+            // Does not wait for a moment without a running request: with many open transactions
+            // there is none.
+            LifeState::Draining if has_elapsed(self.times.limit_ms) => {
                 Some(LifeEvent::DrainTimedOut)
             }
+            LifeState::Finishing if self.times.finish_ms.is_some_and(has_elapsed) => {
+                Some(LifeEvent::FinishTimedOut)
+            }
             LifeState::Releasing if remaining.released || has_elapsed(RELEASE_TIMEOUT) => {
                 Some(LifeEvent::Released)
             }
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -25,6 +25,7 @@
 pub mod request;
 pub mod roster;
 pub mod session;
+pub mod shutdown;
 pub mod statement;
 pub mod statement_record;
 mod tick;
@@ -50,7 +51,7 @@
 pub use request::StatementKind;
 use session::Session;
 
-use crate::core::life::{DrainTimes, Life, LifeAction, LifeEvent, LifeState, Remaining};
+use crate::core::life::{DrainTimes, Life, LifeState};
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
 use crate::types::{
@@ -126,6 +127,8 @@
     Ended(Box<statement_record::StatementRecord>),
     /// Close a session, in which no statement is in progress.
     CloseSession(SessionId),
+    /// Close the connections of all callers once their last answers are sent.
+    CloseCallers,
     /// Write a claim to a group's row if the row still has this version.
     Claim(GroupId, RowVersion, Claim),
     /// Ask the platform to promote an endpoint under a fencing token.
@@ -169,6 +172,8 @@
     /// When the set of homes last changed.
     homes_changed_at: Timestamp,
     relayed_callers: usize,
+    /// Number of callers whose connections are open.
+    open_callers: usize,
     groups: BTreeMap<GroupId, GroupState>,
     /// Rows of all groups, including those that are not in the configuration.
     claims: BTreeMap<GroupId, (RowVersion, Option<Claim>)>,
@@ -204,6 +209,7 @@
             homes: Homes::default(),
             homes_changed_at: Timestamp(0),
             relayed_callers: 0,
+            open_callers: 0,
             groups: BTreeMap::new(),
             claims: BTreeMap::new(),
             evidence: Evidence::default(),
@@ -334,6 +340,11 @@
         self.relayed_callers = callers;
     }
 
+    /// Sets the number of callers whose connections are open, with or without a session.
+    pub fn set_open_callers(&mut self, callers: usize) {
+        self.open_callers = callers;
+    }
+
     /// Processes a demand report of another host.
     pub fn on_demand_report(&mut self, now: Timestamp, host: HostId, demand: Demand) {
         self.quota.on_report(now, host, demand);
@@ -344,71 +355,6 @@
         self.quota.demand()
     }
 
-    /// Starts the shutdown of the host, on request of the operator or the system.
-    pub fn stop(&mut self, now: Timestamp) {
-        self.fire_life_event(now, LifeEvent::Stop);
-    }
-
-    fn fire_life_event(&mut self, now: Timestamp, event: LifeEvent) {
-        let before = self.life.state();
-        for action in self.life.fire(now, event) {
-            match action {
-                LifeAction::Listen => self.out.push(ProxyEffect::Listen),
-                LifeAction::AnnounceLeaving => self.out.push(ProxyEffect::Leave),
-                LifeAction::RefuseNewWork => {
-                    self.out.push(ProxyEffect::StopListening);
-                    self.end_idle_sessions();
-                }
-                LifeAction::RollBack => self.end_all_sessions(now),
-                LifeAction::ReleaseShares => {}
-                LifeAction::Close => {
-                    // An empty demand frees this host's share of the rates for the others.
-                    self.out.push(ProxyEffect::ReportDemand(Demand::new()));
-                    self.out.push(ProxyEffect::Stop);
-                }
-            }
-        }
-        if before != self.life.state() {
-            tracing::info!(state = ?self.life.state(), before = ?before,
-                sessions = self.sessions.len(), "host: state changed");
-        }
-    }
-
-    /// Advances the host's lifecycle according to what is known and what remains to be done.
-    fn advance_life(&mut self, now: Timestamp) {
-        let initialized = self.catalog.is_some() && self.discovered && self.hosts_known;
-        if self.life.state() == LifeState::Starting && initialized {
-            self.fire_life_event(now, LifeEvent::Ready);
-        }
-        let remaining = Remaining {
-            idle: self.sessions.is_empty() && self.relayed_callers == 0,
-            no_request: self.requests.is_empty(),
-            released: true,
-        };
-        if let Some(event) = self.life.due(now, remaining) {
-            self.fire_life_event(now, event);
-        }
-    }
-
-    fn end_idle_sessions(&mut self) {
-        let mut idle = Vec::new();
-        for (id, session) in &mut self.sessions {
-            session.closing = true;
-            if session.request.is_none() && session.transaction.is_none() {
-                idle.push(*id);
-            }
-        }
-        self.out.extend(idle.into_iter().map(ProxyEffect::CloseSession));
-    }
-
-    fn end_all_sessions(&mut self, now: Timestamp) {
-        let ids: Vec<SessionId> = self.sessions.keys().copied().collect();
-        for id in ids {
-            self.close_session(now, id);
-            self.out.push(ProxyEffect::CloseSession(id));
-        }
-    }
-
     fn random_delay_us(&mut self, max_us: u64) -> u64 {
         self.rng.random_range(0..=max_us)
     }
--- a/src/core/proxy/session.rs
+++ b/src/core/proxy/session.rs
@@ -9,7 +9,7 @@
 
 use super::catalog::{CallerKey, Route};
 use super::statement::{Access, PreparedStatement, Query, Statement, StatementPayload};
-use super::{Answer, Proxy, ProxyEffect, StatementKind};
+use super::{shutdown, Answer, Proxy, ProxyEffect, StatementKind};
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
 use crate::types::{
@@ -88,8 +88,8 @@
     ///
     /// # Errors
     ///
-    /// `NoRoute` if the database is unknown, `WrongKey` if the key is, and `ViewExpired` before a
-    /// configuration has been read.
+    /// `NoRoute` if the database is unknown, `WrongKey` if the key is, `ViewExpired` before a
+    /// configuration has been read, and `HostDraining` on a host that only ends what has begun.
     pub fn open_session(
         &mut self,
         now: Timestamp,
@@ -102,6 +102,9 @@
         };
         let key = CallerKey::new(key);
         self.resolve(&name, &key)?;
+        if !self.life.state().accepts_sessions() {
+            return Err(Error::new(ErrorKind::HostDraining, "the host accepts no new sessions"));
+        }
         let session = Session {
             database: name,
             key,
@@ -178,6 +181,11 @@
             let error = Error::new(ErrorKind::BadMessage, "the transaction has failed");
             return self.answer(id, Answer::Refused(error));
         }
+        let in_transaction = session.transaction.is_some();
+        let state = self.life.state();
+        if let Some(error) = shutdown::refusal(state, &query.statement, in_transaction) {
+            return self.refuse_statement(id, &query.id, error);
+        }
         match query.statement {
             Statement::Begin { read_only } => self.begin(now, id, &query.id, read_only),
             Statement::Rollback => self.roll_back(now, id),
@@ -370,7 +378,8 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         session.request = None;
         let state = session.state();
-        let closing = session.closing && state == TransactionState::Idle;
+        let closing = session.closing;
+        let closing = self.closes_after_answer(closing, state);
         self.out.push(ProxyEffect::Answer { session: id, answer, state });
         if closing {
             self.out.push(ProxyEffect::CloseSession(id));
--- a/src/net/host/callers.rs
+++ b/src/net/host/callers.rs
@@ -47,6 +47,7 @@
         let options = self.caller_options();
         let caller = actor!(cx, Caller::init(id, socket, options, events), on_stop);
         self.callers.insert(id, caller);
+        self.core.set_open_callers(self.callers.len());
     }
 
     fn caller_stopped(&mut self, cx: CX![], id: SessionId, cause: StopCause) {
@@ -55,6 +56,7 @@
         }
         let now = self.now(cx);
         self.callers.remove(&id);
+        self.core.set_open_callers(self.callers.len());
         self.cancel_keys.remove(&id);
         self.core.caller_left(now, id);
         self.carry_out(cx);
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -27,6 +27,7 @@
 use crate::core::life::DrainTimes;
 use crate::core::rows::MonotonicRows;
 use crate::core::share::ShareSettings;
+use crate::error::{Error, ErrorKind};
 use crate::metrics::Metrics;
 use crate::net::caller::{Caller, CallerOptions};
 use crate::net::endpoint::{Credentials, EndpointConnection};
@@ -202,6 +203,13 @@
             HostEffect::Listen => self.listen(cx),
             HostEffect::AnnounceLeaving => self.leaving = true,
             HostEffect::StopListening => self.listener = None,
+            HostEffect::CloseCallers => {
+                for caller in self.callers.values() {
+                    let detail = "the host is stopping";
+                    let error = Error::new(ErrorKind::HostDraining, detail);
+                    call!([caller], evict(error));
+                }
+            }
             HostEffect::Close => self.close(cx),
             HostEffect::AskPeers => self.ask_peers(cx),
             HostEffect::WantTables(member) => self.want_tables(cx, &member),
@@ -284,7 +292,7 @@
     }
 
     /// Sends an error to a caller and closes its connection.
-    fn evict(&mut self, session: SessionId, error: crate::error::Error) {
+    fn evict(&mut self, session: SessionId, error: Error) {
         if let Some(caller) = self.caller(session) {
             call!([caller], evict(error));
         }
@@ -311,6 +319,7 @@
         drain: DrainTimes {
             notice_ms: settings.drain_notice_ms,
             limit_ms: settings.drain_limit_ms,
+            finish_ms: None,
         },
     }
 }
--- a/src/net/proxy/caller.rs
+++ b/src/net/proxy/caller.rs
@@ -361,7 +361,7 @@
                 return self.disconnect(cx);
             }
         }
-        if self.phase == Phase::Idle {
+        if matches!(self.phase, Phase::Starting | Phase::Idle) {
             self.end(cx);
         }
     }
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -355,7 +355,12 @@
             }
             ProxyEffect::StopListening => {
                 self.listener = None;
-                for caller in self.relayed_callers.keys().filter_map(|id| self.callers.get(id)) {
+                for caller in self.callers_of_relayed_sessions() {
+                    call!([caller], end_when_idle());
+                }
+            }
+            ProxyEffect::CloseCallers => {
+                for caller in self.callers.values() {
                     call!([caller], end_when_idle());
                 }
             }
@@ -365,6 +370,10 @@
         }
     }
 
+    fn callers_of_relayed_sessions(&self) -> impl Iterator<Item = &ActorOwn<LineCaller>> {
+        self.relayed_callers.keys().filter_map(|id| self.callers.get(id))
+    }
+
     fn run(&mut self, id: ConnectionId, job: Job) {
         if let Some(endpoint) = self.endpoints.get(&id) {
             call!([endpoint], run(job));
@@ -401,9 +410,16 @@
 }
 
 /// Divides the time that the platform allows a process for its shutdown. The notice covers the time
-/// until the readiness probe has failed twice, in which new callers still arrive; open transactions
-/// may finish until three quarters of the time are over, and the rest is for the last answers.
+/// until the readiness probe has failed twice, in which new callers still arrive. Open transactions
+/// may go on until three quarters of the time are over; after that they may only be ended. Requests
+/// that still run at fourteen fifteenths are aborted, so that their callers get an answer before the
+/// platform kills the process.
 fn drain_times(limit: DurationMs) -> DrainTimes {
     let notice_ms = DurationMs(2_300.min(limit.0 * 2 / 5));
-    DrainTimes { notice_ms, limit_ms: DurationMs((limit.0 * 3 / 4).saturating_sub(notice_ms.0)) }
+    let drained_ms = limit.0 * 3 / 4;
+    DrainTimes {
+        notice_ms,
+        limit_ms: DurationMs(drained_ms.saturating_sub(notice_ms.0)),
+        finish_ms: Some(DurationMs((limit.0 * 14 / 15).saturating_sub(drained_ms))),
+    }
 }
--- a/src/net/proxy/sessions.rs
+++ b/src/net/proxy/sessions.rs
@@ -77,6 +77,7 @@
                     let ended = ret_some_to!([cx], caller_ended(id) as (StopCause));
                     let caller = actor!(cx, LineCaller::init(socket, is_remote, hub), ended);
                     self.callers.insert(id, caller);
+                    self.core.set_open_callers(self.callers.len());
                     if is_remote {
                         self.remote_sessions.insert(id);
                     }
@@ -199,6 +200,7 @@
 
     fn caller_ended(&mut self, cx: CX![], id: SessionId, _: StopCause) {
         self.callers.remove(&id);
+        self.core.set_open_callers(self.callers.len());
         self.remote_sessions.remove(&id);
         self.remove_relayed_caller(id);
         self.core.close_session(suspend_aware_clock(), id);
--- a/tests/lead_model/mod.rs
+++ b/tests/lead_model/mod.rs
@@ -215,7 +215,11 @@
             host: host_id(host),
             failure_domain: id("north"),
             processor: MilliCores(250),
-            drain: DrainTimes { notice_ms: DurationMs(2_000), limit_ms: DurationMs(2_000) },
+            drain: DrainTimes {
+                notice_ms: DurationMs(2_000),
+                limit_ms: DurationMs(2_000),
+                finish_ms: Some(DurationMs(1_000)),
+            },
             lead_proof: self.plan.lead_proof,
         };
         let seed = self.rng.random();
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -105,7 +105,11 @@
             host: id("h1"),
             failure_domain: id("north"),
             processor: MilliCores(250),
-            drain: DrainTimes { notice_ms: DurationMs(2_000), limit_ms: DurationMs(2_000) },
+            drain: DrainTimes {
+                notice_ms: DurationMs(2_000),
+                limit_ms: DurationMs(2_000),
+                finish_ms: Some(DurationMs(1_000)),
+            },
             lead_proof,
         };
         let mut rig = Self {
