Let a stopping host await the statements that it relays

What callers saw: a stopping host exited while statements of its callers were at work on the hosts that run their sessions; the connections ended without an answer (LOST). Cause: the end of a shutdown looked at the requests of sessions on this host only. From four hosts on most sessions run elsewhere, and their statements were counted by the actor of each caller, which the host's lifecycle did not see. Change: relayed sessions take part in each step of the shutdown. After the time for open transactions the relaying host refuses, by the same rule as for its own sessions, statements other than the end of a transaction, and awaits the answers of those at work. Shortly before the platform's SIGKILL it answers what is left: unknown for a commit or a write outside a transaction, lost or not kept for the rest, which the closed connection to the home rolls back. Lines are relayed only once the home's connection has had the startup message, and a relayed session is not ended before its startup is answered. Why it works: the process ends only when no relayed session is left, and each of them ends by an answer, or by an error that this host gives.

--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -127,6 +127,10 @@
     Ended(Box<statement_record::StatementRecord>),
     /// Close a session, in which no statement is in progress.
     CloseSession(SessionId),
+    /// Refuse what [`shutdown::refusal`] refuses in the sessions that other hosts run.
+    EndRelayedTransactions,
+    /// End the statements in progress of these sessions with an error.
+    AbortRelayedRequests,
     /// Close the connections of all callers once their last answers are sent.
     CloseCallers,
     /// Write a claim to a group's row if the row still has this version.
--- a/src/core/proxy/shutdown.rs
+++ b/src/core/proxy/shutdown.rs
@@ -1,7 +1,7 @@
 //! Shutdown of a host: what still runs while it stops, and what callers are told about the rest.
 
 use super::quota::Demand;
-use super::statement::Statement;
+use super::statement::{Access, Statement};
 use super::{Proxy, ProxyEffect};
 use crate::core::life::{LifeAction, LifeEvent, LifeState, Remaining};
 use crate::core::transaction::TransactionState;
@@ -28,6 +28,21 @@
     Some(Error::new(kind, "the host is stopping and runs no further statements"))
 }
 
+/// Whether a statement may have lasting effects although its answer is missing. What a prepared
+/// statement does is known only to the host that runs the session.
+pub fn may_commit(statement: &Statement, in_transaction: bool) -> bool {
+    match statement {
+        Statement::Commit => true,
+        Statement::Data(access) => !in_transaction && *access == Access::Write,
+        Statement::Execute { .. } => !in_transaction,
+        Statement::Begin { .. }
+        | Statement::Rollback
+        | Statement::Set { .. }
+        | Statement::Prepare { .. }
+        | Statement::Close { .. } => false,
+    }
+}
+
 /// Error for a statement that was passed on and whose answer is no longer awaited.
 pub fn unanswered(may_commit: bool, in_transaction: bool, detail: &str) -> Error {
     let kind = match (may_commit, in_transaction) {
@@ -55,9 +70,11 @@
                     self.end_idle_sessions();
                 }
                 LifeAction::EndTransactions => {
+                    self.out.push(ProxyEffect::EndRelayedTransactions);
                     self.end_failed_sessions();
                 }
                 LifeAction::AbortRequests => {
+                    self.out.push(ProxyEffect::AbortRelayedRequests);
                     self.abort_requests(now);
                 }
                 LifeAction::ReleaseShares => self.out.push(ProxyEffect::CloseCallers),
--- a/src/net/proxy/caller.rs
+++ b/src/net/proxy/caller.rs
@@ -1,6 +1,7 @@
 //! Actor of one caller's connection: owns the socket and forwards one statement at a time to the
 //! core.
 
+use std::collections::VecDeque;
 use std::net::{Shutdown, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -9,12 +10,13 @@
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, Ready};
 
+use crate::core::life::LifeState;
 use crate::core::proxy::statement::Query;
-use crate::core::proxy::Answer;
+use crate::core::proxy::{shutdown, Answer};
 use crate::core::transaction::TransactionState;
-use crate::error::Error;
+use crate::error::{Error, ErrorKind};
 use crate::net::stream::{Stream, StreamState};
-use crate::platform::line::{self, CallerMessage, LineError, RelayedLine};
+use crate::platform::line::{self, CallerMessage, LineError, RelayedMessage};
 use crate::types::TableVersion;
 use crate::wire::relay;
 
@@ -83,18 +85,41 @@
     startup_sent: bool,
     /// Whether the home has answered the startup message.
     has_answered: bool,
-    /// Number of relayed statements that the home has not answered yet.
-    unanswered: u32,
+    /// Relayed statements that the home has not answered yet.
+    unanswered: VecDeque<RelayedStatement>,
     /// Whether no transaction was open after the last answer.
     is_idle: bool,
 }
 
+/// A statement that was relayed to the home of its session.
+struct RelayedStatement {
+    id: CompactString,
+    in_transaction: bool,
+    /// Whether it may have lasting effects although its answer is missing.
+    may_commit: bool,
+}
+
+impl HomeConnection {
+    /// Describes a statement that is relayed next. While others are not answered, the state in which
+    /// it will run is unknown.
+    fn describe(&self, query: &Query) -> RelayedStatement {
+        let (in_transaction, is_first) = (!self.is_idle, self.unanswered.is_empty());
+        RelayedStatement {
+            id: query.id.clone(),
+            in_transaction,
+            may_commit: !is_first || shutdown::may_commit(&query.statement, in_transaction),
+        }
+    }
+}
+
 /// Actor of one caller's connection.
 pub struct LineCaller {
     hub: Fwd<CallerEvent>,
     stream: Stream,
     phase: Phase,
     end_requested: bool,
+    /// Whether relayed transactions can only be ended, because the host stops.
+    ends_transactions: bool,
     home: Option<HomeConnection>,
     /// Whether another host relays the session over this connection.
     is_remote: bool,
@@ -121,6 +146,7 @@
                     stream,
                     phase: Phase::Starting,
                     end_requested: false,
+                    ends_transactions: false,
                     home: None,
                     is_remote,
                     admitted: None,
@@ -193,7 +219,7 @@
 
     fn reject_message(&mut self, cx: CX![], error: &LineError) {
         tracing::info!(%error, "caller: message cannot be decoded");
-        let error = Error::new(crate::error::ErrorKind::BadMessage, error.to_string());
+        let error = Error::new(ErrorKind::BadMessage, error.to_string());
         line::write_error(&mut self.stream.output, &error);
         self.end(cx);
     }
@@ -215,15 +241,14 @@
         match socket {
             Ok(stream) => {
                 self.phase = Phase::Relaying;
-                let (startup_sent, has_answered, unanswered, is_idle) = (false, false, 0, true);
                 self.home = Some(HomeConnection {
                     stream,
                     request,
                     started: cx.now(),
-                    startup_sent,
-                    has_answered,
-                    unanswered,
-                    is_idle,
+                    startup_sent: false,
+                    has_answered: false,
+                    unanswered: VecDeque::new(),
+                    is_idle: true,
                 });
                 after!(HOME_ANSWER_LIMIT, [cx], check_home());
             }
@@ -279,30 +304,114 @@
 
     /// Relays complete lines in both directions.
     fn relay_lines(&mut self, cx: CX![]) {
+        self.relay_statements(cx);
+        self.relay_answers();
         let Some(home) = &mut self.home else { return };
-        let has_room = home.stream.output.len() < RELAY_BUFFER_BYTES;
-        while let Some(end) = self.stream.input.iter().position(|byte| has_room && *byte == b'\n') {
-            let line = self.stream.input.split_to(end + 1);
-            home.unanswered += u32::from(line::read_relayed(&line) == RelayedLine::Query);
+        let is_answered = home.has_answered && home.unanswered.is_empty();
+        let is_done = self.end_requested && is_answered && home.is_idle;
+        if let StreamState::Closed(cause) = home.stream.flush() {
+            return self.on_home_lost(cx, &cause);
+        }
+        self.flush(cx);
+        if is_done {
+            self.end(cx);
+        }
+    }
+
+    /// Relays the caller's complete lines to the home.
+    fn relay_statements(&mut self, cx: CX![]) {
+        loop {
+            let Some(home) = &mut self.home else { return };
+            let has_room = home.stream.output.len() < RELAY_BUFFER_BYTES;
+            let must_wait = self.ends_transactions && !home.unanswered.is_empty();
+            if !home.startup_sent || !has_room || must_wait {
+                return;
+            }
+            let Some(end) = self.stream.input.iter().position(|byte| *byte == b'\n') else {
+                return;
+            };
+            let line = self.stream.input.split_to(end + 1).freeze();
+            match line::read_relayed_message(&line) {
+                RelayedMessage::Statement(query) => {
+                    let statement = home.describe(&query);
+                    let refusal = shutdown::refusal(
+                        if self.ends_transactions {
+                            LifeState::Finishing
+                        } else {
+                            LifeState::Serving
+                        },
+                        &query.statement,
+                        statement.in_transaction,
+                    );
+                    if let Some(error) = refusal {
+                        self.refuse_relayed(&statement, error);
+                        return self.end(cx);
+                    }
+                    home.unanswered.push_back(statement);
+                }
+                RelayedMessage::Malformed => home.unanswered.push_back(RelayedStatement {
+                    id: CompactString::default(),
+                    in_transaction: !home.is_idle,
+                    may_commit: false,
+                }),
+                RelayedMessage::Other => {}
+            }
             home.stream.output.extend_from_slice(&line);
         }
+    }
+
+    /// Relays the home's complete lines to the caller.
+    fn relay_answers(&mut self) {
+        let Some(home) = &mut self.home else { return };
         while let Some(end) = home.stream.input.iter().position(|byte| *byte == b'\n') {
             let line = home.stream.input.split_to(end + 1);
-            if let RelayedLine::Ready(is_idle) = line::read_relayed(&line) {
-                // The first answer is to the startup message, which was not counted.
-                home.unanswered = home.unanswered.saturating_sub(u32::from(home.has_answered));
+            if let Some(is_idle) = line::read_relayed_ready(&line) {
+                // The first answer is to the startup message.
+                if home.has_answered {
+                    home.unanswered.pop_front();
+                }
                 (home.has_answered, home.is_idle) = (true, is_idle);
             }
             self.stream.output.extend_from_slice(&line);
         }
-        let is_done = self.end_requested && home.unanswered == 0 && home.is_idle;
-        if let StreamState::Closed(cause) = home.stream.flush() {
-            return self.on_home_lost(cx, &cause);
+    }
+
+    /// Answers a statement of a relayed session with an error of this host.
+    fn refuse_relayed(&mut self, statement: &RelayedStatement, error: Error) {
+        tracing::info!(request = statement.id.as_str(), kind = ?error.kind,
+            detail = error.detail.as_str(), "relay: statement was refused by this host");
+        let state = match statement.in_transaction {
+            true => TransactionState::Failed,
+            false => TransactionState::Idle,
+        };
+        line::write_answer(&mut self.stream.output, &Answer::Refused(error), state);
+    }
+
+    /// Answers the statements that the home has not answered, whose answers are no longer awaited.
+    fn refuse_unanswered(&mut self, home: &HomeConnection, detail: &str) {
+        for statement in &home.unanswered {
+            let (may_commit, in_transaction) = (statement.may_commit, statement.in_transaction);
+            let error = shutdown::unanswered(may_commit, in_transaction, detail);
+            self.refuse_relayed(statement, error);
         }
-        self.flush(cx);
-        if is_done {
-            self.end(cx);
+    }
+
+    /// Lets a relayed transaction only be ended from now on, because the host stops.
+    pub fn end_transaction(&mut self, cx: CX![]) {
+        self.ends_transactions = true;
+        if self.phase == Phase::Relaying {
+            self.relay_lines(cx);
+        }
+    }
+
+    /// Answers the statements of a relayed session that are in progress, and ends the connection.
+    pub fn abort(&mut self, cx: CX![], cause: &'static str) {
+        let Some(home) = self.home.take() else { return };
+        if !home.has_answered {
+            line::write_error(&mut self.stream.output, &Error::new(ErrorKind::HostDraining, cause));
         }
+        self.refuse_unanswered(&home, cause);
+        self.end(cx);
     }
 
     /// Handles the loss of the home: a session that the home has not answered yet runs on this
@@ -351,12 +460,12 @@
     /// arrived but were not read yet.
     pub fn end_when_idle(&mut self, cx: CX![]) {
         self.end_requested = true;
-        if self.phase == Phase::Relaying {
-            return self.relay_lines(cx);
-        }
-        if self.phase == Phase::Idle {
+        if matches!(self.phase, Phase::Idle | Phase::Relaying) {
             let input_state = self.stream.fill(READ_AHEAD_BYTES);
-            self.process_lines(cx);
+            match self.phase {
+                Phase::Relaying => self.relay_lines(cx),
+                _ => self.process_lines(cx),
+            }
             if let StreamState::Closed(_) = input_state {
                 return self.disconnect(cx);
             }
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -359,6 +359,16 @@
                     call!([caller], end_when_idle());
                 }
             }
+            ProxyEffect::EndRelayedTransactions => {
+                for caller in self.callers_of_relayed_sessions() {
+                    call!([caller], end_transaction());
+                }
+            }
+            ProxyEffect::AbortRelayedRequests => {
+                for caller in self.callers_of_relayed_sessions() {
+                    call!([caller], abort("the host has stopped before the answer arrived"));
+                }
+            }
             ProxyEffect::CloseCallers => {
                 for caller in self.callers.values() {
                     call!([caller], end_when_idle());
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -170,23 +170,33 @@
     Ok(PreparedStatement { access, text: utf8_text(&prepared)? })
 }
 
-/// Meaning of a relayed line for the state of its session.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RelayedLine {
+/// A caller's message that is relayed to the home of its session.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RelayedMessage {
     /// A statement, for which the caller awaits an answer.
-    Query,
-    /// The end of an answer; whether no transaction is open.
-    Ready(bool),
-    /// A line that does not change the state.
+    Statement(Query),
+    /// A statement that cannot be decoded; the home answers it with an error.
+    Malformed,
+    /// A message without an answer.
     Other,
 }
 
-/// Decodes only as much of a relayed line as the state of its session depends on.
-pub fn read_relayed(line: &[u8]) -> RelayedLine {
+/// Decodes a caller's line, with its line end, that is to be relayed.
+pub fn read_relayed_message(line: &Bytes) -> RelayedMessage {
+    let end = line.len() - line.iter().rev().take_while(|byte| b"\r\n".contains(byte)).count();
+    match read_caller(&line.slice(..end)) {
+        Ok(CallerMessage::Query(Ok(query))) => RelayedMessage::Statement(query),
+        Ok(CallerMessage::Query(Err(_))) => RelayedMessage::Malformed,
+        _ if line.starts_with(b"QUERY ") => RelayedMessage::Malformed,
+        _ => RelayedMessage::Other,
+    }
+}
+
+/// Whether no transaction is open, if the line of a home's answer is its end.
+pub fn read_relayed_ready(line: &[u8]) -> Option<bool> {
     match line {
-        [b'Q', b'U', b'E', b'R', b'Y', b' ', ..] => RelayedLine::Query,
-        [b'R', b'E', b'A', b'D', b'Y', b' ', state, ..] => RelayedLine::Ready(*state == b'I'),
-        _ => RelayedLine::Other,
+        [b'R', b'E', b'A', b'D', b'Y', b' ', state, ..] => Some(*state == b'I'),
+        _ => None,
     }
 }
 
--- a/tests/proxy_shutdown.rs
+++ b/tests/proxy_shutdown.rs
@@ -7,7 +7,7 @@
 
 use medlarstile::core::life::LifeState;
 use medlarstile::core::proxy::statement::{Access, Statement};
-use medlarstile::core::proxy::{Answer, ProxyEffect};
+use medlarstile::core::proxy::{shutdown, Answer, ProxyEffect};
 use medlarstile::core::transaction::TransactionState;
 use medlarstile::error::ErrorKind;
 use medlarstile::types::{DurationMs, SessionId};
@@ -68,6 +68,37 @@
     assert_eq!(rig.core.state(), LifeState::Stopped);
 }
 
+/// Guards against a host that exits while statements that it relays are at work.
+#[test]
+fn a_host_waits_for_relayed_statements() {
+    let mut rig = Rig::new();
+    rig.core.set_relayed_callers(1);
+    rig.core.stop(rig.now);
+    rig.pass(4_500);
+    assert!(!matches!(rig.core.state(), LifeState::Releasing | LifeState::Stopped));
+    rig.core.set_relayed_callers(0);
+    rig.pass(100);
+    assert_eq!(rig.core.state(), LifeState::Stopped);
+}
+
+/// Guards against relayed sessions that are not told that the time for their transactions, or for
+/// their last statements, is over.
+#[test]
+fn relayed_sessions_take_part_in_the_shutdown() {
+    let mut rig = Rig::new();
+    rig.core.set_relayed_callers(1);
+    rig.core.stop(rig.now);
+    for (wait_ms, effect) in [
+        (2_020, ProxyEffect::StopListening),
+        (2_000, ProxyEffect::EndRelayedTransactions),
+        (1_000, ProxyEffect::AbortRelayedRequests),
+    ] {
+        assert!(!rig.other.contains(&effect), "{effect:?} is early");
+        rig.pass(wait_ms);
+        assert!(rig.other.contains(&effect), "{effect:?} is late");
+    }
+}
+
 /// Guards against a host that exits before its callers have been sent their last answers, and
 /// against one that waits forever for a caller that does not read.
 #[test]
@@ -128,3 +159,20 @@
     assert_eq!((*found, refused(answer)), (session, Some(kind)));
     assert!(rig.other.contains(&ProxyEffect::CloseSession(session)));
 }
+
+/// Guards against a wrong statement of whether a relayed statement whose answer is missing may have
+/// had an effect.
+#[parameterized(
+    commit = { Statement::Commit, true, ErrorKind::OutcomeUnknown },
+    write = { WRITE, false, ErrorKind::OutcomeUnknown },
+    prepared = { Statement::Execute { name: "s".into(), arguments: "".into() }, false,
+        ErrorKind::OutcomeUnknown },
+    prepared_inside = { Statement::Execute { name: "s".into(), arguments: "".into() }, true,
+        ErrorKind::TransactionLost },
+    write_inside = { WRITE, true, ErrorKind::TransactionLost },
+    read = { READ, false, ErrorKind::DeadlineExceeded },
+)]
+fn a_missing_answer_is_reported_truthfully(statement: Statement, inside: bool, kind: ErrorKind) {
+    let may_commit = shutdown::may_commit(&statement, inside);
+    assert_eq!(shutdown::unanswered(may_commit, inside, "").kind, kind);
+}
