Read on after a limit of the input buffer was reached

What callers saw: long answers of relayed sessions never arrived in full, with or without a stop, and a planned stop cut them (LOST); statements of more than 64 KiB were never answered, on own and relayed sessions. A caller that reads slowly lost the tail of its last answer at a stop. Cause: `Stream::fill` stops at a limit, and the poll is edge-triggered, so it reports no further event for what stays in the socket. `LineCaller` did not read again after it had processed its input, nor after a slow reader had made room. An ending connection was closed 400 ms after it began to end, also with output unsent. Change: `Stream` knows whether it may hold unread data, and the owners read on: callers and homes of relayed sessions as soon as there is room, callers with a statement in progress after its answer. While a message is awaited the limit is that of a message, and a longer one is refused as malformed on relayed sessions too. The same fault in endpoint connections (over 4 MiB at once), in callers of the PostgreSQL front (pipelined requests of more than a message) and in the load tool is mended in the same way. An ending connection is shut down once its output is sent; a caller that reads nothing for 5 s is disconnected.

--- a/src/load/connection.rs
+++ b/src/load/connection.rs
@@ -169,12 +169,16 @@
     }
 
     fn receive(&mut self, cx: CX![]) {
-        let state = self.stream.fill(MAX_INPUT_BYTES);
-        if let Err(error) = self.process_messages(cx) {
-            return self.fail(cx, error.to_string());
-        }
-        if let StreamState::Closed(cause) = state {
-            self.fail(cx, cause);
+        loop {
+            let state = self.stream.fill(MAX_INPUT_BYTES);
+            if let Err(error) = self.process_messages(cx) {
+                return self.fail(cx, error.to_string());
+            }
+            match state {
+                StreamState::Closed(cause) => return self.fail(cx, cause),
+                StreamState::Open if self.stream.has_unread() && !self.machine.is_done() => {}
+                StreamState::Open => return,
+            }
         }
     }
 
--- a/src/net/caller/mod.rs
+++ b/src/net/caller/mod.rs
@@ -154,7 +154,7 @@
     pub fn admit(&mut self, cx: CX![], login_messages: BytesMut) {
         self.login_messages = login_messages;
         self.fire(cx, CallerInput::Admitted);
-        self.handle_input(cx);
+        self.resume_input(cx);
     }
 
     /// Sends an error and closes the connection.
@@ -223,7 +223,7 @@
         self.transaction = transaction;
         self.result = Some((answer, token));
         self.fire(cx, CallerInput::Answered);
-        self.handle_input(cx);
+        self.resume_input(cx);
     }
 
     fn on_login_timeout(&mut self, cx: CX![]) {
@@ -252,10 +252,25 @@
         // The input holds at least one message of the largest size with its header, so every call
         // makes progress.
         let limit = self.options.max_message_bytes + 16;
-        let state = self.stream.fill(limit);
+        loop {
+            let state = self.stream.fill(limit);
+            self.handle_input(cx);
+            if let StreamState::Closed(cause) = state {
+                return self.connection_lost(cx, &cause);
+            }
+            // A request in progress holds back the rest, which is read after its answer.
+            let is_held_back = self.stream.input.len() >= limit;
+            if !self.stream.has_unread() || is_held_back || self.machine.is_done() {
+                return;
+            }
+        }
+    }
+
+    /// Handles the input that was held back by a request which has ended.
+    fn resume_input(&mut self, cx: CX![]) {
         self.handle_input(cx);
-        if let StreamState::Closed(cause) = state {
-            self.connection_lost(cx, &cause);
+        if self.stream.has_unread() && !self.machine.is_done() {
+            self.read_input(cx);
         }
     }
 
--- a/src/net/proxy/caller.rs
+++ b/src/net/proxy/caller.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use stakker::{after, fwd, fwd_to, stop, Fwd, CX};
+use stakker::{after, call, fwd, fwd_to, stop, Fwd, CX};
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, Ready};
 
@@ -22,6 +22,9 @@
 
 /// Bytes read ahead while a statement is in progress.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Bytes read while the next message is awaited; every read of so many ends a message or shows that
+/// it is too long.
+const MAX_INPUT_BYTES: usize = line::MAX_LINE_BYTES + 1;
 /// Time limit for the first answer of a session's home; a reachable home answers within a few
 /// milliseconds.
 const HOME_ANSWER_LIMIT: Duration = Duration::from_millis(300);
@@ -32,6 +35,8 @@
 /// Time for which a connection that this host ends stays open for the caller to close it, so that
 /// a TCP reset does not discard the last answer.
 const LINGER: Duration = Duration::from_millis(400);
+/// Time without progress after which a caller that does not read its last answer is disconnected.
+const STALL_LIMIT: Duration = Duration::from_secs(5);
 
 /// A caller's request for a session.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -100,6 +105,11 @@
 }
 
 impl HomeConnection {
+    /// Whether more of the caller's lines can be passed on.
+    fn has_room(&self) -> bool {
+        self.stream.output.len() < RELAY_BUFFER_BYTES
+    }
+
     /// Describes a statement that is relayed next. While others are not answered, the state in which
     /// it will run is unknown.
     fn describe(&self, query: &Query) -> RelayedStatement {
@@ -121,6 +131,8 @@
     /// Whether relayed transactions can only be ended, because the host stops.
     ends_transactions: bool,
     home: Option<HomeConnection>,
+    /// Whether all output of an ending connection was sent.
+    output_finished: bool,
     /// Whether another host relays the session over this connection.
     is_remote: bool,
     /// Version of the configuration that the relaying host announced.
@@ -148,6 +160,7 @@
                     end_requested: false,
                     ends_transactions: false,
                     home: None,
+                    output_finished: false,
                     is_remote,
                     admitted: None,
                 })
@@ -168,18 +181,38 @@
     }
 
     fn ready(&mut self, cx: CX![], _: Ready) {
-        let input_state = self.stream.fill(READ_AHEAD_BYTES);
-        if self.phase == Phase::Relaying {
-            self.relay_lines(cx);
-        } else if self.phase != Phase::Ending {
-            self.process_lines(cx);
-        }
+        self.stream.set_unread();
+        let input_state = self.read_input(cx);
         match input_state {
             StreamState::Open => self.flush(cx),
             StreamState::Closed(_) => self.disconnect(cx),
         }
     }
 
+    /// Reads and processes what has arrived, as far as a statement in progress or the home of a
+    /// relayed session can take it.
+    fn read_input(&mut self, cx: CX![]) -> StreamState {
+        loop {
+            let limit = match self.phase {
+                Phase::Busy => READ_AHEAD_BYTES,
+                Phase::Starting | Phase::Idle | Phase::Relaying | Phase::Ending => MAX_INPUT_BYTES,
+            };
+            let has_room = self.home.as_ref().is_none_or(HomeConnection::has_room);
+            if !self.stream.has_unread() || !has_room || self.stream.input.len() >= limit {
+                return StreamState::Open;
+            }
+            let input_state = self.stream.fill(limit);
+            match self.phase {
+                Phase::Relaying => self.relay_lines(cx),
+                Phase::Ending => self.stream.input.clear(),
+                Phase::Starting | Phase::Idle | Phase::Busy => self.process_lines(cx),
+            }
+            if input_state != StreamState::Open {
+                return input_state;
+            }
+        }
+    }
+
     /// Forwards the next message, unless a statement is in progress.
     fn process_lines(&mut self, cx: CX![]) {
         while matches!(self.phase, Phase::Starting | Phase::Idle) {
@@ -228,7 +261,7 @@
     pub fn started(&mut self, cx: CX![]) {
         line::write_ready(&mut self.stream.output, TransactionState::Idle, None);
         self.phase = Phase::Idle;
-        self.process_lines(cx);
+        self.resume_input(cx);
         self.flush(cx);
     }
 
@@ -291,14 +324,35 @@
                 Err(error) => return self.on_home_unreachable(&error.to_string()),
             }
         }
-        let input_state = if self.stream.output.len() < RELAY_BUFFER_BYTES {
-            home.stream.fill(READ_AHEAD_BYTES)
-        } else {
-            StreamState::Open
-        };
-        self.relay_lines(cx);
-        if let StreamState::Closed(cause) = input_state {
-            self.on_home_lost(cx, &cause);
+        home.stream.set_unread();
+        self.read_home(cx);
+        if self.phase == Phase::Relaying {
+            // The home may have taken lines for which there was no room before.
+            let input_state = self.read_input(cx);
+            if input_state != StreamState::Open {
+                self.disconnect(cx);
+            }
+        }
+    }
+
+    /// Reads and relays what the home has sent, as far as the caller takes it.
+    fn read_home(&mut self, cx: CX![]) {
+        loop {
+            let Some(home) = &mut self.home else { return };
+            let has_room = self.stream.output.len() < RELAY_BUFFER_BYTES;
+            if !home.stream.has_unread() || !has_room {
+                return self.relay_lines(cx);
+            }
+            let mut input_state = home.stream.fill(MAX_INPUT_BYTES);
+            self.relay_lines(cx);
+            let Some(home) = &self.home else { return };
+            if home.stream.input.len() >= MAX_INPUT_BYTES {
+                input_state =
+                    StreamState::Closed("the home sent a message that is too long".into());
+            }
+            if let StreamState::Closed(cause) = input_state {
+                return self.on_home_lost(cx, &cause);
+            }
         }
     }
 
@@ -322,12 +376,14 @@
     fn relay_statements(&mut self, cx: CX![]) {
         loop {
             let Some(home) = &mut self.home else { return };
-            let has_room = home.stream.output.len() < RELAY_BUFFER_BYTES;
             let must_wait = self.ends_transactions && !home.unanswered.is_empty();
-            if !home.startup_sent || !has_room || must_wait {
+            if !home.startup_sent || !home.has_room() || must_wait {
                 return;
             }
             let Some(end) = self.stream.input.iter().position(|byte| *byte == b'\n') else {
+                if self.stream.input.len() >= MAX_INPUT_BYTES {
+                    self.reject_message(cx, &LineError::TooLong);
+                }
                 return;
             };
             let line = self.stream.input.split_to(end + 1).freeze();
@@ -449,26 +505,33 @@
         self.phase = Phase::Idle;
         self.flush(cx);
         if self.phase == Phase::Idle {
-            self.process_lines(cx);
+            self.resume_input(cx);
         }
         if self.end_requested && self.phase == Phase::Idle && state == TransactionState::Idle {
             self.end(cx);
         }
     }
 
+    /// Processes the input that a statement in progress has held back.
+    fn resume_input(&mut self, cx: CX![]) {
+        self.process_lines(cx);
+        if self.read_input(cx) != StreamState::Open {
+            self.disconnect(cx);
+        }
+    }
+
     /// Ends the connection once no statement is in progress, which includes statements that have
     /// arrived but were not read yet.
     pub fn end_when_idle(&mut self, cx: CX![]) {
         self.end_requested = true;
         if matches!(self.phase, Phase::Idle | Phase::Relaying) {
-            let input_state = self.stream.fill(READ_AHEAD_BYTES);
-            match self.phase {
-                Phase::Relaying => self.relay_lines(cx),
-                _ => self.process_lines(cx),
-            }
-            if let StreamState::Closed(_) = input_state {
+            self.stream.set_unread();
+            if self.read_input(cx) != StreamState::Open {
                 return self.disconnect(cx);
             }
+            if self.phase == Phase::Relaying {
+                self.relay_lines(cx);
+            }
         }
         if matches!(self.phase, Phase::Starting | Phase::Idle) {
             self.end(cx);
@@ -482,14 +545,38 @@
         }
         self.phase = Phase::Ending;
         self.home = None;
-        after!(LINGER, [cx], disconnect());
         self.flush(cx);
-        self.stream.finish_output(Shutdown::Write);
+        if !self.stream.output.is_empty() {
+            after!(STALL_LIMIT, [cx], check_progress(self.stream.output.len()));
+        }
     }
 
+    /// Disconnects a caller that reads nothing of its last answer; `unsent_before` bytes were not
+    /// sent at the last check.
+    fn check_progress(&mut self, cx: CX![], unsent_before: usize) {
+        let unsent = self.stream.output.len();
+        if unsent > 0 && unsent >= unsent_before {
+            tracing::info!(unsent, "caller: disconnected, its last answer is not read");
+            return self.disconnect(cx);
+        }
+        if unsent > 0 {
+            after!(STALL_LIMIT, [cx], check_progress(unsent));
+        }
+    }
+
+    /// Sends pending output. An ending connection is shut down in this direction after it.
     fn flush(&mut self, cx: CX![]) {
         if let StreamState::Closed(_) = self.stream.flush() {
-            self.disconnect(cx);
+            return self.disconnect(cx);
+        }
+        if self.phase == Phase::Ending && self.stream.output.is_empty() && !self.output_finished {
+            self.output_finished = true;
+            self.stream.finish_output(Shutdown::Write);
+            after!(LINGER, [cx], disconnect());
+        }
+        let has_room = self.stream.output.len() < RELAY_BUFFER_BYTES;
+        if has_room && self.home.as_ref().is_some_and(|home| home.stream.has_unread()) {
+            call!([cx], read_home());
         }
     }
 
--- a/src/net/proxy/endpoint.rs
+++ b/src/net/proxy/endpoint.rs
@@ -16,7 +16,7 @@
 use crate::platform::line::{self, EndpointMessage};
 use crate::types::{EndpointId, GroupId, HostId, Position};
 
-/// Bytes read ahead; an answer holds at most a few messages of 1 MiB.
+/// Bytes read at once; more than the longest message, so that each read can be processed.
 const READ_AHEAD_BYTES: usize = 4 * 1024 * 1024;
 
 /// Destination and purpose of a connection.
@@ -164,13 +164,16 @@
                 Err(error) => return self.report_lost(cx, None, error.to_string()),
             }
         }
-        let input_state = self.stream.fill(READ_AHEAD_BYTES);
-        if !self.process_lines(cx) {
-            return;
-        }
-        match input_state {
-            StreamState::Open => self.flush(cx),
-            StreamState::Closed(cause) => self.report_lost(cx, None, cause),
+        loop {
+            let input_state = self.stream.fill(READ_AHEAD_BYTES);
+            if !self.process_lines(cx) {
+                return;
+            }
+            match input_state {
+                StreamState::Open if self.stream.has_unread() => {}
+                StreamState::Open => return self.flush(cx),
+                StreamState::Closed(cause) => return self.report_lost(cx, None, cause),
+            }
         }
     }
 
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -39,6 +39,7 @@
     pub output: BytesMut,
     connected: bool,
     close_after_output: bool,
+    has_unread: bool,
 }
 
 impl Stream {
@@ -65,6 +66,7 @@
             output: BytesMut::new(),
             connected,
             close_after_output: false,
+            has_unread: false,
         })
     }
 
@@ -109,9 +111,22 @@
         }
     }
 
-    /// Reads until the socket has no more data or `input` holds at least `limit_bytes`.
+    /// Whether the socket may hold data that was not read. The poll is edge-triggered: it reports no
+    /// further event for such data, so the owner has to read again once it can take more.
+    pub fn has_unread(&self) -> bool {
+        self.has_unread
+    }
+
+    /// Records that the poll has reported an event for the socket.
+    pub fn set_unread(&mut self) {
+        self.has_unread = true;
+    }
+
+    /// Reads until the socket has no more data or `input` holds at least `limit_bytes`. In the
+    /// second case [`Stream::has_unread`] is true afterwards.
     pub fn fill(&mut self, limit_bytes: usize) -> StreamState {
         let mut chunk = [0_u8; READ_CHUNK_BYTES];
+        self.has_unread = true;
         while self.input.len() < limit_bytes {
             match self.source.read(&mut chunk) {
                 Ok(0) => return StreamState::Closed("peer closed the connection".into()),
@@ -120,7 +135,10 @@
                         return StreamState::Closed(cause);
                     }
                 }
-                Err(error) if error.kind() == IoKind::WouldBlock => break,
+                Err(error) if error.kind() == IoKind::WouldBlock => {
+                    self.has_unread = false;
+                    break;
+                }
                 Err(error) if error.kind() == IoKind::Interrupted => {}
                 Err(error) => return StreamState::Closed(error.to_string()),
             }
--- a/tests/host_process/mod.rs
+++ b/tests/host_process/mod.rs
@@ -23,6 +23,8 @@
     pub child: Arc<Mutex<Child>>,
     log: BufReader<ChildStdout>,
     settings: PathBuf,
+    /// Address for callers.
+    pub front_address: SocketAddr,
     /// Address for other hosts.
     pub peer_address: SocketAddr,
     _watch: Sender<()>,
@@ -75,8 +77,9 @@
                 drop(watched.lock().expect("the child").kill());
             }
         });
-        let peer_address = SocketAddr::from(([127, 0, 0, 1], peer_address));
-        Host { child, log, settings, peer_address, _watch: watch }
+        let [front_address, peer_address] =
+            [front, peer_address].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+        Host { child, log, settings, front_address, peer_address, _watch: watch }
     }
 }
 
@@ -115,6 +118,15 @@
         self.find(message).unwrap_or_else(|| panic!("the host ended without {message:?}"))
     }
 
+    /// Reads the log until each of `messages` has been seen, in any order.
+    pub fn wait_for_all(&mut self, messages: &[&str]) {
+        let mut missing = messages.to_vec();
+        while !missing.is_empty() {
+            let line = self.wait_for("");
+            missing.retain(|message| !line.contains(message));
+        }
+    }
+
     pub fn signal(&self, signal: Signal) {
         let id = self.child.lock().expect("the child").id();
         let pid = i32::try_from(id).ok().and_then(Pid::from_raw).expect("a process id");
