Answer relayed statements whose home closes the connection

What callers saw: the connection ended without an answer while a statement was at work on the host that runs the session, if that host stopped or failed. Cause: `on_home_lost` ended the caller's connection without looking at unanswered statements. If a write had shown the loss first, answers that the home had sent before stayed unread. Ruled out: a statement that has arrived but was not read when the host closes idle sessions; a paused host answered it before the change too. Change: what the home has sent is read to the end, and what is still unanswered gets an error: outcome unknown for a commit or a write outside a transaction, otherwise lost or not kept.

--- a/src/net/proxy/caller.rs
+++ b/src/net/proxy/caller.rs
@@ -471,10 +471,12 @@
     }
 
     /// Handles the loss of the home: a session that the home has not answered yet runs on this
-    /// host, and any other session ends.
+    /// host; any other session ends, after its statements in progress are answered.
     fn on_home_lost(&mut self, cx: CX![], cause: &str) {
+        self.read_last_answers();
         let Some(home) = self.home.take() else { return };
         if home.has_answered {
+            self.refuse_unanswered(&home, "the host that runs the session closed the connection");
             return self.end(cx);
         }
         tracing::info!(cause, "relay: home closed the connection without an answer");
@@ -482,6 +484,20 @@
         fwd!([self.hub], CallerEvent::HomeDeclined(home.request));
     }
 
+    /// Relays what a home sent before it closed the connection, if a write has shown the loss first.
+    fn read_last_answers(&mut self) {
+        while let Some(home) = &mut self.home {
+            let input_state = home.stream.fill(MAX_INPUT_BYTES);
+            let may_have_more = input_state == StreamState::Open
+                && home.stream.has_unread()
+                && home.stream.input.contains(&b'\n');
+            self.relay_answers();
+            if !may_have_more {
+                return;
+            }
+        }
+    }
+
     /// Handles a home that was not reached or has not answered in time.
     fn on_home_unreachable(&mut self, cause: &str) {
         let Some(home) = self.home.take() else { return };
--- a/tests/platform_relay.rs
+++ b/tests/platform_relay.rs
@@ -1,5 +1,5 @@
 //! Sessions of real host processes, on the host that the caller is connected to and relayed to
-//! another one: large messages and planned stops.
+//! another one: large messages, planned stops and the loss of the host that runs the session.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
@@ -171,3 +171,66 @@
     assert_eq!(caller.answer().expect("a complete answer").rows, 8_000);
     host.wait_for("host: stopped");
 }
+
+/// Guards against a statement that a stopping host has received but not read when it closes idle
+/// sessions: it is slow or was paused for a moment.
+#[parameterized(own = { 1 }, relayed = { 4 })]
+fn a_stop_answers_a_statement_that_has_arrived(hosts: usize) {
+    let mut hosts = start_fleet(hosts);
+    let host = hosts.last_mut().expect("a host");
+    let mut caller = Caller::open(host);
+    host.signal(Signal::TERM);
+    host.wait_for(r#""state":"Leaving""#);
+    host.signal(Signal::STOP);
+    caller.send("QUERY q1 READ item\r\n");
+    std::thread::sleep(Duration::from_millis(2_500));
+    host.signal(Signal::CONT);
+    assert_eq!(caller.answer().expect("a complete answer").result, "read");
+    host.wait_for("host: stopped");
+}
+
+/// Guards against a statement without an answer when the host that took it and the host that runs
+/// it are stopped together.
+#[parameterized(
+    together = { 0 },
+    within_the_notice_period = { 1_000 },
+    home_first = { -1_000 },
+)]
+fn stops_of_both_hosts_answer_every_statement(home_after_ms: i64) {
+    let mut hosts = start_fleet(4);
+    let mut caller = Caller::open(&hosts[3]);
+    assert_eq!(caller.ask("BEGIN").expect("an answer").state, "T");
+    let (first, second) = if home_after_ms < 0 { (0, 3) } else { (3, 0) };
+    hosts[first].signal(Signal::TERM);
+    std::thread::sleep(Duration::from_millis(home_after_ms.unsigned_abs()));
+    hosts[second].signal(Signal::TERM);
+    let code = loop {
+        let answer = caller.ask("READ wait-700").expect("a complete answer");
+        if answer.result != "read" {
+            break answer.result;
+        }
+    };
+    assert_eq!(code, "ABORTED");
+    for host in [0, 3] {
+        hosts[host].wait_for("host: stopped");
+    }
+}
+
+/// Guards against a statement that gets no answer when the host that runs the session goes away.
+#[parameterized(
+    read = { "READ wait-1500", "ABORTED" },
+    write = { "WRITE wait x", "INDOUBT" },
+)]
+fn the_loss_of_the_home_is_answered(text: &str, code: &str) {
+    let mut hosts = start_fleet(4);
+    let mut caller = Caller::open(&hosts[3]);
+    if text.starts_with("WRITE") {
+        // A home that is paused has read nothing of the statement when it is killed.
+        hosts[0].signal(Signal::STOP);
+    }
+    caller.send(&format!("QUERY q1 {text}\r\n"));
+    std::thread::sleep(Duration::from_millis(200));
+    drop(hosts.remove(0));
+    let answer = caller.answer().expect("a complete answer");
+    assert_eq!(answer.result, code);
+}
