Notice the loss of a connection on which a statement waits for a retry

What callers saw: a statement in a transaction that had been refused because all slots were occupied, and whose connection was then lost, was answered only at its time limit. Cause: a connection that is held between statements has no task, and `on_lost` only marked the transaction for the next statement. The waiting one was then assigned to a connection that no longer exists and never sent. Change: the waiting statement is refused at once, because its transaction is lost; the first statement of a transaction, before which nothing has run, runs on another connection. Evidence: `proxy` a_statement_that_waits_for_a_slot_notices_the_loss_of_its_connection, two cases. Found while looking for other paths of the refused setup step.

--- a/src/core/proxy/events.rs
+++ b/src/core/proxy/events.rs
@@ -7,7 +7,7 @@
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
 use crate::types::{
-    ConnectionId, DurationMs, EndpointId, GroupId, Position, RequestId, Term, Timestamp,
+    ConnectionId, DurationMs, EndpointId, GroupId, Position, RequestId, SessionId, Term, Timestamp,
 };
 
 /// Delay before the next connect to an endpoint that has reached its connection limit. A random
@@ -345,15 +345,32 @@
             }
             Some(Task::Request(_) | Task::Order(_)) => {}
             None => {
-                let session = connection.session.and_then(|id| self.sessions.get_mut(&id));
-                if let Some(transaction) = session.and_then(|found| found.transaction.as_mut()) {
-                    (transaction.lost, transaction.connection) = (true, None);
+                if let Some(session) = connection.session {
+                    self.held_connection_lost(now, id, session);
                 }
             }
         }
         self.dispatch_changed_groups(now);
     }
 
+    /// Handles the loss of a connection on which the transaction of a session is open. A statement
+    /// that waits there for a retry is answered now, and others when they arrive.
+    fn held_connection_lost(&mut self, now: Timestamp, id: ConnectionId, session: SessionId) {
+        let Some(session) = self.sessions.get_mut(&session) else { return };
+        let Some(transaction) = &mut session.transaction else { return };
+        let request =
+            session.request.and_then(|request| Some((request, self.requests.get(&request)?)));
+        match request.filter(|(_, request)| request.connection == Some(id)) {
+            None => (transaction.lost, transaction.connection) = (true, None),
+            Some((request, found)) if found.continues_transaction() => {
+                self.end_waiting_transaction(now, request);
+                let detail = "the connection to the endpoint was lost before the statement ran";
+                self.refuse_request(now, request, Error::new(ErrorKind::TransactionLost, detail));
+            }
+            Some((request, _)) => self.detach(request),
+        }
+    }
+
     /// Logs the loss of a connection and records it for its endpoint.
     fn record_loss(
         &mut self,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -207,6 +207,31 @@
     assert!(rig.jobs.is_empty(), "{:?}", rig.jobs);
 }
 
+/// Guards against a statement that waits until its time limit on a connection that is lost: it had
+/// been refused because all slots were occupied. The first statement of a transaction runs elsewhere.
+#[parameterized(first = { true }, later = { false })]
+fn a_statement_that_waits_for_a_slot_notices_the_loss_of_its_connection(first: bool) {
+    let mut rig = Rig::new();
+    let session = rig.session(1, "orders");
+    rig.send(session, BEGIN);
+    rig.send(session, WRITE);
+    if !first {
+        let (connection, _, job) = rig.next_job();
+        rig.succeed(connection, &job, TransactionState::Open);
+        rig.send(session, WRITE);
+    }
+    let (connection, _, _) = rig.next_job();
+    rig.refuse(connection, Refusal::Busy, TransactionState::Open);
+    rig.lose(connection, false);
+    rig.pass(300);
+    if first {
+        let (again, _, job) = rig.next_job();
+        assert!(again != connection && job.setup.len() == 1, "{job:?}");
+    } else {
+        assert_eq!(refused(&rig.last_answer().1), Some(ErrorKind::TransactionLost));
+    }
+}
+
 /// Guards against session variables of one session that are visible in another.
 #[test]
 fn a_connection_is_set_to_the_variables_of_each_session() {
