Soak: planned work alone, long transactions, refused setup steps, long messages

Callers now also run transactions of up to 12 statements with pauses of up to 0.4 s, prepare shapes inside transactions, and read and write about 100 to 300 kB; endpoints refuse any statement of a transaction whose lead is lost; the statements of an acknowledged transaction must have run in one at an endpoint (PINNED). After the faults, two stops that overlap, a planned replacement of the primary and a change of the configuration happen together, with nothing else: every statement that was passed on must be answered, and each host must end by itself in the time that the platform allows (LOST).

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -40,6 +40,8 @@
     database: &'static str,
     max_age: Option<u64>,
     tag: String,
+    /// Signatures of the statements of the transaction.
+    signatures: Vec<String>,
     stream: TcpStream,
     lines: BufReader<TcpStream>,
     next: u64,
@@ -86,9 +88,20 @@
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(PATIENCE)).ok()?;
         let lines = BufReader::new(stream.try_clone().ok()?);
-        let (shared, tag) = (shared.clone(), String::new());
-        let mut session =
-            Self { shared, name, account, key, database, max_age, tag, stream, lines, next: 0 };
+        let (shared, tag, signatures) = (shared.clone(), String::new(), Vec::new());
+        let mut session = Self {
+            shared,
+            name,
+            account,
+            key,
+            database,
+            max_age,
+            tag,
+            signatures,
+            stream,
+            lines,
+            next: 0,
+        };
         session.stream.write_all(format!("STARTUP {database} {key}\r\n").as_bytes()).ok()?;
         matches!(session.message()?, EndpointMessage::Ready(..)).then_some(session)
     }
@@ -112,6 +125,7 @@
             tag: self.tag.clone(),
             sent: Instant::now(),
         };
+        let sent = asked.sent;
         self.shared.lock().asked.insert(id.clone(), asked);
         if self.stream.write_all(format!("QUERY {id} {text}\r\n").as_bytes()).is_err() {
             return (id, End::Unknown, false);
@@ -127,7 +141,12 @@
                 Some((EndpointMessage::Ready(..), _)) => {
                     return (id, end.unwrap_or(End::Unknown), true);
                 }
-                None => return (id, end.unwrap_or(End::Unknown), false),
+                None => {
+                    if sent.elapsed() < PATIENCE {
+                        self.shared.lock().cut(&id, sent);
+                    }
+                    return (id, end.unwrap_or(End::Unknown), false);
+                }
             }
         }
     }
@@ -149,7 +168,9 @@
         match rng.random_range(0..100) {
             0..50 => self.read(Instant::now(), false, rng),
             50..75 => self.write(rng),
-            75..90 => self.transact(rng),
+            75..87 => self.transact(rng, 10),
+            // Long, with pauses.
+            87..90 => self.transact(rng, 400),
             90..97 => self.set(rng),
             // The session rests, then goes on.
             97 => {
@@ -172,10 +193,17 @@
 
     /// A read; `began` is the time at which it, or its transaction, was sent.
     fn read(&mut self, began: Instant, inside: bool, rng: &mut ChaCha8Rng) -> bool {
-        let prepared = !inside && rng.random_bool(0.2);
-        let text = if prepared { "EXECUTE s 1" } else { "READ 1" };
+        let prepared = rng.random_bool(0.2);
+        let long = rng.random_bool(0.03);
+        let text = match (prepared, long) {
+            (true, _) => "EXECUTE s 1",
+            (false, true) => "READ list",
+            (false, false) => "READ 1",
+        };
         if prepared {
-            let (_, end, alive) = self.ask("PREPARE s READ shape");
+            // Shapes differ, so that the connection of a transaction often lacks one.
+            let shape = rng.random_range(0..1_000);
+            let (_, end, alive) = self.ask(&format!("PREPARE s READ shape{shape}"));
             if !alive || !matches!(end, End::Done(_)) {
                 return false;
             }
@@ -183,6 +211,9 @@
         let began = if inside { began } else { Instant::now() };
         let (id, end, alive) = self.ask(text);
         let End::Done(signature) = end else { return alive && !inside };
+        if inside {
+            self.signatures.push(signature.clone());
+        }
         let mut world = self.shared.lock();
         world.served += 1;
         if world.count_after.is_some_and(|after| began > after) {
@@ -200,28 +231,35 @@
     }
 
     fn write(&mut self, rng: &mut ChaCha8Rng) -> bool {
-        let data = format!("{}-{}", self.name, rng.random::<u64>());
+        let length = if rng.random_bool(0.03) { 100_000 } else { 0 };
+        let data = format!("{}-{}{}", self.name, rng.random::<u64>(), "d".repeat(length));
         let (id, end, alive) = self.ask(&format!("WRITE 1 {data}"));
         self.note_commit(&id, &end, &[data]);
         alive
     }
 
-    fn transact(&mut self, rng: &mut ChaCha8Rng) -> bool {
+    /// A transaction with pauses of up to `pause_ms` between its statements.
+    fn transact(&mut self, rng: &mut ChaCha8Rng, pause_ms: u64) -> bool {
         let began = Instant::now();
+        self.signatures.clear();
         let read_only = rng.random_bool(0.4);
         let (_, end, alive) = self.ask(if read_only { "BEGIN READ" } else { "BEGIN" });
         if !alive || !matches!(end, End::Done(_)) {
             return alive;
         }
         let mut data = Vec::new();
-        for _ in 0..rng.random_range(1..5) {
-            thread::sleep(Duration::from_millis(rng.random_range(0..10)));
+        let most = if pause_ms > 100 { 13 } else { 5 };
+        for _ in 0..rng.random_range(1..most) {
+            thread::sleep(Duration::from_millis(rng.random_range(0..pause_ms)));
             let alive = if read_only || rng.random_bool(0.5) {
                 self.read(began, true, rng)
             } else {
                 let one = format!("{}-{}", self.name, rng.random::<u64>());
                 let (_, end, alive) = self.ask(&format!("WRITE 1 {one}"));
                 data.push(one);
+                if let End::Done(signature) = &end {
+                    self.signatures.push(signature.clone());
+                }
                 alive && matches!(end, End::Done(_))
             };
             if !alive {
@@ -235,6 +273,11 @@
             return self.ask("ROLLBACK").2;
         }
         let (id, end, alive) = self.ask("COMMIT");
+        if let End::Done(signature) = &end {
+            self.signatures.push(signature.clone());
+            let signatures = std::mem::take(&mut self.signatures);
+            self.shared.lock().check_pinned(&signatures);
+        }
         self.note_commit(&id, &end, &data);
         alive
     }
--- a/tests/soak/endpoint.rs
+++ b/tests/soak/endpoint.rs
@@ -13,8 +13,12 @@
 /// Time that a statement takes.
 const WORK: Duration = Duration::from_millis(2);
 
+/// Rows of a long answer, and the length of each.
+const LIST: (usize, usize) = (300, 1_000);
+
 /// An open transaction.
 struct Open {
+    number: u64,
     read_only: bool,
     failed: bool,
     term: u64,
@@ -121,6 +125,11 @@
             words.drain(..2);
         }
         let failed = self.open.as_ref().is_some_and(|open| open.failed);
+        // Any statement of a transaction is refused after the lead was lost, but for the commit of
+        // one that wrote nothing.
+        if !failed && self.has_lost_lead() && !matches!(words[0], "COMMIT" | "ROLLBACK") {
+            return self.error("READONLY");
+        }
         match words[..] {
             ["ROLLBACK"] => {
                 self.open = None;
@@ -129,9 +138,10 @@
             _ if failed => "ERROR MALFORMED -\r\n".into(),
             ["BEGIN"] => self.begin(false),
             ["BEGIN", "READ"] => self.begin(true),
-            ["READ", _] => self.read(id),
+            ["READ", "list"] => self.read(id, LIST),
+            ["READ", _] => self.read(id, (1, 5)),
             ["WRITE", _, data] => self.write(id, data),
-            ["EXECUTE", shape, _] if self.shapes.contains(shape) => self.read(id),
+            ["EXECUTE", shape, _] if self.shapes.contains(shape) => self.read(id, (1, 5)),
             ["EXECUTE", shape, _, data] if self.shapes.contains(shape) => self.write(id, data),
             ["EXECUTE", ..] => self.error("NOSTMT"),
             ["COMMIT"] => self.commit(id),
@@ -166,14 +176,23 @@
         format!("ROW {role} {term} {term}.{received} {term} 0 0 0\r\nCOMPLETE {number}\r\n")
     }
 
-    fn begin(&mut self, read_only: bool) -> String {
+    fn has_lost_lead(&self) -> bool {
         let world = self.shared.lock();
+        self.open.as_ref().is_some_and(|open| {
+            !open.read_only && (world.primary != self.member || world.term != open.term)
+        })
+    }
+
+    fn begin(&mut self, read_only: bool) -> String {
+        let mut world = self.shared.lock();
         if !read_only && world.primary != self.member {
             return "ERROR READONLY -\r\n".into();
         }
         let term = world.term;
         let (writes, caller) = (Vec::new(), None);
-        self.open = Some(Open { read_only, failed: false, term, writes, caller });
+        world.next_transaction += 1;
+        let number = world.next_transaction;
+        self.open = Some(Open { number, read_only, failed: false, term, writes, caller });
         "COMPLETE -\r\n".into()
     }
 
@@ -185,6 +204,7 @@
             world.violation(format!("UNASKED: no caller sent {id}"));
             return false;
         };
+        world.passed_on.insert(id.to_owned());
         let first = self.open.as_ref().is_none_or(|open| open.caller.is_none());
         if let Some(open) = &mut self.open {
             let owner = open.caller.get_or_insert_with(|| asked.session.clone());
@@ -207,20 +227,34 @@
     }
 
     fn signed(&self, id: &str, applied: u64, commit: Option<u64>) -> String {
+        let transaction = self.open.as_ref().map(|open| open.number);
+        self.signed_in(id, applied, commit, transaction)
+    }
+
+    fn signed_in(
+        &self,
+        id: &str,
+        applied: u64,
+        commit: Option<u64>,
+        transaction: Option<u64>,
+    ) -> String {
         let mut world = self.shared.lock();
         world.next_run += 1;
         let signature = format!("{}.{}", world.members[self.member].id, world.next_run);
-        world.runs.insert(signature.clone(), Run { query: id.to_owned(), applied, commit });
+        world
+            .runs
+            .insert(signature.clone(), Run { query: id.to_owned(), applied, commit, transaction });
         signature
     }
 
-    fn read(&mut self, id: &str) -> String {
+    fn read(&mut self, id: &str, (rows, bytes): (usize, usize)) -> String {
         if !self.admit(id) {
             return self.error("READONLY");
         }
         let applied = self.shared.lock().position(self.member).1;
         let signature = self.signed(id, applied, None);
-        format!("ROW value\r\nCOMPLETE {signature}\r\n")
+        let row = format!("ROW {}\r\n", "v".repeat(bytes));
+        format!("{}COMPLETE {signature}\r\n", row.repeat(rows))
     }
 
     fn write(&mut self, id: &str, data: &str) -> String {
@@ -246,8 +280,10 @@
     fn commit(&mut self, id: &str) -> String {
         let Some(open) = self.open.take() else { return self.error("MALFORMED") };
         thread::sleep(WORK);
+        let transaction = Some(open.number);
         let number = {
             let mut world = self.shared.lock();
+            world.passed_on.insert(id.to_owned());
             let leads = world.primary == self.member && world.term == open.term;
             match (open.writes.is_empty(), leads) {
                 (true, _) => None,
@@ -255,7 +291,7 @@
                 (false, true) => Some(world.commit(open.writes, id)),
             }
         };
-        let signature = self.signed(id, number.unwrap_or(0), number);
+        let signature = self.signed_in(id, number.unwrap_or(0), number, transaction);
         format!("COMPLETE {signature}\r\n")
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -43,6 +43,8 @@
 const SHORT: std::ops::Range<u64> = 1..3;
 /// Time within which requests are served again after the last fault.
 const RECOVERY: Duration = Duration::from_secs(12);
+/// Time from SIGTERM to SIGKILL, as in the hosts' settings.
+const GRACE: Duration = Duration::from_secs(4);
 /// Time that a host has to stop, after the end of the fault.
 const STOP_LIMIT: Duration = Duration::from_secs(4);
 /// Time of faults, in a run without variables and in one with them.
@@ -147,8 +149,9 @@
             let alive = world.members.iter().enumerate().filter(|(_, member)| member.alive);
             let entry = |(place, member): (usize, &world::Member)| {
                 let role = if world.primary == place { "primary" } else { "replica" };
+                let state = if member.draining { "draining" } else { "ready" };
                 let entry = json!({"service": GROUP, "address": place, "zone": format!("z{place}"),
-                    "state": "ready", "dbRole": role, "born": 1, "sequence": self.beats});
+                    "state": state, "dbRole": role, "born": 1, "sequence": self.beats});
                 (member.id.clone(), entry)
             };
             alive.map(entry).collect()
@@ -315,6 +318,46 @@
     }
 }
 
+impl Run {
+    /// Stops and starts two hosts that overlap, or the same one twice, while the primary is replaced as
+    /// planned and the configuration changes. Nothing else disturbs the hosts.
+    fn planned_work(&mut self) {
+        self.shared.lock().planned_since = Some(Instant::now());
+        let first = self.rng.random_range(0..HOSTS);
+        let second = self.rng.random_range(0..HOSTS);
+        let gap = Duration::from_millis(self.rng.random_range(0..2_500));
+        self.note(format!("planned: h{first}, {gap:?} later h{second}"));
+        let primary = self.shared.lock().primary;
+        self.shared.lock().members[primary].draining = true;
+        self.hosts[first].signal(Signal::TERM);
+        self.pass(gap, false);
+        let (_, withdrawn, _) = ACCOUNTS[1];
+        self.configure(&[withdrawn]);
+        // A second signal to the same host is ignored while it stops.
+        self.hosts[second].signal(Signal::TERM);
+        self.pass(GRACE.saturating_sub(gap), false);
+        self.start_again(first);
+        self.shared.lock().members[primary].draining = false;
+        self.pass(gap, false);
+        if second != first {
+            self.start_again(second);
+        }
+        self.pass(Duration::from_millis(500), false);
+        self.shared.lock().planned_since = None;
+    }
+
+    /// Starts a host again that must have stopped within the time that the platform allows.
+    fn start_again(&mut self, host: usize) {
+        if !self.hosts[host].has_ended() {
+            self.shared.lock().violation(format!("LOST: h{host} has not stopped in time"));
+            self.hosts[host].signal(Signal::KILL);
+        }
+        if let Some(code) = self.hosts[host].restart() {
+            self.shared.lock().violation(format!("EXIT: h{host} ended with {code}"));
+        }
+    }
+}
+
 /// Runs a seed; the violations.
 fn soak(seed: u64, chaos: Duration) -> Vec<String> {
     let folder: PathBuf =
@@ -340,6 +383,8 @@
     run.pass(RECOVERY.saturating_sub(CALM_AFTER), false);
     run.shared.lock().count_after = Some(Instant::now());
     run.pass(Duration::from_millis(1_500), false);
+    let served_after = run.shared.lock().served_after;
+    run.planned_work();
     stop.store(true, Ordering::Relaxed);
     for host in 0..HOSTS {
         if run.hosts[host].has_ended() {
@@ -351,8 +396,8 @@
     if ended.contains(&false) {
         world.violation("a caller of the soak failed".into());
     }
-    if world.served_after < 20 {
-        let text = format!("RECOVER: {} served at the end", world.served_after);
+    if served_after < 20 {
+        let text = format!("RECOVER: {served_after} served at the end");
         world.violation(text);
     }
     let found = world.violations.clone();
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -37,6 +37,8 @@
     pub alive: bool,
     pub paused: bool,
     pub behind: bool,
+    /// Whether it is about to be stopped as planned.
+    pub draining: bool,
     pub connections: usize,
 }
 
@@ -57,6 +59,8 @@
     pub query: String,
     pub applied: u64,
     pub commit: Option<u64>,
+    /// Number of the transaction that it was part of.
+    pub transaction: Option<u64>,
 }
 
 /// Everything.
@@ -87,6 +91,11 @@
     pub served_after: u64,
     pub count_after: Option<Instant>,
     pub next_run: u64,
+    pub next_transaction: u64,
+    /// Statements that an endpoint has run, or begun to run.
+    pub passed_on: BTreeSet<String>,
+    /// Since when there has been planned work only, with hosts that nothing had disturbed.
+    pub planned_since: Option<Instant>,
 }
 
 /// Shared by all threads.
@@ -103,6 +112,7 @@
             alive: true,
             paused: false,
             behind: false,
+            draining: false,
             connections: 0,
         };
         let world = World {
@@ -125,6 +135,9 @@
             served_after: 0,
             count_after: None,
             next_run: 0,
+            next_transaction: 0,
+            passed_on: BTreeSet::new(),
+            planned_since: None,
         };
         Self(Arc::new((Mutex::new(world), Condvar::new())))
     }
@@ -196,6 +209,26 @@
         (member.term, member.applied, member.paused) = (self.term, kept, false);
     }
 
+    /// Notes a statement whose connection ended without a complete answer.
+    pub fn cut(&mut self, id: &str, sent: Instant) {
+        let planned = self.planned_since.is_some_and(|since| sent > since);
+        if planned && self.passed_on.contains(id) {
+            let after = sent.elapsed().as_millis();
+            self.violation(format!(
+                "LOST: {id} got no complete answer, {after} ms after it was sent"
+            ));
+        }
+    }
+
+    /// Checks that the statements of an acknowledged transaction ran in one at an endpoint.
+    pub fn check_pinned(&mut self, signatures: &[String]) {
+        let runs = signatures.iter().filter_map(|signature| self.runs.get(signature));
+        let found: BTreeSet<Option<u64>> = runs.map(|run| run.transaction).collect();
+        if found.len() > 1 {
+            self.violation(format!("PINNED: a transaction ran as {found:?}: {signatures:?}"));
+        }
+    }
+
     /// Notes a statement that starts an operation and runs.
     pub fn arrive(&mut self, asked: &Asked) {
         let now = Instant::now();
