Keep the shares of a stopping host from rising

Cause: a stopping host closes its links before its callers have left. It then took itself for the only home, reserved half of each rate for itself as the home, and granted itself the tokens of a host that takes accounts over; each of three hosts did so. Change: from the start of a shutdown a host's share of a rate only falls, it takes no accounts over, and its homes stay as they were, so that callers who still arrive are relayed as before. Evidence: `proxy_quota` hosts_that_stop_keep_the_limit: 593 (one host) and 797 (three of four) of 548 admitted in a window without the change, within the limit with it; `proxy_home` a_stopping_host_does_not_become_a_home failed before. Why it works: the shares that the hosts had when they still heard each other add up to the rate, and none of those that stop raises its own.

--- a/src/core/proxy/home.rs
+++ b/src/core/proxy/home.rs
@@ -14,6 +14,7 @@
 
 use super::session::Session;
 use super::{Proxy, ProxyEffect};
+use crate::core::life::LifeState;
 use crate::types::{AccountId, DurationMs, GroupId, HostId, MilliCores, SessionId, Timestamp};
 
 /// Homes are used if a host's share of an endpoint's connections is less than one for this many
@@ -168,6 +169,10 @@
     }
 
     fn adopt_homes(&mut self, now: Timestamp, mut homes: Homes) {
+        // A host that stops has closed its links, so that it takes itself for the only home.
+        if !matches!(self.life.state(), LifeState::Starting | LifeState::Serving) {
+            return;
+        }
         let Some(catalog) = &self.catalog else { return };
         let owners = catalog.keys.values().chain(catalog.accounts.keys());
         let home_entry =
--- a/src/core/proxy/quota.rs
+++ b/src/core/proxy/quota.rs
@@ -85,6 +85,8 @@
     own_accounts: BTreeSet<AccountId>,
     /// Number of hosts with a recent report, including this one.
     reporting_hosts: u64,
+    /// Whether this host stops. It may hear no other hosts then, and its shares only fall.
+    is_leaving: bool,
     measured_at: Timestamp,
 }
 
@@ -105,9 +107,15 @@
         }
     }
 
+    /// Keeps this host's shares from rising from now on, because it stops. The other hosts divide
+    /// them among themselves while this one still serves its callers.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
     /// Sets the home of each account. `own` is this host.
     pub fn set_homes(&mut self, now: Timestamp, own: &HostId, homes: BTreeMap<AccountId, HostId>) {
-        if self.homes != homes {
+        if self.homes != homes && !self.is_leaving {
             let own_accounts = homes.iter().filter(|(_, home)| *home == own);
             let own_accounts = own_accounts.map(|(account, _)| account.clone()).collect();
             let before = std::mem::replace(&mut self.own_accounts, own_accounts);
@@ -162,7 +170,7 @@
             let after = demand.get(account).map_or(0, |demand| demand.0).max(floor);
             bucket.others_demand = bucket.others_demand.saturating_sub(before) + after;
             bucket.refill(now);
-            bucket.set_rate(limit, &shares);
+            bucket.set_rate(limit, &shares, self.is_leaving);
         }
     }
 
@@ -249,7 +257,7 @@
             bucket.floor = shares.floor(home.map(|_| self.own_accounts.contains(account)));
             bucket.refill(now);
             bucket.others_demand = others;
-            bucket.set_rate(limit, &shares);
+            bucket.set_rate(limit, &shares, self.is_leaving);
         }
     }
 }
@@ -283,12 +291,13 @@
 }
 
 impl Bucket {
-    /// Sets this host's share of the rate and the burst.
-    fn set_rate(&mut self, limit: &AccountLimit, shares: &RateShares) {
+    /// Sets this host's share of the rate and the burst; that of a leaving host does not rise.
+    fn set_rate(&mut self, limit: &AccountLimit, shares: &RateShares, is_leaving: bool) {
         let own_demand = self.granted.max(self.floor);
         let total = own_demand + self.others_demand;
         // The unused rate is divided by demand too, since a small demand varies most.
-        self.rate = scale(shares.free, own_demand, total);
+        let rate = scale(shares.free, own_demand, total);
+        self.rate = if is_leaving { rate.min(self.rate) } else { rate };
         let burst = scale(limit.burst.0 * MilliTokens::ONE.0, self.rate, shares.rate);
         self.burst = burst.max(MilliTokens::ONE.0);
         if self.taken_over_at.is_none_or(|at| self.refilled_at >= at + TAKEOVER_INTERVAL) {
--- a/src/core/proxy/shutdown.rs
+++ b/src/core/proxy/shutdown.rs
@@ -64,7 +64,10 @@
         for action in self.life.fire(now, event) {
             match action {
                 LifeAction::Listen => self.out.push(ProxyEffect::Listen),
-                LifeAction::AnnounceLeaving => self.out.push(ProxyEffect::Leave),
+                LifeAction::AnnounceLeaving => {
+                    self.quota.leave();
+                    self.out.push(ProxyEffect::Leave);
+                }
                 LifeAction::RefuseNewWork => {
                     self.out.push(ProxyEffect::StopListening);
                     self.end_idle_sessions();
--- a/tests/proxy_home.rs
+++ b/tests/proxy_home.rs
@@ -121,6 +121,18 @@
     assert!(!found.is_empty() && found.iter().all(|home| !unreachable.contains(home)), "{found:?}");
 }
 
+/// Guards against a stopping host that has closed its links and takes itself for the home of every
+/// account, with half of each rate.
+#[test]
+fn a_stopping_host_does_not_become_a_home() {
+    let mut rig = rig(8, 7, 38);
+    let before = homes(&rig, 7);
+    rig.core.stop(rig.now);
+    let listed = (2..=8).map(|number| candidate(number, 250)).collect();
+    rig.core.set_hosts(rig.now, listed, |_| false);
+    assert_eq!(homes(&rig, 7), before);
+}
+
 /// Guards against sessions that stay on the host where a disruption left them: after a restart of
 /// all hosts, 59 of them held connections to endpoints that accept 32, and a quarter of the
 /// operations was refused for the rest of the day.
--- a/tests/proxy_quota.rs
+++ b/tests/proxy_quota.rs
@@ -213,3 +213,20 @@
     // A starting host has a few tokens of its own.
     assert!((granted..granted + 6).contains(&admitted), "{admitted}");
 }
+
+/// Guards against hosts that stop together, hear no other host any more, and each raise their share
+/// while their callers are still connected: 52 operations a second were admitted where 20 were allowed.
+#[parameterized(one = { 1 }, three_of_four = { 3 })]
+fn hosts_that_stop_keep_the_limit(stopping: usize) {
+    let mut fleet = Fleet::with_hosts(START, 4);
+    fleet.set_home(0, 0..4);
+    fleet.run(5_000, |host| if host == 0 { RATE / 2 } else { 0 });
+    // Each stopping host is the only one in its own view, and the home of every account there.
+    for place in 4 - stopping..4 {
+        fleet.hosts[place].1.leave();
+        fleet.set_home(place, place..place + 1);
+    }
+    fleet.isolated = (4 - stopping..4).collect();
+    let admitted = fleet.run(WINDOW_S * 1_000, |_| RATE);
+    assert!(admitted <= max_admitted(), "{admitted} of {} in a window", max_admitted());
+}
