Wait for callers of the PostgreSQL front, and relay in step with the home

The host now waits until its callers are gone, refuses at once those that have not logged in yet, and disconnects a caller only after 5 s without progress. - Relayed sessions: statements that arrived together with the startup were sent to the home before it had accepted the session, and were lost if it declined. They now wait for its answer, and lines are passed on after answers, so that nothing waits for a further event.

--- a/benches/policy/model/host.rs
+++ b/benches/policy/model/host.rs
@@ -161,8 +161,6 @@
             HostEffect::Listen => self.hosts[host].listening = true,
             HostEffect::AnnounceLeaving => self.hosts[host].leaving = true,
             HostEffect::StopListening => self.hosts[host].listening = false,
-            // The model has no connections of callers apart from their sessions.
-            HostEffect::CloseCallers => {}
             HostEffect::Close => self.close_host(host),
         }
     }
--- a/src/core/host/effect.rs
+++ b/src/core/host/effect.rs
@@ -47,10 +47,8 @@
     Listen,
     /// Mark the host's row as leaving.
     AnnounceLeaving,
-    /// Stop accepting callers.
+    /// Stop accepting callers, and refuse those that have not logged in yet.
     StopListening,
-    /// Close the connections of all callers once their last answers are sent.
-    CloseCallers,
     /// Close all connections and end the process, because no work is left.
     Close,
 }
--- a/src/core/host/mod.rs
+++ b/src/core/host/mod.rs
@@ -184,8 +184,8 @@
     fn advance_life(&mut self, now: Timestamp) {
         self.start_serving(now);
         let remaining = Remaining {
-            idle: self.broker.is_drained(),
-            released: self.share_keeper.is_stopped() && self.open_callers == 0,
+            idle: self.broker.is_drained() && self.open_callers == 0,
+            released: self.share_keeper.is_stopped(),
         };
         if let Some(event) = self.life.due(now, remaining) {
             self.life_event(now, event);
@@ -206,7 +206,6 @@
                 // `DrainTimes::finish_ms` is not set: a running request is never aborted.
                 LifeAction::AbortRequests => {}
                 LifeAction::ReleaseShares => {
-                    self.effects.push(HostEffect::CloseCallers);
                     let mut effects = Vec::new();
                     self.share_keeper.stop(now, &mut effects);
                     self.share_effects(now, effects);
--- a/src/net/caller/mod.rs
+++ b/src/net/caller/mod.rs
@@ -32,6 +32,8 @@
 
 /// Time limit from accept to the end of login.
 const LOGIN_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time without progress after which a caller that does not read its last answer is disconnected.
+const STALL_LIMIT: Duration = Duration::from_secs(5);
 /// Size of the unsent output above which the endpoint connection stops reading.
 const HIGH_WATER_BYTES: usize = 1024 * 1024;
 /// Size of the unsent output below which the endpoint connection reads again.
@@ -435,18 +437,25 @@
         stop!(cx);
     }
 
-    /// Closes the connection once the output is sent, or after a second if the caller does not read.
+    /// Closes the connection once the output is sent, or if the caller does not read it.
     fn close(&mut self, cx: CX![]) {
         self.stream.close_after_output();
         match self.stream.flush() {
             StreamState::Open => {
-                after!(Duration::from_secs(1), [cx], on_close_timeout());
+                after!(STALL_LIMIT, [cx], check_progress(self.stream.output.len()));
             }
             StreamState::Closed(_) => stop!(cx),
         }
     }
 
-    fn on_close_timeout(&mut self, cx: CX![]) {
-        stop!(cx);
+    /// Closes the connection of a caller that reads nothing of its last answer; `unsent_before` bytes
+    /// were not sent at the last check.
+    fn check_progress(&mut self, cx: CX![], unsent_before: usize) {
+        let unsent = self.stream.output.len();
+        if unsent >= unsent_before {
+            tracing::info!("caller: {} does not read its last answer", self.session);
+            return stop!(cx);
+        }
+        after!(STALL_LIMIT, [cx], check_progress(unsent));
     }
 }
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -202,11 +202,11 @@
             HostEffect::WriteShares { attempt, writes } => self.write_shares(cx, attempt, &writes),
             HostEffect::Listen => self.listen(cx),
             HostEffect::AnnounceLeaving => self.leaving = true,
-            HostEffect::StopListening => self.listener = None,
-            HostEffect::CloseCallers => {
-                for caller in self.callers.values() {
-                    let detail = "the host is stopping";
-                    let error = Error::new(ErrorKind::HostDraining, detail);
+            HostEffect::StopListening => {
+                self.listener = None;
+                let has_session = |id: &SessionId| self.core.broker().session(*id).is_some();
+                for (_, caller) in self.callers.iter().filter(|(id, _)| !has_session(id)) {
+                    let error = Error::new(ErrorKind::HostDraining, "the host is stopping");
                     call!([caller], evict(error));
                 }
             }
--- a/src/net/proxy/caller.rs
+++ b/src/net/proxy/caller.rs
@@ -358,8 +358,9 @@
 
     /// Relays complete lines in both directions.
     fn relay_lines(&mut self, cx: CX![]) {
-        self.relay_statements(cx);
+        // An answer may allow the next statement to be relayed.
         self.relay_answers();
+        self.relay_statements(cx);
         let Some(home) = &mut self.home else { return };
         let is_answered = home.has_answered && home.unanswered.is_empty();
         let is_done = self.end_requested && is_answered && home.is_idle;
@@ -377,7 +378,8 @@
         loop {
             let Some(home) = &mut self.home else { return };
             let must_wait = self.ends_transactions && !home.unanswered.is_empty();
-            if !home.startup_sent || !home.has_room() || must_wait {
+            // Until the home has answered the startup, it may still decline the session.
+            if !home.has_answered || !home.has_room() || must_wait {
                 return;
             }
             let Some(end) = self.stream.input.iter().position(|byte| *byte == b'\n') else {
--- a/tests/platform_relay.rs
+++ b/tests/platform_relay.rs
@@ -69,11 +69,15 @@
 }
 
 impl Caller {
-    fn open(host: &Host) -> Self {
+    fn connect(host: &Host) -> Self {
         let stream = TcpStream::connect(host.front_address).expect("a connection");
         stream.set_read_timeout(Some(LIMIT)).expect("a time limit");
         let lines = BufReader::new(stream.try_clone().expect("a stream"));
-        let mut caller = Self { stream, lines };
+        Self { stream, lines }
+    }
+
+    fn open(host: &Host) -> Self {
+        let mut caller = Self::connect(host);
         caller.send("STARTUP orders anyone\r\n");
         assert_eq!(caller.answer().expect("a session").state, "I");
         caller
@@ -135,6 +139,20 @@
     assert!(line.starts_with("ERROR MALFORMED"), "{line:?}");
 }
 
+/// Guards against statements that arrive together with the startup and are lost, or sent ahead of it,
+/// while the home of the session has not accepted it yet.
+#[parameterized(own = { 1 }, relayed = { 4 })]
+fn statements_sent_with_the_startup_are_answered(hosts: usize) {
+    let mut hosts = start_fleet(hosts);
+    let mut caller = Caller::connect(hosts.last_mut().expect("a host"));
+    caller.send(
+        "STARTUP orders anyone\r\nQUERY q1 BEGIN\r\nQUERY q2 READ item\r\nQUERY q3 COMMIT\r\n",
+    );
+    for state in ["I", "T", "T", "I"] {
+        assert_eq!(caller.answer().expect("an answer").state, state);
+    }
+}
+
 /// Guards against a planned stop that cuts off statements at work, or that does not end by itself,
 /// while a caller goes on with its transaction.
 #[parameterized(own = { 1 }, relayed = { 4 })]
