Test a planned replacement after the store's connections went silent

Each statement must be answered, and both changes be in use within the smallest contactMs of the users' deployments.

--- a/tests/platform_relay.rs
+++ b/tests/platform_relay.rs
@@ -2,7 +2,7 @@
 //! another one: large messages, planned stops and the loss of the host that runs the session.
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
@@ -11,39 +11,64 @@
 #[allow(dead_code)]
 mod host_process;
 mod line_endpoint_double;
+#[path = "soak/link.rs"]
+#[allow(dead_code)]
+mod link;
 #[allow(dead_code)]
 mod platform_store_double;
 mod ports;
 
-use host_process::{Host, HostSpec, LIMIT};
+use host_process::{Host, HostSpec, CONTACT_LIMIT, LIMIT};
 use line_endpoint_double::ROW_BYTES;
+use link::Link;
 use platform_store_double::Store;
 
 /// Time limit of a statement on the route.
 const STATEMENT_LIMIT: Duration = Duration::from_secs(2);
 
+/// A configuration with a public route for each database.
+fn configuration(version: u64, databases: &[&str]) -> String {
+    let limit_ms = STATEMENT_LIMIT.as_millis();
+    let route = |database: &&str| {
+        format!(
+            r#"{{"database":"{database}","type":"primary","service":"db","timeoutMs":{limit_ms},
+            "targetLatencyMs":1000,"public":true}}"#
+        )
+    };
+    let routes: Vec<String> = databases.iter().map(route).collect();
+    format!(
+        r#"{{"version":{version},"tenants":[],"limits":{{"txIdleMs":3000}},"routes":[{}],
+        "services":[{{"name":"db","maxConnections":4}}]}}"#,
+        routes.join(",")
+    )
+}
+
+/// The row of an endpoint.
+fn entry(address: SocketAddr, role: &str, state: &str, sequence: u64) -> String {
+    format!(
+        r#"{{"service":"db","address":"{address}","zone":"a","state":"{state}",
+        "dbRole":"{role}","born":5,"sequence":{sequence}}}"#
+    )
+}
+
 /// Hosts with the endpoint double. Of four hosts the first runs all sessions, since the endpoint
 /// accepts few connections; a single one runs those of its own callers.
 fn start_fleet(count: usize) -> Vec<Host> {
-    let endpoint = line_endpoint_double::serve();
+    let endpoint = line_endpoint_double::serve("read");
     let store = Store::default();
-    let limit_ms = STATEMENT_LIMIT.as_millis();
-    let configuration = format!(
-        r#"{{"version":3,"tenants":[],"limits":{{"txIdleMs":3000}},
-        "routes":[{{"database":"orders","type":"primary","service":"db","timeoutMs":{limit_ms},
-        "targetLatencyMs":1000,"public":true}}],
-        "services":[{{"name":"db","maxConnections":4}}]}}"#
-    );
-    store.put("op", "config", configuration.as_bytes());
-    let entry = format!(
-        r#"{{"service":"db","address":"{endpoint}","zone":"a","state":"ready",
-        "dbRole":"primary","born":5,"sequence":1}}"#
-    );
-    store.put("servers", "e0", entry.as_bytes());
+    store.put("op", "config", configuration(3, &["orders"]).as_bytes());
+    store.put("servers", "e0", entry(endpoint, "primary", "ready", 1).as_bytes());
+    let stores = (0..count).map(|_| store.serve(None)).collect();
+    start_hosts(stores)
+}
+
+/// Starts a host for each address of the store.
+fn start_hosts(stores: Vec<SocketAddr>) -> Vec<Host> {
+    let count = stores.len();
     let mut hosts: Vec<Host> = (0..count)
         .map(|place| {
             let share = if place == 0 { 1.0 } else { 0.5 };
-            HostSpec { share, ..HostSpec::at(store.serve(None)) }.start(&format!("h{place}"))
+            HostSpec { share, ..HostSpec::at(stores[place]) }.start(&format!("h{place}"))
         })
         .collect();
     for host in &mut hosts {
@@ -77,10 +102,14 @@
     }
 
     fn open(host: &Host) -> Self {
+        Self::try_open(host, "orders").expect("a session")
+    }
+
+    /// Opens a session; `None` if it is refused.
+    fn try_open(host: &Host, database: &str) -> Option<Self> {
         let mut caller = Self::connect(host);
-        caller.send("STARTUP orders anyone\r\n");
-        assert_eq!(caller.answer().expect("a session").state, "I");
-        caller
+        caller.send(&format!("STARTUP {database} anyone\r\n"));
+        caller.answer().filter(|answer| answer.state == "I").map(|_| caller)
     }
 
     fn send(&mut self, line: &str) {
@@ -252,3 +281,38 @@
     let answer = caller.answer().expect("a complete answer");
     assert_eq!(answer.result, code);
 }
+
+/// Guards against hosts that do not notice a new route, or an endpoint that leaves, after their
+/// connections to the store went silent without a reset, and against statements that get no answer
+/// meanwhile. The users' day `unanswered` has this order of events.
+#[parameterized(own = { 1 }, relayed = { 4 })]
+fn a_planned_replacement_after_silence_of_the_store_answers_everyone(count: usize) {
+    let endpoints = ["e0", "e1"].map(line_endpoint_double::serve);
+    let store = Store::default();
+    store.put("op", "config", configuration(3, &["orders"]).as_bytes());
+    for (name, address, role) in [("e0", endpoints[0], "primary"), ("e1", endpoints[1], "replica")]
+    {
+        store.put("servers", name, entry(address, role, "ready", 1).as_bytes());
+    }
+    let links: Vec<Link> = (0..count).map(|_| Link::to(store.serve(None))).collect();
+    let hosts = start_hosts(links.iter().map(|link| link.address).collect());
+    let host = hosts.last().expect("a host");
+    let mut caller = Caller::open(host);
+    assert_eq!(caller.ask("READ item").expect("an answer").result, "e0");
+    links.iter().for_each(Link::silence_open);
+    store.put("op", "config", configuration(8, &["orders", "plans"]).as_bytes());
+    store.put("servers", "e0", entry(endpoints[0], "replica", "draining", 2).as_bytes());
+    store.put("servers", "e1", entry(endpoints[1], "primary", "ready", 2).as_bytes());
+    let changed = Instant::now();
+    let mut has_route = false;
+    loop {
+        let answer = caller.ask("READ item").expect("a complete answer");
+        has_route = has_route || Caller::try_open(host, "plans").is_some();
+        if answer.result == "e1" && has_route {
+            break;
+        }
+        let waited = changed.elapsed();
+        assert!(waited < CONTACT_LIMIT, "{answer:?}, new route: {has_route}, after {waited:?}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
