--- a/tests/caller_faults.rs
+++ b/tests/caller_faults.rs
@@ -56,6 +56,20 @@
     host.open().simple_query("SELECT 1").expect("the host serves the next caller");
 }
 
+/// Guards against requests that are never read: those that arrived together, and are longer in all
+/// than a read of the host takes in, stayed in the socket while the first ones ran.
+#[test]
+fn requests_that_arrive_together_are_all_answered() {
+    let mut fleet = Fleet::start(&[]);
+    fleet.commit();
+    let host = fleet.host("h1", &["--max-message-bytes", "4096"]);
+    let text = format!("SELECT 1{}\0", " ".repeat(1_000));
+    let query = frame(b'Q', u32::try_from(4 + text.len()).expect("a length"), text.as_bytes());
+    let bytes = [startup(), query.repeat(40), frame(b'X', 4, b"")].concat();
+    let answer = String::from_utf8_lossy(&exchange(&host.callers, &bytes)).into_owned();
+    assert_eq!(answer.matches("SELECT 1\0").count(), 40);
+}
+
 /// Guards against a caller's key that is forwarded to an endpoint or accepted there as a password.
 #[test]
 fn a_key_stays_at_the_caller() {
