--- a/src/net/proxy/mod.rs
+++ b/src/net/proxy/mod.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod endpoint;
 mod feed;
+mod home;
 pub mod host;
 pub mod http;
 mod peers;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -8,20 +8,9 @@
 use medlarstile::core::transaction::TransactionState;
 use medlarstile::error::ErrorKind;
 use medlarstile::types::RowVersion;
-use proxy_rig::{at, catalog, entry, id, Rig};
+use proxy_rig::{at, catalog, entry, id, refused, Rig, BEGIN, READ, WRITE};
 use yare::parameterized;
 
-const READ: Statement = Statement::Data(Access::Read);
-const WRITE: Statement = Statement::Data(Access::Write);
-const BEGIN: Statement = Statement::Begin { read_only: false };
-
-fn refused(answer: &Answer) -> Option<ErrorKind> {
-    match answer {
-        Answer::Refused(error) => Some(error.kind),
-        _ => None,
-    }
-}
-
 /// Guards against stale single reads. An endpoint that is no longer the primary does not refuse a
 /// plain read, so a read on the primary must run in a read-write transaction, and a read on a
 /// replica must carry the required position.
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -15,6 +15,7 @@
 use medlarstile::core::proxy::statement::{Access, Query, Statement};
 use medlarstile::core::proxy::{Answer, LossReport, Proxy, ProxyEffect, ProxySpec};
 use medlarstile::core::transaction::TransactionState;
+use medlarstile::error::ErrorKind;
 use medlarstile::types::{
     Burst, ConnectionCount, ConnectionId, DurationMs, EndpointId, GroupId, MilliCores, Position,
     RatePerS, RowVersion, SessionId, TableVersion, Term, Timestamp,
@@ -27,6 +28,19 @@
 /// Key of that account.
 pub const KEY: &str = "k-north";
 
+/// A single read, a single write, and the begin of a read-write transaction.
+pub const READ: Statement = Statement::Data(Access::Read);
+pub const WRITE: Statement = Statement::Data(Access::Write);
+pub const BEGIN: Statement = Statement::Begin { read_only: false };
+
+/// Kind of the error with which the host refused a statement.
+pub fn refused(answer: &Answer) -> Option<ErrorKind> {
+    match answer {
+        Answer::Refused(error) => Some(error.kind),
+        _ => None,
+    }
+}
+
 /// Parses an identifier of a test.
 pub fn id<T: std::str::FromStr>(text: &str) -> T {
     text.parse().ok().expect("a valid id")
--- a/tests/proxy_shutdown.rs
+++ b/tests/proxy_shutdown.rs
@@ -6,25 +6,14 @@
 use std::rc::Rc;
 
 use medlarstile::core::life::LifeState;
-use medlarstile::core::proxy::statement::{Access, Statement};
-use medlarstile::core::proxy::{shutdown, Answer, ProxyEffect};
+use medlarstile::core::proxy::statement::Statement;
+use medlarstile::core::proxy::{shutdown, ProxyEffect};
 use medlarstile::core::transaction::TransactionState;
 use medlarstile::error::ErrorKind;
 use medlarstile::types::{DurationMs, SessionId};
-use proxy_rig::{catalog, Rig};
+use proxy_rig::{catalog, refused, Rig, BEGIN, READ, WRITE};
 use yare::parameterized;
 
-const READ: Statement = Statement::Data(Access::Read);
-const WRITE: Statement = Statement::Data(Access::Write);
-const BEGIN: Statement = Statement::Begin { read_only: false };
-
-fn refused(answer: &Answer) -> Option<ErrorKind> {
-    match answer {
-        Answer::Refused(error) => Some(error.kind),
-        _ => None,
-    }
-}
-
 /// A rig whose time limits of statements and transactions are longer than a shutdown.
 fn patient_rig() -> Rig {
     let mut rig = Rig::new();
