Evacuate failure domains and bound the requests to cold endpoints

Change: core/proxy/evacuation.rs keeps the operator's orders by version, across outages and restores of the store, and passes them between hosts. Evacuated endpoints count as leaving; their log is never given up; near the time limit open work is ended and requests that only they could run are refused as not run. core/proxy/slow_start.rs divides the bound for a cold endpoint into fixed parts over the hosts that run sessions.

Not built: a command for the PostgreSQL front.

--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -5,6 +5,7 @@
 
 use super::limit::{TokenRequest, Transfer};
 use super::promotion::GroupRecord;
+use super::proxy::evacuation::EvacuationOrder;
 use super::proxy::follow::{HostRow, TablesRead};
 use super::proxy::lease::{ClaimRows, Knowledge};
 use super::proxy::quota::Demand;
@@ -83,6 +84,8 @@
     HostRowsRequest(RowVersion),
     /// Answer: rows of hosts that are newer than the requested version.
     HostRows(Vec<(HostId, RowVersion, HostRow)>),
+    /// The operator's orders to evacuate failure domains that the sender knows of.
+    Evacuations(Vec<EvacuationOrder>),
 }
 
 /// A message with its number and, in an answer, the number of the request.
--- a/src/core/proxy/catalog.rs
+++ b/src/core/proxy/catalog.rs
@@ -60,6 +60,8 @@
     pub connections: ConnectionCount,
     /// Replicas that must have received a commit before the primary acknowledges it.
     pub sync_replicas: u32,
+    /// Requests per second that all hosts together may send to a cold endpoint, if that is limited.
+    pub slow_start: Option<RatePerS>,
 }
 
 /// Limits of a client account.
--- a/src/core/proxy/dispatch.rs
+++ b/src/core/proxy/dispatch.rs
@@ -192,6 +192,7 @@
         };
         let job = Job { setup, work, rollback: request.wrapped_in_transaction };
         self.expect_answer(now, connection_id);
+        self.count_slow_start(now, connection_id);
         self.out.push(ProxyEffect::Run(connection_id, job));
     }
 }
--- a/src/core/proxy/failover/mod.rs
+++ b/src/core/proxy/failover/mod.rs
@@ -137,6 +137,8 @@
     pub candidates: Vec<EndpointId>,
     /// The primary, if it is leaving and still answers.
     pub leaving: Option<EndpointId>,
+    /// Evacuated endpoints that go on running. They are not promoted, but tell how far the log goes.
+    pub evacuated: Vec<EndpointId>,
     /// The primary, if it is healthy and stays.
     pub staying: Option<EndpointId>,
     /// Replicas that must have received a commit before it is acknowledged.
@@ -229,6 +231,8 @@
     statuses: BTreeMap<EndpointId, StatusReport>,
     /// The leaving primary that was ordered to become a replica, and its status after that.
     demoted: Option<(EndpointId, Option<StatusReport>)>,
+    /// Whether that primary goes on running, so that a new one needs all of its log.
+    keeps_demoted: bool,
     chosen: Option<EndpointId>,
 }
 
@@ -261,6 +265,7 @@
             status_requested_at: Timestamp(0),
             statuses: BTreeMap::new(),
             demoted: None,
+            keeps_demoted: false,
             chosen: None,
         }
     }
@@ -430,7 +435,10 @@
             self.run_action(now, *action, out);
         }
         if self.state() == FailoverState::Watching {
-            (self.demoted, self.chosen, self.needed_since) = (None, None, None);
+            (self.chosen, self.needed_since) = (None, None);
+            if event != FailoverEvent::Failed || !self.keeps_demoted {
+                self.demoted = None;
+            }
             self.statuses.clear();
         }
     }
--- a/src/core/proxy/failover/survey.rs
+++ b/src/core/proxy/failover/survey.rs
@@ -82,6 +82,7 @@
         if self.demoted.is_none() {
             if let Some(leaving) = &snapshot.leaving {
                 self.demoted = Some((leaving.clone(), None));
+                self.keeps_demoted = snapshot.evacuated.contains(leaving);
                 out.push(FailoverEffect::Order(
                     leaving.clone(),
                     Order::Demote(snapshot.term.next()),
@@ -95,7 +96,9 @@
                 _ => Order::Pause(snapshot.term.next()),
             };
             let staying = snapshot.staying.iter().map(|id| (id, Order::Status));
-            let asked = snapshot.candidates.iter().map(|id| (id, order)).chain(staying);
+            let evacuated = snapshot.evacuated.iter().map(|id| (id, Order::Status));
+            let asked = snapshot.candidates.iter().map(|id| (id, order));
+            let asked = asked.chain(staying).chain(evacuated);
             out.extend(asked.map(|(id, order)| FailoverEffect::Order(id.clone(), order)));
         }
         if let Some(primary) = self.present_primary(snapshot) {
@@ -166,17 +169,26 @@
             .iter()
             .filter_map(|id| up_to_date(id).map(|status| (status.received, id)));
         let answered = answers.clone().count();
+        let evacuated = snapshot.evacuated.iter().filter_map(|id| self.statuses.get(id));
+        let evacuated = evacuated.map(|status| status.received);
+        let held = evacuated.clone().max();
+        let answered = answered + evacuated.count();
         let (received, best) = answers.max_by_key(|(received, id)| (*received, (*id).clone()))?;
         let sync = usize::try_from(snapshot.sync_replicas).unwrap_or(usize::MAX);
         let needed =
             if sync == 0 { 1 } else { (snapshot.replicas + 1).saturating_sub(sync).max(1) };
-        let all_answered = answered >= snapshot.candidates.len();
+        let all_answered = answered >= snapshot.candidates.len() + snapshot.evacuated.len();
         let may_wait = now < self.entered_at + SURVEY_MIN_WAIT;
         if answered < needed || (!all_answered && may_wait) {
             return None;
         }
-        if let Some((_, demoted)) = &self.demoted {
-            let waited_enough = now >= self.entered_at + CATCH_UP_LIMIT;
+        let waited_enough = now >= self.entered_at + CATCH_UP_LIMIT;
+        if !waited_enough && held.is_some_and(|held| received < held) {
+            return None;
+        }
+        if let Some((leaving, demoted)) = &self.demoted {
+            // Whatever an evacuated primary has acknowledged is still in its log.
+            let waited_enough = waited_enough && !snapshot.evacuated.contains(leaving);
             let last = demoted.as_ref().map(|status| status.received);
             if !waited_enough && last.is_none_or(|last| received < last) {
                 return None;
--- a/src/core/proxy/group.rs
+++ b/src/core/proxy/group.rs
@@ -5,6 +5,7 @@
 
 use super::catalog::GroupConfig;
 use super::failover::Failover;
+use super::slow_start::SlowStart;
 use crate::core::queue::{FairQueue, QueueBounds};
 use crate::types::{
     ConnectionId, DurationMs, EndpointId, FailureDomain, GroupId, Position, RequestId, RowVersion,
@@ -46,6 +47,8 @@
     /// Wall-clock time of its start in milliseconds, which distinguishes restarts under the same
     /// id.
     pub started_ms: u64,
+    /// For how much longer it is cold, at the time of this report.
+    pub cold_for_ms: DurationMs,
     /// Number of this report since its start, if it counts them.
     pub report: Option<u64>,
     /// Version of its row.
@@ -94,6 +97,10 @@
     pub entry: EndpointEntry,
     /// Since when its entry says that it is leaving.
     pub leaving_since: Option<Timestamp>,
+    /// Since when its failure domain is evacuated.
+    pub evacuated_since: Option<Timestamp>,
+    /// Bound on the requests to it while it is cold.
+    pub slow_start: SlowStart,
     /// Since when its entry is missing.
     pub missing_since: Option<Timestamp>,
     /// Row version of the first entry of its current claim to be the primary.
@@ -124,10 +131,14 @@
 
 impl EndpointState {
     fn new(now: Timestamp, entry: EndpointEntry) -> Self {
+        let mut slow_start = SlowStart::default();
+        slow_start.on_report(now, entry.cold_for_ms);
         Self {
             claim_version: entry.claims_primary.then_some(entry.version),
             leaving_since: entry.leaving.then_some(now),
             entry,
+            evacuated_since: None,
+            slow_start,
             missing_since: None,
             connections: BTreeSet::new(),
             allowance: Allowance::new(now),
@@ -143,6 +154,12 @@
         }
     }
 
+    /// Whether it gets no new work if another endpoint can do it: it is shutting down, or its failure
+    /// domain is evacuated.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.leaving || self.evacuated_since.is_some()
+    }
+
     /// Whether its connections work and no request has been unanswered for too long.
     pub fn is_healthy(&self, now: Timestamp) -> bool {
         let silent = self.unanswered_since.is_some_and(|since| now >= since + SUSPECT_AFTER);
@@ -163,6 +180,7 @@
         self.down_since.get_or_insert(now);
         if connecting {
             self.failed_connects += 1;
+            self.slow_start.on_connect_failed(now);
             self.connect_after = now + self.backoff;
             self.backoff = DurationMs((self.backoff.0 * 2).min(RECONNECT_MAX.0));
         }
@@ -261,6 +279,9 @@
                     }
                     state.leaving_since =
                         state.leaving_since.or(Some(now)).filter(|_| entry.leaving);
+                    if state.entry.version != entry.version {
+                        state.slow_start.on_report(now, entry.cold_for_ms);
+                    }
                     state.entry = entry.clone();
                     state.missing_since = None;
                 }
@@ -396,7 +417,7 @@
             let since = self.leaderless_since?;
             return (now >= since + silence).then_some(PrimaryFault::Unknown);
         };
-        if state.entry.leaving && state.missing_since.is_none() {
+        if state.is_leaving() && state.missing_since.is_none() {
             return Some(PrimaryFault::Leaving);
         }
         if state.unanswered_since.is_some_and(|since| now >= since + silence) {
--- a/src/core/proxy/home.rs
+++ b/src/core/proxy/home.rs
@@ -67,6 +67,8 @@
     candidates: Vec<HomeCandidate>,
     /// Number of homes to choose, present or not.
     wanted: u64,
+    /// The hosts that are chosen while all are present.
+    first_choice: Vec<HostId>,
     /// Home of each account in the configuration.
     by_account: BTreeMap<AccountId, HostId>,
 }
@@ -94,7 +96,8 @@
             (Reverse(candidate.processor), hash(&candidate.host), candidate.host.clone())
         });
         let count = usize::try_from(wanted).unwrap_or(usize::MAX);
-        let mut homes = Self { wanted, ..Self::default() };
+        let first_choice = all.iter().take(count).map(|candidate| candidate.host.clone()).collect();
+        let mut homes = Self { wanted, first_choice, ..Self::default() };
         let mut considered = Vec::new();
         for candidate in all {
             if considered.len() >= count && homes.candidates.len() >= MIN_PRESENT_HOMES.min(count) {
@@ -157,7 +160,10 @@
         let accounts = catalog.accounts.len() as u64;
         let Some(wanted) = Homes::wanted(all.len() as u64, connections, accounts) else {
             self.sharing_hosts = others.iter().filter(|host| is_present(host)).count() as u64;
-            self.adopt_homes(now, Homes::default());
+            let mut first_choice: Vec<HostId> =
+                all.into_iter().map(|candidate| candidate.host).collect();
+            first_choice.sort();
+            self.adopt_homes(now, Homes { first_choice, ..Homes::default() });
             return others;
         };
         let (homes, considered) = Homes::choose(all, wanted, &mut is_present);
@@ -253,6 +259,14 @@
         !self.homes.are_used() || self.homes.contains(&self.spec.host)
     }
 
+    /// Number of hosts among which what an endpoint accepts in a second is divided, whether they are
+    /// present or not, and this host's place among them, if it is one.
+    pub(super) fn sender_rank(&self) -> (u64, Option<u64>) {
+        let senders = &self.homes.first_choice;
+        let rank = senders.iter().position(|host| *host == self.spec.host);
+        (senders.len() as u64, rank.map(|rank| rank as u64))
+    }
+
     /// Number of connections to each endpoint of a group that this host may open.
     pub(super) fn connection_share(&self, group: &GroupId) -> u64 {
         let limit = self.groups.get(group).map_or(1, |group| u64::from(group.config.connections.0));
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -9,6 +9,7 @@
 pub mod connection;
 mod dispatch;
 pub mod entries;
+pub mod evacuation;
 mod events;
 pub mod failover;
 pub mod follow;
@@ -26,6 +27,7 @@
 pub mod roster;
 pub mod session;
 pub mod shutdown;
+pub mod slow_start;
 pub mod statement;
 pub mod statement_record;
 mod tick;
@@ -40,6 +42,7 @@
 
 use catalog::Catalog;
 use connection::{Owner, PooledConnection};
+use evacuation::{EvacuationOrder, Evacuations};
 pub use events::LossReport;
 use failover::{Claim, Failover};
 use group::{EndpointEntry, GroupState};
@@ -50,13 +53,14 @@
 use request::Request;
 pub use request::StatementKind;
 use session::Session;
+use slow_start::SlowStartMargin;
 
 use crate::core::life::{DrainTimes, Life, LifeState};
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
 use crate::types::{
-    ConnectionId, EndpointId, FailureDomain, GroupId, HostId, MilliCores, Position, RequestId,
-    RowVersion, SessionId, Timestamp,
+    ConnectionId, DurationMs, EndpointId, FailureDomain, GroupId, HostId, MilliCores, Position,
+    RequestId, RowVersion, SessionId, Timestamp,
 };
 
 /// Identity and settings of a host.
@@ -72,8 +76,29 @@
     pub drain: DrainTimes,
     /// How this host knows that an endpoint leads its group.
     pub lead_proof: LeadProof,
+    /// What the platform demands about evacuations and cold endpoints.
+    pub margins: Margins,
 }
 
+/// What the platform demands about evacuations and cold endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Margins {
+    /// Time from the order to evacuate a failure domain until nothing may be sent to it.
+    pub evacuation_limit_ms: DurationMs,
+    /// What is allowed beyond the operator's rate for a cold endpoint.
+    pub slow_start: SlowStartMargin,
+}
+
+impl Default for Margins {
+    fn default() -> Self {
+        let slow_start = SlowStartMargin::default();
+        Self { evacuation_limit_ms: DEFAULT_EVACUATION_LIMIT, slow_start }
+    }
+}
+
+/// Time limit of an evacuation on a platform that states none.
+const DEFAULT_EVACUATION_LIMIT: DurationMs = DurationMs(5_000);
+
 /// The answer to a statement of a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
@@ -149,6 +174,8 @@
     RequestClaims(HostId, RowVersion),
     /// Pass groups' rows to a host.
     SendClaims(HostId, ClaimRows),
+    /// Pass the operator's orders to evacuate failure domains to the other hosts.
+    AnnounceEvacuations(Vec<EvacuationOrder>),
     /// Start to accept callers.
     Listen,
     /// Report the host as not ready from now on.
@@ -166,6 +193,7 @@
     life: Life,
     catalog: Option<Catalog>,
     entries: Vec<EndpointEntry>,
+    evacuations: Evacuations,
     discovered: bool,
     quota: Quota,
     /// Whether the list of the fleet's hosts has been received.
@@ -206,6 +234,7 @@
             rng,
             catalog: None,
             entries: Vec::new(),
+            evacuations: Evacuations::default(),
             discovered: false,
             quota: Quota::default(),
             hosts_known: false,
@@ -318,7 +347,9 @@
             let members = self.entries.iter().filter(|entry| entry.group == *id);
             let members: Vec<EndpointEntry> = members.cloned().collect();
             let before = group.leader.clone();
-            for endpoint in group.set_entries(now, &members) {
+            let restarted = group.set_entries(now, &members);
+            group.set_evacuations(&self.evacuations);
+            for endpoint in restarted {
                 tracing::info!(
                     endpoint = endpoint.as_str(),
                     "discovery: endpoint restarted or moved"
--- a/src/core/proxy/order.rs
+++ b/src/core/proxy/order.rs
@@ -24,9 +24,8 @@
     /// Sends the queued orders that have an idle connection, and opens connections for the others.
     pub(super) fn send_orders(&mut self, now: Timestamp) {
         for (group, endpoint, order) in std::mem::take(&mut self.orders) {
-            let known =
-                self.groups.get(&group).is_some_and(|g| g.endpoints.contains_key(&endpoint));
-            if !known {
+            let state = self.groups.get(&group).and_then(|group| group.endpoints.get(&endpoint));
+            if state.is_none_or(|state| self.is_closed(now, state)) {
                 continue;
             }
             if let Some(id) = self.idle_connection(&group, &endpoint, None) {
@@ -196,16 +195,17 @@
     let others = group.endpoints.iter().filter(|(id, _)| leader != Some(*id));
     let candidates = others
         .clone()
-        .filter(|(_, state)| !state.entry.leaving && state.missing_since.is_none())
+        .filter(|(_, state)| !state.is_leaving() && state.missing_since.is_none())
         .filter(|(_, state)| state.is_healthy(now))
         .map(|(id, _)| id.clone())
         .collect();
     let leaving = leader.filter(|id| {
         let state = group.endpoints.get(*id);
-        state.is_some_and(|state| state.entry.leaving && state.is_healthy(now))
+        state.is_some_and(|state| state.is_leaving() && state.is_healthy(now))
     });
     GroupSnapshot {
         candidates,
+        evacuated: group.evacuated(now),
         leaving: leaving.cloned(),
         staying: None,
         sync_replicas: group.config.sync_replicas,
--- a/src/core/proxy/placement.rs
+++ b/src/core/proxy/placement.rs
@@ -39,9 +39,12 @@
         let Some(session) = self.sessions.get(&request.session) else { return Vec::new() };
         let read_only =
             session.transaction.as_ref().is_some_and(|transaction| transaction.read_only);
-        let usable = |id: &&EndpointId| {
-            group.endpoints.get(*id).is_some_and(|state| accepts_work(now, state))
+        let admits = |state: &EndpointState| {
+            accepts_work(now, state)
+                && !self.is_closed(now, state)
+                && self.slow_start_admits(now, group, state)
         };
+        let usable = |id: &&EndpointId| group.endpoints.get(*id).is_some_and(admits);
         let primary =
             group.leader.as_ref().filter(usable).filter(|_| self.may_use_primary(now, group));
         let primary =
@@ -50,7 +53,7 @@
             return primary.into_iter().collect();
         }
         let mut candidates = match required_position(group, request, session) {
-            Some(floor) => replicas(now, group, request, floor),
+            Some(floor) => replicas(now, group, request, floor, &admits),
             None => Vec::new(),
         };
         let fallback_delay =
@@ -80,21 +83,26 @@
     group: &GroupState,
     request: &Request,
     floor: Position,
+    admits: &dyn Fn(&EndpointState) -> bool,
 ) -> Vec<Placement> {
     let replicas = group.endpoints.iter().filter(|(id, _)| group.leader.as_ref() != Some(*id));
     let others_stay =
-        replicas.clone().any(|(_, state)| !state.entry.leaving && state.is_healthy(now));
+        replicas.clone().any(|(_, state)| !state.is_leaving() && state.is_healthy(now));
+    let primary = group.leader.as_ref().and_then(|id| group.endpoints.get(id));
+    let primary_stays = primary.is_some_and(|state| !state.is_leaving() && state.is_healthy(now));
     let usable = |id: &EndpointId, state: &EndpointState| {
         let reachable = state.connect_after <= now || !state.connections.is_empty();
-        let leaves = state.entry.leaving && others_stay;
-        !request.tried.contains(id) && reachable && !leaves && accepts_work(now, state)
+        let stays_elsewhere = others_stay || (primary_stays && state.evacuated_since.is_some());
+        let leaves = state.is_leaving() && stays_elsewhere;
+        !request.tried.contains(id) && reachable && !leaves && admits(state)
     };
     let mut candidates: Vec<_> = replicas
         .filter(|(id, state)| usable(id, state))
         .map(|(id, state)| {
             let latency = (state.latency_us / LATENCY_UNIT_US).clamp(1, 64).ilog2();
             let behind = state.applied < floor;
-            let rank = (!state.is_healthy(now), state.entry.leaving, behind, latency);
+            let is_cold = group.config.slow_start.is_some() && state.slow_start.is_cold(now);
+            let rank = (!state.is_healthy(now), state.is_leaving(), is_cold, behind, latency);
             (rank, affinity_hash(request, id), id.clone())
         })
         .collect();
@@ -105,7 +113,8 @@
 
 /// Whether an endpoint may get new work: it does not leave, or began to only recently.
 fn accepts_work(now: Timestamp, state: &EndpointState) -> bool {
-    state.leaving_since.is_none_or(|since| now < since + LEAVING_GRACE)
+    let since = state.leaving_since.into_iter().chain(state.evacuated_since).min();
+    since.is_none_or(|since| now < since + LEAVING_GRACE)
 }
 
 /// Hash that gives each client account its own order of equally good replicas, so that accounts
--- a/src/core/proxy/request.rs
+++ b/src/core/proxy/request.rs
@@ -233,6 +233,12 @@
         id: RequestId,
         connection: ConnectionId,
     ) {
+        if self.is_connection_closed(now, connection) {
+            self.close_connection(connection);
+            self.end_waiting_transaction(now, id);
+            let detail = "the endpoint of the transaction was evacuated";
+            return self.refuse_request(now, id, Error::new(ErrorKind::TransactionLost, detail));
+        }
         let Some(request) = self.requests.get(&id) else { return };
         let group = self.groups.get(&request.route.group);
         if self.commits(request) && group.is_some_and(|group| !self.may_use_primary(now, group)) {
@@ -303,7 +309,9 @@
     pub(super) fn deadline_error(&self, now: Timestamp, id: RequestId) -> Error {
         let lacking = |request: &Request| {
             let group = self.groups.get(&request.route.group)?;
-            (!self.may_use_primary(now, group)).then_some(ErrorKind::NoPrimary)
+            let is_lacking =
+                !self.may_use_primary(now, group) || self.needs_evacuated_primary(now, request);
+            is_lacking.then_some(ErrorKind::NoPrimary)
         };
         let kind = self.requests.get(&id).and_then(lacking).unwrap_or(ErrorKind::Overloaded);
         Error::new(kind, "the request was not sent to an endpoint within its time limit")
--- a/src/core/proxy/tick.rs
+++ b/src/core/proxy/tick.rs
@@ -40,6 +40,7 @@
         self.renew_lease(now);
         self.expire_requests(now);
         self.end_idle_transactions(now);
+        self.close_evacuated(now);
         self.move_sessions(now);
         self.close_overdue(now);
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
@@ -139,7 +140,7 @@
         if request.is_running() || request.connection.is_some() {
             return false;
         }
-        if self.lacks_lease(now, request) {
+        if self.lacks_lease(now, request) || self.needs_evacuated_primary(now, request) {
             return true;
         }
         let Some(group) = self.groups.get(&request.route.group) else { return false };
--- a/src/net/host/peers.rs
+++ b/src/net/host/peers.rs
@@ -244,7 +244,8 @@
             | PeerMessage::ClaimConfirmed(..)
             | PeerMessage::TablesRead(_)
             | PeerMessage::HostRowsRequest(_)
-            | PeerMessage::HostRows(_) => {
+            | PeerMessage::HostRows(_)
+            | PeerMessage::Evacuations(_) => {
                 tracing::debug!(
                     "peer: {host} runs with the operator's configuration, its message is ignored"
                 );
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -182,6 +182,7 @@
             processor: settings.processor,
             drain: drain_times(settings.stop_limit_ms),
             lead_proof: settings.lead_proof,
+            margins: settings.margins,
         };
         tracing::info!(host = settings.host.as_str(), domain = settings.failure_domain.as_str(),
             listen = %settings.listen, "host: starting");
@@ -280,7 +281,7 @@
         if let Some(age) = self.configuration_age(now) {
             self.report.on_configuration_age(age);
         }
-        self.report.on_state(&self.core);
+        self.report.on_state(now, &self.core);
         after!(TICK, [cx], tick());
     }
 
@@ -348,6 +349,9 @@
             ProxyEffect::SendClaims(host, rows) => {
                 self.send_to_peer(host, PeerMessage::Claims(rows));
             }
+            ProxyEffect::AnnounceEvacuations(orders) => {
+                self.broadcast(&PeerMessage::Evacuations(orders));
+            }
             ProxyEffect::Listen => self.listen(cx),
             ProxyEffect::Leave => {
                 self.ready.set(false);
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -183,6 +183,10 @@
                 let is_near = hello.failure_domain == self.settings.failure_domain;
                 self.readers.on_opened(&hello.host, is_near);
                 self.core.on_link_opened(suspend_aware_clock(), &hello.host);
+                let orders = self.core.evacuations().orders();
+                if !orders.is_empty() {
+                    self.send_to_peer(hello.host, PeerMessage::Evacuations(orders));
+                }
             }
             PeerEvent::Closed(host, _) => {
                 self.roster.on_closed(suspend_aware_clock(), &host);
@@ -225,6 +229,9 @@
                     let rows = rows.collect();
                     self.send_to_peer(host, PeerMessage::HostRows(rows));
                 }
+                PeerMessage::Evacuations(orders) => {
+                    self.core.on_evacuation_orders(suspend_aware_clock(), orders);
+                }
                 PeerMessage::HostRows(rows) => {
                     for (host, version, row) in rows {
                         self.adopt_host_row(cx, host, version, row);
--- a/src/net/proxy/report.rs
+++ b/src/net/proxy/report.rs
@@ -16,7 +16,7 @@
 use super::store::CallEnd;
 use crate::core::proxy::statement_record::StatementRecord;
 use crate::core::proxy::Proxy;
-use crate::types::{DurationMs, EndpointId, StoreEra};
+use crate::types::{DurationMs, EndpointId, StoreEra, Timestamp};
 
 /// Upper bounds of the latency buckets in seconds, around the usual targets of 100 to 600 ms.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 3.0];
@@ -68,6 +68,8 @@
     waiting: Gauge,
     leaderless_groups: Gauge,
     configuration_version: Gauge,
+    evacuated_domains: Gauge,
+    cold_endpoints: Gauge,
     dropped_lines: Gauge,
     /// Whether the last rise of the dropped lines was logged.
     drops_logged: Cell<bool>,
@@ -101,6 +103,8 @@
             waiting: Gauge::default(),
             leaderless_groups: Gauge::default(),
             configuration_version: Gauge::default(),
+            evacuated_domains: Gauge::default(),
+            cold_endpoints: Gauge::default(),
             dropped_lines: Gauge::default(),
             drops_logged: Cell::new(true),
         };
@@ -162,6 +166,16 @@
             self.configuration_version.clone(),
         );
 
+        registry.register(
+            "evacuated_domains",
+            "Failure domains that the operator has evacuated",
+            self.evacuated_domains.clone(),
+        );
+        registry.register(
+            "cold_endpoints",
+            "Endpoints whose requests slow start bounds",
+            self.cold_endpoints.clone(),
+        );
         registry.register(
             "leaderless_groups",
             "Groups without a known primary",
@@ -255,12 +269,14 @@
     }
 
     /// Updates the gauges from the state of the core; called on every tick.
-    pub fn on_state(&self, core: &Proxy) {
+    pub fn on_state(&self, now: Timestamp, core: &Proxy) {
         let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
         self.sessions.set(count(core.session_count()));
         self.waiting.set(count(core.groups().map(|(_, group)| group.waiting()).sum()));
         let leaderless = core.groups().filter(|(_, group)| group.leader.is_none()).count();
         self.leaderless_groups.set(count(leaderless));
+        self.evacuated_domains.set(count(core.evacuations().domains().count()));
+        self.cold_endpoints.set(count(core.cold_endpoints(now)));
         let dropped = i64::try_from(crate::logs::dropped_lines()).unwrap_or(i64::MAX);
         // Logged only once no more lines are dropped, so that this line is not dropped as well.
         let previous = self.dropped_lines.set(dropped);
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -10,6 +10,7 @@
 use super::feed::{FeedEvent, FeedRows};
 use super::host::{ProxyHost, OWN_TABLE, SECRET_KEY};
 use super::store::{CallEnd, CallPurpose};
+use crate::core::proxy::evacuation::EvacuationOrder;
 use crate::core::proxy::failover::{Claim, ClaimError};
 use crate::core::proxy::follow::HostRow;
 use crate::core::proxy::group::EndpointEntry;
@@ -158,6 +159,9 @@
     }
 
     fn on_configuration_rows(&mut self, rows: &FeedRows) {
+        let orders = rows.rows.iter().filter_map(read_evacuation).collect();
+        let now = suspend_aware_clock();
+        self.core.on_evacuation_rows(now, rows.version, rows.is_complete, orders);
         let row = rows.rows.iter().rev().find(|row| row.key == store::CONFIGURATION_KEY);
         let Some(value) = row.and_then(|row| row.value.as_deref()) else { return };
         self.adopt_configuration(value);
@@ -312,6 +316,22 @@
     }
 }
 
+/// The order in a row of the operator; `None` if the row is for something else.
+fn read_evacuation(row: &StoreRow) -> Option<EvacuationOrder> {
+    let name = row.key.strip_prefix(store::EVACUATION_KEY_PREFIX)?;
+    match name.parse() {
+        Ok(failure_domain) => Some(EvacuationOrder {
+            failure_domain,
+            version: row.version,
+            is_evacuated: row.value.is_some(),
+        }),
+        Err(error) => {
+            tracing::warn!(name, %error, "evacuation: order names no valid failure domain");
+            None
+        }
+    }
+}
+
 fn read_claim(row: &StoreRow) -> Option<Claim> {
     let value = row.value.as_deref()?;
     match WireClaim::read(value) {
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -46,6 +46,10 @@
     max_connections: u32,
     #[serde(default)]
     sync_replicas: u32,
+    /// Seconds for which an endpoint is cold after its start; zero or missing: it is never cold.
+    warmup_s: Option<f64>,
+    /// Requests per second that a cold endpoint accepts from all hosts together.
+    warmup_per_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -81,7 +85,13 @@
     for service in json.services {
         let group: GroupId = service.name.parse().map_err(|error| format!("service: {error}"))?;
         let connections = ConnectionCount(service.max_connections);
-        let config = GroupConfig { connections, sync_replicas: service.sync_replicas };
+        let warms_up = service.warmup_s.is_none_or(|seconds| seconds > 0.0);
+        let slow_start = service.warmup_per_s.filter(|rate| *rate > 0.0 && warms_up);
+        let config = GroupConfig {
+            connections,
+            sync_replicas: service.sync_replicas,
+            slow_start: slow_start.map(|rate| RatePerS(rate as u64)),
+        };
         catalog.groups.insert(group, config);
     }
     for route in json.routes {
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 
 use crate::core::proxy::group::EndpointEntry;
-use crate::types::RowVersion;
+use crate::types::{DurationMs, RowVersion};
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -17,6 +17,8 @@
     #[serde(default)]
     born: u64,
     sequence: Option<u64>,
+    /// Milliseconds for which the endpoint is still slow after its start.
+    warmup_remaining_ms: Option<f64>,
 }
 
 #[derive(Deserialize, PartialEq, Eq)]
@@ -52,6 +54,7 @@
         leaving: json.state == State::Draining,
         claims_primary: json.db_role == DbRole::Primary,
         started_ms: json.born,
+        cold_for_ms: DurationMs(json.warmup_remaining_ms.unwrap_or_default().max(0.0) as u64),
         report: json.sequence,
         version,
     })
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 
 use crate::core::proxy::lease::LeadProof;
+use crate::core::proxy::slow_start::SlowStartMargin;
+use crate::core::proxy::Margins;
 use crate::error::{Error, ErrorKind};
 use crate::types::{DurationMs, FailureDomain, HostId, MilliCores};
 
@@ -45,6 +47,8 @@
     /// Time within which a version of the configuration has to be in force: after it was written,
     /// and after the end of a disturbance of this host.
     pub configuration_limit_ms: DurationMs,
+    /// What the platform demands about evacuations and cold endpoints.
+    pub margins: Margins,
 }
 
 #[derive(Deserialize)]
@@ -79,9 +83,28 @@
     contact_ms: Option<f64>,
     /// Time from the acknowledgement of a version until it has to be in force.
     config_apply_ms: Option<f64>,
+    /// Time from the acknowledgement of an evacuation until nothing may be sent to the domain.
+    evacuation_ms: Option<f64>,
+    /// Factor by which requests to a cold endpoint may exceed the configured rate.
+    warmup_overage: Option<f64>,
+    /// Requests to a cold endpoint in addition to that, in one second.
+    warmup_slack: Option<f64>,
 }
 
 impl Bounds {
+    fn margins(&self) -> Margins {
+        let default = Margins::default();
+        let percent = |factor: f64| (factor * 100.0) as u64;
+        let overage_percent = self.warmup_overage.map(percent);
+        let slow_start = SlowStartMargin {
+            overage_percent: overage_percent.unwrap_or(default.slow_start.overage_percent),
+            slack: self.warmup_slack.map_or(default.slow_start.slack, |slack| slack as u64),
+        };
+        let limit = self.evacuation_ms.map(|limit_ms| DurationMs(limit_ms as u64));
+        let evacuation_limit_ms = limit.unwrap_or(default.evacuation_limit_ms);
+        Margins { evacuation_limit_ms, slow_start }
+    }
+
     /// The shorter of the two times that a version has to be in force after.
     fn configuration_limit(&self) -> DurationMs {
         let stated = [self.contact_ms, self.config_apply_ms].into_iter().flatten();
@@ -155,6 +178,7 @@
             promotions: file.cloud_api.address,
             stop_limit_ms: DurationMs((seconds * 1_000.0) as u64),
             configuration_limit_ms: file.bounds.configuration_limit(),
+            margins: file.bounds.margins(),
             lead_proof: if file.bounds.require_fencing {
                 LeadProof::Transaction
             } else {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -12,6 +12,8 @@
 pub const CONFIGURATION_TABLE: &str = "op";
 /// Key of the row with the latest configuration.
 pub const CONFIGURATION_KEY: &str = "config";
+/// Prefix of the keys of the operator's orders to evacuate a failure domain.
+pub const EVACUATION_KEY_PREFIX: &str = "evacuate/";
 /// Table of the endpoints' entries.
 pub const ENDPOINT_TABLE: &str = "servers";
 
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -14,6 +14,7 @@
 use crate::core::limit::{GrantId, TokenRequest, Transfer};
 use crate::core::peer::{Envelope, Hello, MessageNumber, PeerMessage, PeerTables};
 use crate::core::promotion::{GroupRecord, Phase};
+use crate::core::proxy::evacuation::EvacuationOrder;
 use crate::core::proxy::follow::{HostRow, TablesRead};
 use crate::core::view::{Member, Snapshot, Statement};
 use crate::types::{
@@ -71,6 +72,8 @@
     HostRowsRequest(u64),
     /// See [`PeerMessage::HostRows`].
     HostRows(Vec<(CompactString, u64, WireHostRow)>),
+    /// See [`PeerMessage::Evacuations`]: failure domain, version and whether it is evacuated.
+    Evacuations(Vec<(CompactString, u64, bool)>),
 }
 
 /// Identity of a host, with the proof that it knows the fleet's secret.
@@ -215,6 +218,12 @@
                 };
                 Self::HostRows(rows.iter().map(row).collect())
             }
+            PeerMessage::Evacuations(orders) => {
+                let order = |order: &EvacuationOrder| {
+                    (order.failure_domain.as_str().into(), order.version.0, order.is_evacuated)
+                };
+                Self::Evacuations(orders.iter().map(order).collect())
+            }
         }
     }
 }
@@ -266,6 +275,14 @@
                 let rows: Result<_, PeerFault> = rows.into_iter().map(row).collect();
                 Self::HostRows(rows?)
             }
+            WireMessage::Evacuations(orders) => {
+                let order = |(domain, version, is_evacuated): (CompactString, u64, bool)| {
+                    let (failure_domain, version) = (domain.parse()?, RowVersion(version));
+                    Ok(EvacuationOrder { failure_domain, version, is_evacuated })
+                };
+                let orders: Result<_, PeerFault> = orders.into_iter().map(order).collect();
+                Self::Evacuations(orders?)
+            }
         })
     }
 }
--- a/tests/lead_model/mod.rs
+++ b/tests/lead_model/mod.rs
@@ -19,7 +19,7 @@
 };
 use medlarstile::core::proxy::lease::{ClaimRows, LeadProof, StoreRead};
 use medlarstile::core::proxy::statement::{Access, Query, Statement};
-use medlarstile::core::proxy::{Answer, Proxy, ProxyEffect, ProxySpec};
+use medlarstile::core::proxy::{Answer, Margins, Proxy, ProxyEffect, ProxySpec};
 use medlarstile::core::transaction::TransactionState;
 use medlarstile::error::Ran;
 use medlarstile::types::{
@@ -164,7 +164,8 @@
     let mut catalog = Catalog { version: TableVersion(1), ..Catalog::default() };
     catalog.routes.insert(id("orders"), route(ReadRule::Primary));
     catalog.routes.insert(id("lookups"), route(ReadRule::MaxAge(DurationMs(MAX_AGE_MS))));
-    let group = GroupConfig { connections: ConnectionCount(60), sync_replicas: 0 };
+    let group =
+        GroupConfig { connections: ConnectionCount(60), sync_replicas: 0, slow_start: None };
     catalog.groups.insert(id("db"), group);
     let limit = AccountLimit { rate_per_s: RatePerS(10_000), burst: Burst(10_000) };
     catalog.accounts.insert(id("north"), limit);
@@ -221,6 +222,7 @@
                 finish_ms: Some(DurationMs(1_000)),
             },
             lead_proof: self.plan.lead_proof,
+            margins: Margins::default(),
         };
         let seed = self.rng.random();
         Host {
@@ -250,6 +252,7 @@
             leaving: false,
             claims_primary: place == self.world.primary,
             started_ms: 1,
+            cold_for_ms: DurationMs(0),
             report: None,
             version: RowVersion(1),
         });
--- a/tests/peer_wire.rs
+++ b/tests/peer_wire.rs
@@ -5,6 +5,7 @@
 use medlarstile::core::limit::{GrantId, TokenRequest, Transfer};
 use medlarstile::core::peer::{Envelope, Hello, MessageNumber, PeerMessage};
 use medlarstile::core::promotion::{GroupRecord, Phase};
+use medlarstile::core::proxy::evacuation::EvacuationOrder;
 use medlarstile::core::proxy::failover::Claim;
 use medlarstile::core::proxy::follow::{HostRow, TablesRead};
 use medlarstile::core::proxy::lease::{ClaimRows, Echo, Knowledge};
@@ -104,6 +105,15 @@
     PeerMessage::HostRows(vec![("h1".parse().expect("an id"), RowVersion(12), row)])
 }
 
+fn evacuations_message() -> PeerMessage {
+    let order = |name: &str, is_evacuated| EvacuationOrder {
+        failure_domain: name.parse().expect("a failure domain"),
+        version: RowVersion(12),
+        is_evacuated,
+    };
+    PeerMessage::Evacuations(vec![order("north", true), order("south", false)])
+}
+
 fn frame(message: PeerMessage) -> BytesMut {
     let (number, answers) = (MessageNumber(300), Some(MessageNumber(299)));
     let mut out = BytesMut::new();
@@ -131,6 +141,7 @@
     tables_read = { PeerMessage::TablesRead(TablesRead { rows: RowVersion(4), age_ms: DurationMs(9) }) },
     host_rows_request = { PeerMessage::HostRowsRequest(RowVersion(4)) },
     host_rows = { host_rows_message() },
+    evacuations = { evacuations_message() },
     claim_confirmed = { PeerMessage::ClaimConfirmed("db".parse().expect("an id"), RowVersion(9)) },
 )]
 fn keeps_every_field(message: PeerMessage) {
--- a/tests/proxy_entries.rs
+++ b/tests/proxy_entries.rs
@@ -2,7 +2,7 @@
 
 use medlarstile::core::proxy::entries::EntryTable;
 use medlarstile::core::proxy::group::EndpointEntry;
-use medlarstile::types::{RowVersion, StoreEra, Timestamp};
+use medlarstile::types::{DurationMs, RowVersion, StoreEra, Timestamp};
 use yare::parameterized;
 
 const START: Timestamp = Timestamp(1_000_000);
@@ -24,6 +24,7 @@
         leaving: late,
         claims_primary: late,
         started_ms,
+        cold_for_ms: DurationMs(0),
         report,
         version: RowVersion::in_era(StoreEra(era), version).expect("a version"),
     }
--- a/tests/proxy_failover.rs
+++ b/tests/proxy_failover.rs
@@ -23,6 +23,7 @@
     let candidates = vec![endpoint("b"), endpoint("c")];
     GroupSnapshot {
         candidates,
+        evacuated: Vec::new(),
         leaving: None,
         staying: None,
         sync_replicas,
@@ -311,3 +312,30 @@
     rig.failover.on_row(rig.now, rig.now, version(ERAS[1], 98), Some(&known));
     assert_eq!(writes(&mut rig), []);
 }
+
+/// Guards against the loss of what an evacuated primary has acknowledged and goes on holding, when no
+/// replica catches up in the time of one attempt.
+#[parameterized(evacuated = { true, 0 }, shuts_down = { false, 1 })]
+fn the_log_of_an_evacuated_primary_is_kept(is_evacuated: bool, promotions: usize) {
+    let mut snapshot = snapshot(0);
+    snapshot.leaving = Some(endpoint("a"));
+    if is_evacuated {
+        snapshot.evacuated = vec![endpoint("a")];
+    }
+    let mut rig = Rig::new(snapshot);
+    rig.advance(20);
+    rig.claimed(7);
+    rig.advance(20);
+    rig.status("a", status(Role::Replica, 1, 20));
+    for version in [8, 9] {
+        rig.status("b", status(Role::Replica, 1, 18));
+        rig.status("c", status(Role::Replica, 1, 19));
+        rig.advance(3_500);
+        rig.claimed(version);
+    }
+    assert_eq!(rig.promotions().len(), promotions);
+    rig.status("c", status(Role::Replica, 1, 20));
+    rig.status("b", status(Role::Replica, 1, 18));
+    rig.advance(500);
+    assert_eq!(rig.promotions().last().map(|(chosen, _)| chosen.as_str()), Some("c"));
+}
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -13,7 +13,7 @@
 use medlarstile::core::proxy::job::{Job, JobAnswer, JobEnd, Refusal, Setup, Work};
 use medlarstile::core::proxy::lease::LeadProof;
 use medlarstile::core::proxy::statement::{Access, Query, Statement};
-use medlarstile::core::proxy::{Answer, LossReport, Proxy, ProxyEffect, ProxySpec};
+use medlarstile::core::proxy::{Answer, LossReport, Margins, Proxy, ProxyEffect, ProxySpec};
 use medlarstile::core::transaction::TransactionState;
 use medlarstile::error::ErrorKind;
 use medlarstile::types::{
@@ -66,7 +66,7 @@
     catalog.routes.insert(id("orders"), route(ReadRule::Primary));
     catalog.routes.insert(id("lookups"), route(ReadRule::MaxAge(DurationMs(1_500))));
     catalog.routes.insert(id("plans"), route(ReadRule::OwnWrites(DurationMs(2_500))));
-    let plan = GroupConfig { connections: ConnectionCount(8), sync_replicas: 0 };
+    let plan = GroupConfig { connections: ConnectionCount(8), sync_replicas: 0, slow_start: None };
     catalog.groups.insert(id("db"), plan);
     let plan = AccountLimit { rate_per_s: RatePerS(1_000), burst: Burst(1_000) };
     catalog.accounts.insert(id(ACCOUNT), plan);
@@ -85,6 +85,7 @@
         leaving: false,
         claims_primary,
         started_ms: 1,
+        cold_for_ms: DurationMs(0),
         report: None,
         version: RowVersion(1),
     }
@@ -125,6 +126,7 @@
                 finish_ms: Some(DurationMs(1_000)),
             },
             lead_proof,
+            margins: Margins::default(),
         };
         let mut rig = Self {
             core: Proxy::new(spec, ChaCha8Rng::seed_from_u64(1)),
