Answer the setup of a relayed session on the host that relays it

Change: core/proxy/relay.rs decides which statements the relaying host answers: SET, PREPARE and CLOSE, in a session without a transaction or a statement in progress. They are passed on with the next statement, and the home's answers to them are dropped. If the home refuses one, the session ends. The startup is still answered by the home: an answer by a host with an older configuration would admit what a newer one forbids.

--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -23,6 +23,7 @@
 mod pool;
 pub mod quota;
 mod refusals;
+pub mod relay;
 pub mod request;
 pub mod roster;
 pub mod session;
--- a/src/net/proxy/home.rs
+++ b/src/net/proxy/home.rs
@@ -1,9 +1,9 @@
 //! The side of a caller's actor that relays its session to the host that runs it, the home.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use bytes::BytesMut;
 use compact_str::CompactString;
 use stakker::{after, fwd, fwd_to, CX};
 use stakker_mio::mio::net::TcpStream;
@@ -11,7 +11,7 @@
 
 use super::caller::{CallerEvent, LineCaller, Phase, SessionRequest, MAX_INPUT_BYTES};
 use crate::core::life::LifeState;
-use crate::core::proxy::statement::Query;
+use crate::core::proxy::relay::{RelayLedger, RelayedStatement};
 use crate::core::proxy::{shutdown, Answer};
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
@@ -24,6 +24,9 @@
 const HOME_ANSWER_LIMIT: Duration = Duration::from_millis(300);
 /// Bytes buffered for a slow reader, beyond which relaying stops reading from the other side.
 pub(super) const RELAY_BUFFER_BYTES: usize = 1024 * 1024;
+/// Bytes of answered setup statements that wait for the next statement; a session's setup takes a
+/// few hundred.
+const MAX_DEFERRED_BYTES: usize = 16 * 1024;
 
 /// The connection to the home of a relayed session.
 pub(super) struct HomeConnection {
@@ -33,18 +36,13 @@
     startup_sent: bool,
     /// Whether the home has answered the startup message.
     has_answered: bool,
-    /// Relayed statements that the home has not answered yet.
-    unanswered: VecDeque<RelayedStatement>,
-    /// Whether no transaction was open after the last answer.
-    is_idle: bool,
-}
-
-/// A statement that was relayed to the home of its session.
-struct RelayedStatement {
-    id: CompactString,
-    in_transaction: bool,
-    /// Whether it may have lasting effects although its answer is missing.
-    may_commit: bool,
+    /// Statements that the home has not answered yet.
+    ledger: RelayLedger,
+    /// Setup statements that were answered here and are sent before the next statement.
+    deferred: BytesMut,
+    /// Whether the home has refused one of them, so that the session differs from what its caller
+    /// was told.
+    refused_setup: bool,
 }
 
 impl HomeConnection {
@@ -53,15 +51,10 @@
         self.stream.output.len() < RELAY_BUFFER_BYTES
     }
 
-    /// Describes a statement that is relayed next. While others are not answered, the state in which
-    /// it will run is unknown.
-    fn describe(&self, query: &Query) -> RelayedStatement {
-        let (in_transaction, is_first) = (!self.is_idle, self.unanswered.is_empty());
-        RelayedStatement {
-            id: query.id.clone(),
-            in_transaction,
-            may_commit: !is_first || shutdown::may_commit(&query.statement, in_transaction),
-        }
+    /// Sends the deferred setup statements and then `line`.
+    fn send(&mut self, line: &[u8]) {
+        self.stream.output.unsplit(self.deferred.split());
+        self.stream.output.extend_from_slice(line);
     }
 }
 
@@ -81,8 +74,9 @@
                     started: cx.now(),
                     startup_sent: false,
                     has_answered: false,
-                    unanswered: VecDeque::new(),
-                    is_idle: true,
+                    ledger: RelayLedger::default(),
+                    deferred: BytesMut::new(),
+                    refused_setup: false,
                 });
                 after!(HOME_ANSWER_LIMIT, [cx], check_home());
             }
@@ -157,8 +151,11 @@
         self.relay_answers();
         self.relay_statements(cx);
         let Some(home) = &mut self.home else { return };
-        let is_answered = home.has_answered && home.unanswered.is_empty();
-        let is_done = self.end_requested && is_answered && home.is_idle;
+        if home.refused_setup {
+            return self.on_home_lost(cx, "the home refused a setup statement");
+        }
+        let is_answered = home.has_answered && home.ledger.is_settled();
+        let is_done = self.end_requested && is_answered && home.ledger.is_idle();
         if let StreamState::Closed(cause) = home.stream.flush() {
             return self.on_home_lost(cx, &cause);
         }
@@ -172,7 +169,7 @@
     fn relay_statements(&mut self, cx: CX![]) {
         loop {
             let Some(home) = &mut self.home else { return };
-            let must_wait = !self.host_state.runs_statements() && !home.unanswered.is_empty();
+            let must_wait = !self.host_state.runs_statements() && !home.ledger.is_settled();
             // Until the home has answered the startup, it may still decline the session.
             if !home.has_answered || !home.has_room() || must_wait {
                 return;
@@ -186,7 +183,15 @@
             let line = self.stream.input.split_to(end + 1).freeze();
             match line::read_relayed_message(&line) {
                 RelayedMessage::Statement(query) => {
-                    let statement = home.describe(&query);
+                    let fits = home.deferred.len() + line.len() <= MAX_DEFERRED_BYTES;
+                    if fits && home.ledger.answers_here(&query.statement) {
+                        home.ledger.defer();
+                        home.deferred.extend_from_slice(&line);
+                        let output = &mut self.stream.output;
+                        line::write_answer(output, &Answer::Done, TransactionState::Idle);
+                        continue;
+                    }
+                    let statement = home.ledger.describe(&query);
                     let in_transaction = statement.in_transaction;
                     let refusal =
                         shutdown::refusal(self.host_state, &query.statement, in_transaction);
@@ -194,16 +199,16 @@
                         self.refuse_relayed(&statement, error);
                         return self.end(cx);
                     }
-                    home.unanswered.push_back(statement);
+                    home.ledger.relay(statement);
                 }
-                RelayedMessage::Malformed => home.unanswered.push_back(RelayedStatement {
+                RelayedMessage::Malformed => home.ledger.relay(RelayedStatement {
                     id: CompactString::default(),
-                    in_transaction: !home.is_idle,
+                    in_transaction: !home.ledger.is_idle(),
                     may_commit: false,
                 }),
                 RelayedMessage::Other => {}
             }
-            home.stream.output.extend_from_slice(&line);
+            home.send(&line);
         }
     }
 
@@ -212,14 +217,18 @@
         let Some(home) = &mut self.home else { return };
         while let Some(end) = home.stream.input.iter().position(|byte| *byte == b'\n') {
             let line = home.stream.input.split_to(end + 1);
+            let is_dropped = home.has_answered && home.ledger.drops_next();
             if let Some(is_idle) = line::read_relayed_ready(&line) {
                 // The first answer is to the startup message.
-                if home.has_answered {
-                    home.unanswered.pop_front();
+                if std::mem::replace(&mut home.has_answered, true) {
+                    home.ledger.on_answered(is_idle);
                 }
-                (home.has_answered, home.is_idle) = (true, is_idle);
             }
-            self.stream.output.extend_from_slice(&line);
+            if !is_dropped {
+                self.stream.output.extend_from_slice(&line);
+            } else if line::is_relayed_error(&line) {
+                home.refused_setup = true;
+            }
         }
     }
 
@@ -236,7 +245,7 @@
 
     /// Answers the statements that the home has not answered, whose answers are no longer awaited.
     fn refuse_unanswered(&mut self, home: &HomeConnection, detail: &str) {
-        for statement in &home.unanswered {
+        for statement in home.ledger.awaited() {
             let (may_commit, in_transaction) = (statement.may_commit, statement.in_transaction);
             let error = shutdown::unanswered(may_commit, in_transaction, detail);
             self.refuse_relayed(statement, error);
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -200,6 +200,11 @@
     }
 }
 
+/// Whether the line of a home's answer is an error.
+pub fn is_relayed_error(line: &[u8]) -> bool {
+    line.starts_with(b"ERROR ")
+}
+
 /// Encodes a caller's request for a session, to relay it to the session's home.
 pub fn write_caller_startup(out: &mut BytesMut, database: &str, key: &str) {
     put_line(out, &["STARTUP", database, key]);
