Serve urgent requests first, and refuse hopeless ones when they arrive

Cause: a route's priority was not decoded.

Change: core/queue/classes.rs has a fair queue for each class, and core/proxy/urgency.rs orders what waits: open transactions, then classes, which rise with each target latency waited. A request waits as long as it can be answered within its target; if one of its account has waited for half of that already, the new one is refused at its arrival.

--- a/src/core/proxy/catalog.rs
+++ b/src/core/proxy/catalog.rs
@@ -7,7 +7,8 @@
 use compact_str::CompactString;
 
 use crate::types::{
-    AccountId, Burst, ConnectionCount, DatabaseName, DurationMs, GroupId, RatePerS, TableVersion,
+    AccountId, Burst, ConnectionCount, DatabaseName, DurationMs, GroupId, Priority, RatePerS,
+    TableVersion,
 };
 
 /// The secret key that a caller authenticates with. It is never logged or sent to an endpoint.
@@ -49,6 +50,8 @@
     pub statement_limit_ms: DurationMs,
     /// Target latency of an operation.
     pub target_latency_ms: DurationMs,
+    /// Urgency of its requests among those that wait.
+    pub priority: Priority,
     /// Whether callers without a known key are accepted.
     pub open: bool,
 }
--- a/src/core/proxy/dispatch.rs
+++ b/src/core/proxy/dispatch.rs
@@ -9,8 +9,8 @@
 use super::{Proxy, ProxyEffect, StatementKind};
 use crate::types::{ConnectionId, DurationMs, GroupId, RequestId, Timestamp};
 
-/// Limit of parked requests: those taken from the fair queue that wait for a connection of their
-/// account.
+/// Limit of parked requests of a class: those taken from the fair queue that wait for a connection of
+/// their account.
 const MAX_PARKED: usize = 64;
 
 /// Time that a request waits before an idle connection of another account is closed to make room
@@ -29,21 +29,37 @@
 
     fn dispatch(&mut self, now: Timestamp, group_id: &GroupId) {
         self.send_orders(now);
-        let Some(group) = self.groups.get_mut(group_id) else { return };
-        let parked = std::mem::take(&mut group.parked);
-        for id in parked {
-            self.place_or_park(now, group_id, id);
-        }
         loop {
+            self.park_waiting(now, group_id);
             let Some(group) = self.groups.get_mut(group_id) else { return };
-            if group.parked.len() >= MAX_PARKED {
+            let mut waiting = std::mem::take(&mut group.parked);
+            self.sort_by_urgency(now, &mut waiting);
+            let count = waiting.len();
+            for id in waiting {
+                self.place_or_park(now, group_id, id);
+            }
+            let Some(group) = self.groups.get(group_id) else { return };
+            if group.queue.is_empty() || group.parked.len() == count {
                 return;
             }
-            let Some(id) = group.queue.pop(now) else { return };
-            if let Some(request) = self.requests.get_mut(&id) {
-                request.ticket = None;
+        }
+    }
+
+    /// Takes requests out of the group's queue and parks them, up to the limit of each class.
+    fn park_waiting(&mut self, now: Timestamp, group_id: &GroupId) {
+        let Some(group) = self.groups.get_mut(group_id) else { return };
+        for priority in group.queue.priorities() {
+            let is_of_class = |id: &&RequestId| {
+                self.requests.get(id).is_some_and(|found| found.route.priority == priority)
+            };
+            let parked = group.parked.iter().filter(is_of_class).count();
+            for _ in parked..MAX_PARKED {
+                let Some(id) = group.queue.class(priority).pop(now) else { break };
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.ticket = None;
+                }
+                group.parked.push(id);
             }
-            self.place_or_park(now, group_id, id);
         }
     }
 
--- a/src/core/proxy/group.rs
+++ b/src/core/proxy/group.rs
@@ -6,7 +6,7 @@
 use super::catalog::GroupConfig;
 use super::failover::Failover;
 use super::slow_start::SlowStart;
-use crate::core::queue::{FairQueue, QueueBounds};
+use crate::core::queue::{ClassQueue, QueueBounds};
 use crate::types::{
     ConnectionId, DurationMs, EndpointId, FailureDomain, GroupId, Position, RequestId, RowVersion,
     Term, Timestamp,
@@ -232,7 +232,7 @@
     /// Samples of the primary's position, oldest first.
     samples: VecDeque<Sample>,
     /// Requests waiting for an endpoint.
-    pub queue: FairQueue<RequestId>,
+    pub queue: ClassQueue<RequestId>,
     /// Requests taken out of the queue and waiting for a connection.
     pub parked: Vec<RequestId>,
     /// Replacement of a failed or leaving primary.
@@ -250,7 +250,7 @@
             denied: BTreeMap::new(),
             term: Term(0),
             samples: VecDeque::new(),
-            queue: FairQueue::new(QueueBounds::default()),
+            queue: ClassQueue::new(QueueBounds::default()),
             parked: Vec::new(),
             failover,
         }
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -32,6 +32,7 @@
 pub mod statement;
 pub mod statement_record;
 mod tick;
+pub mod urgency;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/src/core/proxy/request.rs
+++ b/src/core/proxy/request.rs
@@ -13,7 +13,7 @@
 use crate::core::queue::Ticket;
 use crate::error::{Error, ErrorKind};
 use crate::types::{
-    AccountId, ConnectionId, Cost, EndpointId, Position, RequestId, SessionId, Timestamp, Weight,
+    AccountId, ConnectionId, Cost, EndpointId, Position, RequestId, SessionId, Timestamp,
 };
 
 chart_names! {
@@ -129,6 +129,11 @@
         !self.statement_kind.is_single() && !self.starts_transaction && self.connection.is_some()
     }
 
+    /// Whether only the primary may run it, whatever its transaction is.
+    pub fn runs_on_primary(&self) -> bool {
+        self.writes || self.route.rule == ReadRule::Primary
+    }
+
     /// Whether it was sent to an endpoint.
     pub fn is_running(&self) -> bool {
         self.machine.state() == ProxyRequestState::Running
@@ -183,7 +188,12 @@
             route,
             account,
         };
+        let is_hopeless = request.connection.is_none() && self.is_hopeless(now, &request);
         self.requests.insert(id, request);
+        if is_hopeless {
+            let detail = "requests of the account that arrived before wait too long already";
+            return self.refuse_request(now, id, Error::new(ErrorKind::Overloaded, detail));
+        }
         self.queue_request(now, id);
     }
 
@@ -212,10 +222,11 @@
             return;
         }
         let (account, deadline) = (request.account.clone(), request.deadline);
+        let priority = request.route.priority;
         let Some(group) = self.groups.get_mut(&group_id) else {
             return self.refuse_request(now, id, Self::no_group());
         };
-        match group.queue.push(now, &account, Weight(1), REQUEST_COST, deadline, id) {
+        match group.queue.push(now, priority, &account, REQUEST_COST, deadline, id) {
             Ok(ticket) => request.ticket = Some(ticket),
             Err(kind) => {
                 let error = Error::new(kind, "the queue of the group is full");
@@ -287,7 +298,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(group) = self.groups.get_mut(&request.route.group) else { return };
         if let Some(ticket) = request.ticket.take() {
-            group.queue.remove(&request.account, ticket);
+            group.queue.class(request.route.priority).remove(&request.account, ticket);
         }
         group.parked.retain(|parked| *parked != id);
     }
--- a/src/core/proxy/tick.rs
+++ b/src/core/proxy/tick.rs
@@ -23,10 +23,6 @@
 const IDLE_LIMIT: DurationMs = DurationMs(20_000);
 /// The same on a host that is not a home, since the homes need the endpoint's connections.
 const NON_HOME_IDLE_LIMIT: DurationMs = DurationMs(500);
-/// Percentage of the target latency for which a request waits for a free connection.
-const WAIT_PERCENT: u64 = 30;
-/// Minimum of that wait; enough for a few statements and a new connection.
-const MIN_WAIT: DurationMs = DurationMs(60);
 /// Ticks between two decays of the average answer times of idle endpoints.
 const DECAY_TICKS: u64 = 10;
 
@@ -143,11 +139,7 @@
         if self.lacks_lease(now, request) || self.needs_evacuated_primary(now, request) {
             return true;
         }
-        let Some(group) = self.groups.get(&request.route.group) else { return false };
-        let share = DurationMs(request.route.target_latency_ms.0 * WAIT_PERCENT / 100);
-        let max_wait = share.max(MIN_WAIT);
-        let leader = group.leader.as_ref().and_then(|id| group.endpoints.get(id));
-        leader.is_some_and(|leader| leader.is_healthy(now)) && now >= request.arrived + max_wait
+        self.is_overdue(now, request)
     }
 
     /// Whether a running request is a read that could be repeated on a healthy endpoint because its
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -6,10 +6,12 @@
 //! virtual time, so it gains no credit for idleness. Requests that leave without being served are
 //! not charged.
 
+mod classes;
 mod cost;
 mod deadline;
 mod fair;
 mod service_rate;
 
+pub use classes::ClassQueue;
 pub use cost::CostAverages;
 pub use fair::{FairQueue, QueueBounds, Ticket};
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -7,10 +7,12 @@
 use serde::Deserialize;
 
 use crate::core::proxy::catalog::{AccountLimit, CallerKey, Catalog, GroupConfig, ReadRule, Route};
-use crate::types::{Burst, ConnectionCount, DurationMs, GroupId, RatePerS, TableVersion};
+use crate::types::{Burst, ConnectionCount, DurationMs, GroupId, Priority, RatePerS, TableVersion};
 
 /// Maximum age of data for a route that sets none.
 const DEFAULT_AGE: DurationMs = DurationMs(1_000);
+/// Urgency of a route that states none.
+const DEFAULT_PRIORITY: Priority = Priority(1);
 
 #[derive(Deserialize)]
 struct JsonConfiguration {
@@ -35,6 +37,7 @@
     timeout_ms: u64,
     target_latency_ms: Option<u64>,
     max_staleness_ms: Option<u64>,
+    priority: Option<u8>,
     #[serde(default)]
     public: bool,
 }
@@ -119,6 +122,7 @@
         rule,
         statement_limit_ms: DurationMs(route.timeout_ms),
         target_latency_ms: DurationMs(route.target_latency_ms.unwrap_or(route.timeout_ms)),
+        priority: route.priority.map_or(DEFAULT_PRIORITY, Priority),
         open: route.public,
     })
 }
--- a/src/types/amount.rs
+++ b/src/types/amount.rs
@@ -26,6 +26,8 @@
     Cost(u64);
     /// Weight of a client account in fair queueing.
     Weight(u32);
+    /// Class of urgency; 0 is the most urgent.
+    Priority(u8);
     /// Statements that an endpoint runs concurrently.
     Slots(u32);
     /// Thousandths of a processor core that a host may use.
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -5,7 +5,9 @@
 mod position;
 mod time;
 
-pub use amount::{Burst, ConnectionCount, Cost, MilliCores, MilliTokens, RatePerS, Slots, Weight};
+pub use amount::{
+    Burst, ConnectionCount, Cost, MilliCores, MilliTokens, Priority, RatePerS, Slots, Weight,
+};
 pub use id::{
     AccountId, AttemptId, CallId, ConnectionId, DatabaseName, EditorName, EndpointId,
     FailureDomain, GroupId, HostId, IdError, Incarnation, KeyId, ObjectName, PoolName, RequestId,
--- a/tests/lead_model/mod.rs
+++ b/tests/lead_model/mod.rs
@@ -24,7 +24,7 @@
 use medlarstile::error::Ran;
 use medlarstile::types::{
     Burst, ConnectionCount, ConnectionId, DurationMs, EndpointId, GroupId, HostId, MilliCores,
-    Position, RatePerS, RowVersion, SessionId, TableVersion, Term, Timestamp,
+    Position, Priority, RatePerS, RowVersion, SessionId, TableVersion, Term, Timestamp,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -158,6 +158,7 @@
             rule,
             statement_limit_ms: DurationMs(800),
             target_latency_ms: DurationMs(150),
+            priority: Priority(1),
             open: false,
         })
     };
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -18,7 +18,7 @@
 use medlarstile::error::ErrorKind;
 use medlarstile::types::{
     Burst, ConnectionCount, ConnectionId, DurationMs, EndpointId, GroupId, MilliCores, Position,
-    RatePerS, RowVersion, SessionId, TableVersion, Term, Timestamp,
+    Priority, RatePerS, RowVersion, SessionId, TableVersion, Term, Timestamp,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -59,6 +59,7 @@
             rule,
             statement_limit_ms: DurationMs(1_000),
             target_latency_ms: DurationMs(100),
+            priority: Priority(1),
             open: false,
         })
     };
