Keep reads in the failure domain while that serves their callers

Cause: placement did not know failure domains: a latency class of 16 ms hides hops of 1 to 3 ms, so that a read went to either replica by a hash of its account, and two thirds of them crossed.

Change: core/proxy/domains.rs prefers the near replica while it is expected to keep the target, and lets a share of the accounts leave when far replicas save more than a crossing costs. Metrics, log fields and the event domains: tell why.

--- a/src/commands/platform_host.rs
+++ b/src/commands/platform_host.rs
@@ -12,7 +12,7 @@
 use crate::net::proxy::host::ProxyHost;
 use crate::net::reactor::{self, Signal};
 use crate::platform::settings::{PlatformSettings, FILE_VARIABLE};
-use crate::types::Incarnation;
+use crate::types::{DurationMs, Incarnation};
 
 /// Default port of the metrics page; must match the port in `deploy/system.toml`.
 const DEFAULT_METRICS_PORT: u16 = 9_464;
@@ -26,6 +26,18 @@
     /// Port of the metrics page, at the host's own address.
     #[arg(long, env = "MEDLARSTILE_METRICS_PORT", default_value_t = DEFAULT_METRICS_PORT)]
     pub metrics_port: u16,
+    /// Milliseconds that a read must save to leave the failure domain of its host; without it, the
+    /// measured difference between the distances
+    #[arg(long, env = "MEDLARSTILE_CROSSING_MS")]
+    pub crossing_ms: Option<u64>,
+}
+
+impl PlatformHostArgs {
+    fn settings(&self) -> Result<PlatformSettings, Error> {
+        let mut settings = PlatformSettings::read(&self.settings, self.metrics_port)?;
+        settings.margins.crossing_saving_ms = self.crossing_ms.map(DurationMs);
+        Ok(settings)
+    }
 }
 
 /// Checks the settings and runs the host.
@@ -35,7 +47,7 @@
 /// Returns an error if the settings are invalid, or the error that stopped the host.
 pub fn run(args: &PlatformHostArgs) -> Result<(), Error> {
     charts::check()?;
-    let settings = PlatformSettings::read(&args.settings, args.metrics_port)?;
+    let settings = args.settings()?;
     // The start time is the incarnation: a later run has a higher number, so that the other hosts
     // can distinguish it from the previous run.
     let started_us = reactor::wall_clock().as_micros();
@@ -61,7 +73,7 @@
     let host = actor!(stakker, ProxyHost::init(settings, incarnation, notify), ret_nop!());
     let host_actor: Actor<ProxyHost> = Actor::clone(&host);
     let on_signal = Fwd::new(move |signal: Signal| match signal {
-        Signal::Hangup => match PlatformSettings::read(&args.settings, args.metrics_port) {
+        Signal::Hangup => match args.settings() {
             Ok(settings) => call!([host_actor], reload(settings)),
             Err(error) => {
                 tracing::warn!(%error, "host: cannot reload the settings; keeping the old ones");
--- a/src/core/proxy/catalog.rs
+++ b/src/core/proxy/catalog.rs
@@ -65,6 +65,8 @@
     pub sync_replicas: u32,
     /// Requests per second that all hosts together may send to a cold endpoint, if that is limited.
     pub slow_start: Option<RatePerS>,
+    /// Shortest target latency of the routes whose reads may run on its replicas.
+    pub read_target_ms: DurationMs,
 }
 
 /// Limits of a client account.
--- a/src/core/proxy/dispatch.rs
+++ b/src/core/proxy/dispatch.rs
@@ -156,6 +156,7 @@
         request.starts_transaction = !single;
         request.after = placement.after;
         request.at_primary = placement.at_primary;
+        request.crossing = Some(placement.crossing);
         request.connection = Some(connection);
         self.fire(now, id, ProxyRequestEvent::Assign);
     }
--- a/src/core/proxy/group.rs
+++ b/src/core/proxy/group.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use super::catalog::GroupConfig;
+use super::domains::AwayShare;
 use super::failover::Failover;
 use super::slow_start::SlowStart;
 use crate::core::queue::{ClassQueue, QueueBounds};
@@ -24,6 +25,8 @@
 const MAX_SAMPLES: usize = 256;
 /// Time after which a host tries to have one more connection to an endpoint.
 const ALLOWANCE_RAISE_INTERVAL: DurationMs = DurationMs(200);
+/// Divisor of the lowest answer time by which it rises with each answer.
+const BEST_RISE: u64 = 256;
 /// Shortest delay before a failed connect is repeated.
 pub const RECONNECT_MIN: DurationMs = DurationMs(60);
 /// Longest delay before a failed connect is repeated.
@@ -123,6 +126,8 @@
     pub applied: Position,
     /// Moving average of its answer times in microseconds.
     pub latency_us: u64,
+    /// Lowest answer time in microseconds, which rises slowly in case the distance changes.
+    pub best_us: u64,
     /// Number of statements of this host that it is running.
     pub running: u32,
     /// When this host last received anything from it.
@@ -149,6 +154,7 @@
             failed_connects: 0,
             applied: Position::default(),
             latency_us: 0,
+            best_us: 0,
             running: 0,
             received_at: now,
         }
@@ -190,6 +196,8 @@
     pub fn on_latency(&mut self, spent_us: u64) {
         self.latency_us =
             if self.latency_us == 0 { spent_us } else { (self.latency_us * 7 + spent_us) / 8 };
+        let risen_us = self.best_us + self.best_us / BEST_RISE;
+        self.best_us = if self.best_us == 0 { spent_us } else { spent_us.min(risen_us) };
     }
 }
 
@@ -237,6 +245,8 @@
     pub parked: Vec<RequestId>,
     /// Replacement of a failed or leaving primary.
     pub failover: Failover,
+    /// Share of the accounts whose reads leave the failure domain.
+    pub away: AwayShare,
 }
 
 impl GroupState {
@@ -253,6 +263,7 @@
             queue: ClassQueue::new(QueueBounds::default()),
             parked: Vec::new(),
             failover,
+            away: AwayShare::default(),
         }
     }
 
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod connection;
 mod dispatch;
+pub mod domains;
 pub mod entries;
 pub mod evacuation;
 mod events;
@@ -78,23 +79,25 @@
     pub drain: DrainTimes,
     /// How this host knows that an endpoint leads its group.
     pub lead_proof: LeadProof,
-    /// What the platform demands about evacuations and cold endpoints.
+    /// What the platform demands about evacuations and cold endpoints, and what a crossing costs.
     pub margins: Margins,
 }
 
-/// What the platform demands about evacuations and cold endpoints.
+/// What the platform demands about evacuations and cold endpoints, and what a crossing costs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Margins {
     /// Time from the order to evacuate a failure domain until nothing may be sent to it.
     pub evacuation_limit_ms: DurationMs,
     /// What is allowed beyond the operator's rate for a cold endpoint.
     pub slow_start: SlowStartMargin,
+    /// Time that a read has to save to leave the failure domain; measured if the operators state none.
+    pub crossing_saving_ms: Option<DurationMs>,
 }
 
 impl Default for Margins {
     fn default() -> Self {
         let slow_start = SlowStartMargin::default();
-        Self { evacuation_limit_ms: DEFAULT_EVACUATION_LIMIT, slow_start }
+        Self { evacuation_limit_ms: DEFAULT_EVACUATION_LIMIT, slow_start, crossing_saving_ms: None }
     }
 }
 
--- a/src/core/proxy/placement.rs
+++ b/src/core/proxy/placement.rs
@@ -3,6 +3,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use super::catalog::ReadRule;
+use super::domains::Crossing;
 use super::group::{EndpointState, GroupState};
 use super::request::Request;
 use super::session::Session;
@@ -26,6 +27,8 @@
     pub after: Option<Position>,
     /// Whether it is the primary.
     pub at_primary: bool,
+    /// Where it lies relative to this host, and why.
+    pub crossing: Crossing,
 }
 
 impl Proxy {
@@ -47,13 +50,18 @@
         let usable = |id: &&EndpointId| group.endpoints.get(*id).is_some_and(admits);
         let primary =
             group.leader.as_ref().filter(usable).filter(|_| self.may_use_primary(now, group));
-        let primary =
-            primary.map(|id| Placement { endpoint: id.clone(), after: None, at_primary: true });
+        let at_primary = |id: &EndpointId| {
+            let state = group.endpoints.get(id);
+            let is_near = state.is_some_and(|state| state.is_in(&self.spec.failure_domain));
+            let crossing = if is_near { Crossing::Near } else { Crossing::NeedsPrimary };
+            Placement { endpoint: id.clone(), after: None, at_primary: true, crossing }
+        };
+        let primary = primary.map(at_primary);
         if request.needs_primary(read_only) {
             return primary.into_iter().collect();
         }
         let mut candidates = match required_position(group, request, session) {
-            Some(floor) => replicas(now, group, request, floor, &admits),
+            Some(floor) => self.replicas(now, group, request, floor, &admits),
             None => Vec::new(),
         };
         let fallback_delay =
@@ -63,6 +71,55 @@
         }
         candidates
     }
+
+    /// Replicas that may run a request which needs the log position `floor`, in order of preference.
+    fn replicas(
+        &self,
+        now: Timestamp,
+        group: &GroupState,
+        request: &Request,
+        floor: Position,
+        admits: &dyn Fn(&EndpointState) -> bool,
+    ) -> Vec<Placement> {
+        let replicas = group.endpoints.iter().filter(|(id, _)| group.leader.as_ref() != Some(*id));
+        let others_stay =
+            replicas.clone().any(|(_, state)| !state.is_leaving() && state.is_healthy(now));
+        let primary = group.leader.as_ref().and_then(|id| group.endpoints.get(id));
+        let primary_stays =
+            primary.is_some_and(|state| !state.is_leaving() && state.is_healthy(now));
+        let usable = |id: &EndpointId, state: &EndpointState| {
+            let reachable = state.connect_after <= now || !state.connections.is_empty();
+            let stays_elsewhere = others_stay || (primary_stays && state.evacuated_since.is_some());
+            let leaves = state.is_leaving() && stays_elsewhere;
+            !request.tried.contains(id) && reachable && !leaves && admits(state)
+        };
+        let usable: Vec<_> = replicas.filter(|(id, state)| usable(id, state)).collect();
+        let own_domain = &self.spec.failure_domain;
+        let near = usable.iter().filter(|(_, state)| state.is_in(own_domain));
+        let near: Vec<bool> = near.map(|(_, state)| state.applied < floor).collect();
+        let leaves = group.away.includes(&request.account);
+        let mut candidates: Vec<_> = usable
+            .into_iter()
+            .map(|(id, state)| {
+                let latency = (state.latency_us / LATENCY_UNIT_US).clamp(1, 64).ilog2();
+                let behind = state.applied < floor;
+                let is_cold = group.config.slow_start.is_some() && state.slow_start.is_cold(now);
+                let is_avoided = state.is_in(own_domain) == leaves;
+                let health = (!state.is_healthy(now), state.is_leaving(), is_cold, behind);
+                let rank = (health, is_avoided, latency);
+                let crossing = self.read_crossing(group, &request.account, state, &near);
+                (rank, affinity_hash(request, id), id.clone(), crossing)
+            })
+            .collect();
+        candidates.sort();
+        let placement = |(_, _, endpoint, crossing)| Placement {
+            endpoint,
+            after: Some(floor),
+            at_primary: false,
+            crossing,
+        };
+        candidates.into_iter().map(placement).collect()
+    }
 }
 
 /// Log position that a replica must have applied to run a request; `None` if only the primary may
@@ -77,40 +134,6 @@
     Some(own_commit.map_or(floor, |own_commit| floor.max(own_commit)))
 }
 
-/// Replicas that may run a request which needs the log position `floor`, in order of preference.
-fn replicas(
-    now: Timestamp,
-    group: &GroupState,
-    request: &Request,
-    floor: Position,
-    admits: &dyn Fn(&EndpointState) -> bool,
-) -> Vec<Placement> {
-    let replicas = group.endpoints.iter().filter(|(id, _)| group.leader.as_ref() != Some(*id));
-    let others_stay =
-        replicas.clone().any(|(_, state)| !state.is_leaving() && state.is_healthy(now));
-    let primary = group.leader.as_ref().and_then(|id| group.endpoints.get(id));
-    let primary_stays = primary.is_some_and(|state| !state.is_leaving() && state.is_healthy(now));
-    let usable = |id: &EndpointId, state: &EndpointState| {
-        let reachable = state.connect_after <= now || !state.connections.is_empty();
-        let stays_elsewhere = others_stay || (primary_stays && state.evacuated_since.is_some());
-        let leaves = state.is_leaving() && stays_elsewhere;
-        !request.tried.contains(id) && reachable && !leaves && admits(state)
-    };
-    let mut candidates: Vec<_> = replicas
-        .filter(|(id, state)| usable(id, state))
-        .map(|(id, state)| {
-            let latency = (state.latency_us / LATENCY_UNIT_US).clamp(1, 64).ilog2();
-            let behind = state.applied < floor;
-            let is_cold = group.config.slow_start.is_some() && state.slow_start.is_cold(now);
-            let rank = (!state.is_healthy(now), state.is_leaving(), is_cold, behind, latency);
-            (rank, affinity_hash(request, id), id.clone())
-        })
-        .collect();
-    candidates.sort();
-    let placement = |endpoint| Placement { endpoint, after: Some(floor), at_primary: false };
-    candidates.into_iter().map(|(_, _, endpoint)| placement(endpoint)).collect()
-}
-
 /// Whether an endpoint may get new work: it does not leave, or began to only recently.
 fn accepts_work(now: Timestamp, state: &EndpointState) -> bool {
     let since = state.leaving_since.into_iter().chain(state.evacuated_since).min();
--- a/src/core/proxy/request.rs
+++ b/src/core/proxy/request.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 
 use super::catalog::{ReadRule, Route};
+use super::domains::Crossing;
 use super::statement::{Access, StatementPayload};
 use super::Proxy;
 use crate::chart::{Chart, ChartError, Machine, NoGuard};
@@ -99,6 +100,8 @@
     pub after: Option<Position>,
     /// Whether it runs on the primary.
     pub at_primary: bool,
+    /// Where it was sent relative to this host, if it did not continue a transaction.
+    pub crossing: Option<Crossing>,
     /// When it was last sent to an endpoint.
     pub sent: Timestamp,
     /// Endpoints that failed to run it; they are not used as replicas for it again.
@@ -179,6 +182,7 @@
             starts_transaction: false,
             after: None,
             at_primary: transaction.is_some_and(|transaction| transaction.at_primary),
+            crossing: None,
             sent: now,
             tried: Vec::new(),
             retries: 0,
--- a/src/core/proxy/statement_record.rs
+++ b/src/core/proxy/statement_record.rs
@@ -3,12 +3,13 @@
 use compact_str::CompactString;
 use derive_more::Display;
 
+use super::domains::Crossing;
 use super::job::Refusal;
 use super::request::Request;
 use super::{Answer, Proxy, ProxyEffect, StatementKind};
 use crate::error::{Error, ErrorKind};
 use crate::types::{
-    AccountId, EndpointId, GroupId, MilliTokens, SessionId, TableVersion, Term, Timestamp,
+    AccountId, EndpointId, GroupId, MilliTokens, Priority, SessionId, TableVersion, Term, Timestamp,
 };
 
 /// Outcome of a statement for its caller.
@@ -52,6 +53,10 @@
     pub tokens: Option<(MilliTokens, MilliTokens)>,
     /// Its relation to the session's transaction, if it became a request.
     pub statement_kind: Option<StatementKind>,
+    /// Urgency of its route, if it became a request.
+    pub priority: Option<Priority>,
+    /// Where it was sent relative to this host, and why, if it was sent outside of an open transaction.
+    pub crossing: Option<Crossing>,
     /// Whether a replica ran it.
     pub replica: bool,
     /// Number of times that it was put back into the queue.
@@ -119,6 +124,8 @@
             version: self.catalog.as_ref().map(|catalog| catalog.version),
             tokens: None,
             statement_kind: Some(request.statement_kind),
+            priority: Some(request.route.priority),
+            crossing: request.crossing,
             replica: !request.at_primary && request.statement_kind != StatementKind::SingleWrite,
             retries: request.retries,
             waited_ms: request.sent.ms_since(request.arrived).0,
@@ -148,6 +155,8 @@
             waiting: 0,
             version: self.catalog.as_ref().map(|catalog| catalog.version),
             statement_kind: None,
+            priority: None,
+            crossing: None,
             replica: false,
             retries: 0,
             waited_ms: 0,
--- a/src/core/proxy/tick.rs
+++ b/src/core/proxy/tick.rs
@@ -37,6 +37,7 @@
         self.expire_requests(now);
         self.end_idle_transactions(now);
         self.close_evacuated(now);
+        self.adjust_away_shares(now);
         self.move_sessions(now);
         self.close_overdue(now);
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
--- a/src/net/proxy/report.rs
+++ b/src/net/proxy/report.rs
@@ -49,12 +49,18 @@
     outcome: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CrossingLabels {
+    crossing: String,
+}
+
 /// Metrics of one host, and the log lines about statements.
 pub struct Report {
     registry: Rc<Registry>,
     statements: Family<StatementLabels, Counter>,
     statement_seconds: Family<MomentLabels, Histogram, fn() -> Histogram>,
     wait_seconds: Family<MomentLabels, Histogram, fn() -> Histogram>,
+    crossings: Family<CrossingLabels, Counter>,
     replica_reads: Counter,
     retries: Counter,
     connects: Counter,
@@ -90,6 +96,7 @@
             statements: Family::default(),
             statement_seconds,
             wait_seconds,
+            crossings: Family::default(),
             replica_reads: Counter::default(),
             retries: Counter::default(),
             connects: Counter::default(),
@@ -134,6 +141,11 @@
             "Statements answered by a replica",
             self.replica_reads.clone(),
         );
+        registry.register(
+            "crossings",
+            "Statements by where they were sent relative to this host, and why",
+            self.crossings.clone(),
+        );
         registry.register(
             "returns",
             "Statements tried again after a promise of no run",
@@ -207,6 +219,10 @@
         self.statement_seconds.get_or_create(&labels).observe(record.took_ms as f64 / 1_000.0);
         self.wait_seconds.get_or_create(&labels).observe(record.waited_ms as f64 / 1_000.0);
         self.retries.inc_by(record.retries.into());
+        if let Some(crossing) = record.crossing {
+            let labels = CrossingLabels { crossing: crossing.to_string() };
+            self.crossings.get_or_create(&labels).inc();
+        }
         if record.replica
             && record.outcome == crate::core::proxy::statement_record::Outcome::Answered
         {
@@ -322,6 +338,8 @@
         tokens_milli = record.tokens.map(|(level, _)| level.0),
         rate_part_milli = record.tokens.map(|(_, rate)| rate.0),
         moment,
+        priority = record.priority.map(|priority| priority.0),
+        crossing = record.crossing.map(tracing::field::display),
         replica = record.replica,
         returns = record.retries,
         waited_ms = record.waited_ms,
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -94,6 +94,7 @@
             connections,
             sync_replicas: service.sync_replicas,
             slow_start: slow_start.map(|rate| RatePerS(rate as u64)),
+            read_target_ms: DurationMs(u64::MAX),
         };
         catalog.groups.insert(group, config);
     }
@@ -101,7 +102,13 @@
         // A route without a database is for traffic that this proxy does not serve.
         let Some(database) = &route.database else { continue };
         let database = database.parse().map_err(|error| format!("database: {error}"))?;
-        catalog.routes.insert(database, Rc::new(read_route(&route)?));
+        let route = read_route(&route)?;
+        if let Some(group) = catalog.groups.get_mut(&route.group) {
+            if route.rule != ReadRule::Primary {
+                group.read_target_ms = group.read_target_ms.min(route.target_latency_ms);
+            }
+        }
+        catalog.routes.insert(database, Rc::new(route));
     }
     for tenant in json.tenants {
         read_tenant(&mut catalog, &tenant)?;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -102,7 +102,7 @@
         };
         let limit = self.evacuation_ms.map(|limit_ms| DurationMs(limit_ms as u64));
         let evacuation_limit_ms = limit.unwrap_or(default.evacuation_limit_ms);
-        Margins { evacuation_limit_ms, slow_start }
+        Margins { evacuation_limit_ms, slow_start, ..default }
     }
 
     /// The shorter of the two times that a version has to be in force after.
--- a/tests/lead_model/mod.rs
+++ b/tests/lead_model/mod.rs
@@ -165,8 +165,12 @@
     let mut catalog = Catalog { version: TableVersion(1), ..Catalog::default() };
     catalog.routes.insert(id("orders"), route(ReadRule::Primary));
     catalog.routes.insert(id("lookups"), route(ReadRule::MaxAge(DurationMs(MAX_AGE_MS))));
-    let group =
-        GroupConfig { connections: ConnectionCount(60), sync_replicas: 0, slow_start: None };
+    let group = GroupConfig {
+        connections: ConnectionCount(60),
+        sync_replicas: 0,
+        slow_start: None,
+        read_target_ms: DurationMs(100),
+    };
     catalog.groups.insert(id("db"), group);
     let limit = AccountLimit { rate_per_s: RatePerS(10_000), burst: Burst(10_000) };
     catalog.accounts.insert(id("north"), limit);
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -67,7 +67,12 @@
     catalog.routes.insert(id("orders"), route(ReadRule::Primary));
     catalog.routes.insert(id("lookups"), route(ReadRule::MaxAge(DurationMs(1_500))));
     catalog.routes.insert(id("plans"), route(ReadRule::OwnWrites(DurationMs(2_500))));
-    let plan = GroupConfig { connections: ConnectionCount(8), sync_replicas: 0, slow_start: None };
+    let plan = GroupConfig {
+        connections: ConnectionCount(8),
+        sync_replicas: 0,
+        slow_start: None,
+        read_target_ms: DurationMs(100),
+    };
     catalog.groups.insert(id("db"), plan);
     let plan = AccountLimit { rate_per_s: RatePerS(1_000), burst: Burst(1_000) };
     catalog.accounts.insert(id(ACCOUNT), plan);
