Report an empty demand to the other hosts less often

Cause: each host that only relays sends a message without content to every home twice a second: 71 hosts and 8 homes on glas.

Change: every third interval is enough for a report that counts for 4 s. What the hosts have read from the store is still told each 0.5 s.

--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -169,6 +169,8 @@
     Promote(GroupId, EndpointId, RowVersion),
     /// Send this host's demand to the other hosts.
     ReportDemand(Demand),
+    /// Tell the other hosts what this one has read from the store and knows about claims.
+    ReportReads,
     /// Tell a host what this one knows about the claims in the store.
     ShareKnowledge(HostId, Knowledge),
     /// Pass a claim of this host to the other hosts, some of which the store may not serve.
--- a/src/core/proxy/quota.rs
+++ b/src/core/proxy/quota.rs
@@ -38,6 +38,9 @@
 /// host while it is listed.
 const REPORT_LIFETIME: DurationMs = DurationMs(4_000);
 
+/// Number of intervals for each report of an empty demand.
+const EMPTY_REPORT_INTERVALS: u64 = 3;
+
 /// Operations per second requested by the callers of a host, in thousandths, by account.
 pub type Demand = BTreeMap<AccountId, MilliTokens>;
 
@@ -85,6 +88,8 @@
     own_accounts: BTreeSet<AccountId>,
     /// Number of hosts with a recent report, including this one.
     reporting_hosts: u64,
+    /// Number of intervals without demand since the last report.
+    quiet_intervals: u64,
     /// Whether this host stops. It may hear no other hosts then, and its shares only fall.
     is_leaving: bool,
     measured_at: Timestamp,
@@ -211,6 +216,17 @@
         Some(self.demand())
     }
 
+    /// Whether a measured demand is reported to the other hosts. The reports of hosts that only relay
+    /// are empty and are the most by number; every third one keeps within [`REPORT_LIFETIME`].
+    pub fn is_report_due(&mut self, demand: &Demand) -> bool {
+        if !demand.is_empty() {
+            self.quiet_intervals = 0;
+            return true;
+        }
+        self.quiet_intervals += 1;
+        self.quiet_intervals % EMPTY_REPORT_INTERVALS == 1
+    }
+
     /// Tokens of an account on this host, and this host's share of its rate per second.
     pub fn share(&self, account: &AccountId) -> Option<(MilliTokens, MilliTokens)> {
         let bucket = self.buckets.get(account)?;
--- a/src/core/proxy/tick.rs
+++ b/src/core/proxy/tick.rs
@@ -31,7 +31,10 @@
     pub fn tick(&mut self, now: Timestamp) {
         self.ticks += 1;
         if let Some(demand) = self.quota.tick(now) {
-            self.out.push(ProxyEffect::ReportDemand(demand));
+            if self.quota.is_report_due(&demand) {
+                self.out.push(ProxyEffect::ReportDemand(demand));
+            }
+            self.out.push(ProxyEffect::ReportReads);
         }
         self.renew_lease(now);
         self.expire_requests(now);
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -330,7 +330,11 @@
                 let request = store::promote(&group, &endpoint, &self.settings.host, token);
                 call!([self.promotions], call(CallPurpose::Promote(group), request));
             }
-            ProxyEffect::ReportDemand(demand) => self.report_demand(&demand),
+            ProxyEffect::ReportDemand(demand) => {
+                let version = self.configuration_version();
+                self.broadcast(&PeerMessage::Demand(demand, version));
+            }
+            ProxyEffect::ReportReads => self.report_reads(),
             ProxyEffect::ShareKnowledge(host, knowledge) => {
                 self.send_to_peer(host, PeerMessage::Knowledge(knowledge));
             }
--- a/src/net/proxy/peers.rs
+++ b/src/net/proxy/peers.rs
@@ -10,7 +10,6 @@
 use crate::auth::Secret;
 use crate::core::peer::{Envelope, Hello, MessageNumber, PeerMessage};
 use crate::core::proxy::follow::TablesRead;
-use crate::core::proxy::quota::Demand;
 use crate::core::proxy::roster::Roster;
 use crate::net::peer::{PeerActor, PeerEvent, PeerSpec, PeerTarget};
 use crate::net::reactor::suspend_aware_clock;
@@ -266,15 +265,13 @@
     }
 
     /// Version of the configuration in use, if there is one.
-    fn configuration_version(&self) -> Option<TableVersion> {
+    pub(super) fn configuration_version(&self) -> Option<TableVersion> {
         self.core.catalog().map(|catalog| catalog.version)
     }
 
-    /// Reports this host's demand to the other hosts.
-    pub(super) fn report_demand(&mut self, demand: &Demand) {
+    /// Tells the other hosts what this one has read from the store and knows about claims.
+    pub(super) fn report_reads(&mut self) {
         self.update_hosts();
-        let version = self.configuration_version();
-        self.broadcast(&PeerMessage::Demand(demand.clone(), version));
         let now = suspend_aware_clock();
         if let Some(read) = self.tables_read(now) {
             self.broadcast(&PeerMessage::TablesRead(read));
--- a/tests/lead_model/mod.rs
+++ b/tests/lead_model/mod.rs
@@ -591,6 +591,8 @@
             }
             ProxyEffect::ReportDemand(demand) => {
                 self.broadcast(host, &Message::Demand(demand));
+            }
+            ProxyEffect::ReportReads => {
                 let now = self.clock(host);
                 for other in (0..self.plan.hosts).filter(|other| *other != host) {
                     self.hosts[host].core.share_knowledge(now, &host_id(other));
