--- a/tests/host_process/mod.rs
+++ b/tests/host_process/mod.rs
@@ -41,22 +41,33 @@
     /// Whether the platform checks fencing tokens; a host without leases reads the hosts' rows less
     /// often.
     pub checks_tokens: bool,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: u64,
+    /// Descriptors that the process may open.
+    pub descriptors: u64,
 }
 
 impl HostSpec {
     pub fn at(store: SocketAddr) -> Self {
-        Self { store, share: 1.0, limit: CONTACT_LIMIT, checks_tokens: false }
+        Self {
+            store,
+            share: 1.0,
+            limit: CONTACT_LIMIT,
+            checks_tokens: false,
+            memory_mb: 260,
+            descriptors: 4_200,
+        }
     }
 
     pub fn start(&self, name: &str) -> Host {
-        let Self { store, share, limit, checks_tokens } = self;
+        let Self { store, share, limit, checks_tokens, memory_mb, descriptors } = self;
         let limit_ms = limit.as_millis();
         let [front, probe, peer_address, metrics] = [(); 4].map(|()| free_port());
         let text = format!(
             r#"{{"nodeName":"{name}","ip":"127.0.0.1","zone":"a",
             "bindAddrs":{{"frontend":"127.0.0.1:{front}","readiness":"127.0.0.1:{probe}"}},
             "internalPortRange":[{peer_address},{peer_address}],
-            "bounds":{{"graceS":6,"contactMs":{limit_ms},"requireFencing":{checks_tokens}}},"limits":{{"cpuShare":{share}}},
+            "bounds":{{"graceS":6,"contactMs":{limit_ms},"requireFencing":{checks_tokens}}},"limits":{{"cpuShare":{share},"memoryMb":{memory_mb},"maxFds":{descriptors}}},
             "platform":{{"address":"{store}"}},"cloudApi":{{"address":"{store}"}}}}"#
         );
         let settings = std::env::temp_dir().join(format!("medlarstile-{name}-{peer_address}"));
@@ -127,8 +138,13 @@
         }
     }
 
+    /// Id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.lock().expect("the child").id()
+    }
+
     pub fn signal(&self, signal: Signal) {
-        let id = self.child.lock().expect("the child").id();
+        let id = self.process_id();
         let pid = i32::try_from(id).ok().and_then(Pid::from_raw).expect("a process id");
         kill_process(pid, signal).expect("the signal is sent");
     }
