Bound the memory and the sockets of callers

Cause: each connection could hold 1 MiB of an unfinished message and answers that its caller does not read, on the relaying host and on the home, and nothing bounded the sum or the number of connections. The rest of a buffer whose message was split off kept the memory of the message.

Change: core/buffers.rs gives room for long messages to a few connections at a time and bounds what all others hold; core/connection_limit.rs lets the oldest connection make room for a new one. Both are derived from the memory and the descriptors of the settings, which are refused if they are too small. Nothing more is done for a caller that does not read, and relaying stops at 64 KiB on both sides.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,9 +3,11 @@
 
 pub mod acceptance;
 pub mod broker;
+pub mod buffers;
 pub mod cas;
 pub mod class_cache;
 pub mod classify;
+pub mod connection_limit;
 pub mod edit;
 pub mod group;
 pub mod host;
--- a/src/net/proxy/caller.rs
+++ b/src/net/proxy/caller.rs
@@ -4,12 +4,15 @@
 use std::net::Shutdown;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use compact_str::CompactString;
 use stakker::{after, call, fwd, fwd_to, stop, Fwd, CX};
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, Ready};
 
-use super::home::{HomeConnection, RELAY_BUFFER_BYTES};
+use super::holding::HoldingReports;
+use super::home::HomeConnection;
+use crate::core::buffers::OWN_PART;
 use crate::core::life::LifeState;
 use crate::core::proxy::statement::Query;
 use crate::core::proxy::Answer;
@@ -17,11 +20,13 @@
 use crate::error::{Error, ErrorKind};
 use crate::net::stream::{Stream, StreamState};
 use crate::platform::line::{self, CallerMessage, LineError};
-use crate::types::TableVersion;
+use crate::types::{ByteCount, TableVersion};
 use crate::wire::relay;
 
-/// Bytes read ahead while a statement is in progress.
-const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Bytes read while a statement is in progress, or without room for a long message.
+const OWN_PART_BYTES: usize = OWN_PART.0 as usize;
+/// Unsent bytes from which nothing more is done for a caller until it reads its answers.
+pub(super) const OUTPUT_PAUSE_BYTES: usize = 64 * 1024;
 /// Bytes read while the next message is awaited; every read of so many ends a message or shows that
 /// it is too long.
 pub(super) const MAX_INPUT_BYTES: usize = line::MAX_LINE_BYTES + 1;
@@ -58,6 +63,15 @@
     HomeDeclined(SessionRequest),
     /// The home of the session cannot be reached or does not answer.
     HomeUnreachable(SessionRequest),
+    /// The next message needs more than the connection's own part of the memory.
+    NeedsRoom,
+    /// What the connection holds has changed.
+    Holds {
+        /// Bytes in all its buffers, and of its statement at work.
+        bytes: ByteCount,
+        /// Whether its statement is at work.
+        is_busy: bool,
+    },
     /// The connection is closed.
     Disconnected,
 }
@@ -86,6 +100,10 @@
     /// Lifecycle state of this host, as far as it matters for relayed sessions.
     pub(super) host_state: LifeState,
     pub(super) home: Option<HomeConnection>,
+    /// What was reported of the memory that the connection holds.
+    pub(super) holding: HoldingReports,
+    /// Whether statements or answers wait because the caller does not read.
+    pub(super) is_paused: bool,
     /// Whether all output of an ending connection was sent.
     output_finished: bool,
     /// Whether another host relays the session over this connection.
@@ -115,6 +133,8 @@
                     end_requested: false,
                     host_state: LifeState::Serving,
                     home: None,
+                    holding: HoldingReports::default(),
+                    is_paused: false,
                     output_finished: false,
                     is_remote,
                     admitted: None,
@@ -142,6 +162,7 @@
             StreamState::Open => self.flush(cx),
             StreamState::Closed(_) => self.disconnect(cx),
         }
+        self.report_holding();
     }
 
     /// Reads and processes what has arrived, as far as a statement in progress or the home of a
@@ -149,17 +170,21 @@
     pub(super) fn read_input(&mut self, cx: CX![]) -> StreamState {
         loop {
             let limit = match self.phase {
-                Phase::Busy => READ_AHEAD_BYTES,
-                Phase::Starting | Phase::Idle | Phase::Relaying | Phase::Ending => MAX_INPUT_BYTES,
+                Phase::Ending => MAX_INPUT_BYTES,
+                Phase::Starting | Phase::Idle | Phase::Relaying if self.holding.has_room => {
+                    MAX_INPUT_BYTES
+                }
+                Phase::Starting | Phase::Idle | Phase::Relaying | Phase::Busy => OWN_PART_BYTES,
             };
             let has_room = self.home.as_ref().is_none_or(HomeConnection::has_room);
             if !self.stream.has_unread() || !has_room || self.stream.input.len() >= limit {
+                self.ask_for_room();
                 return StreamState::Open;
             }
             let input_state = self.stream.fill(limit);
             match self.phase {
                 Phase::Relaying => self.relay_lines(cx),
-                Phase::Ending => self.stream.input.clear(),
+                Phase::Ending => self.stream.input = BytesMut::new(),
                 Phase::Starting | Phase::Idle | Phase::Busy => self.process_lines(cx),
             }
             if input_state != StreamState::Open {
@@ -171,6 +196,10 @@
     /// Forwards the next message, unless a statement is in progress.
     fn process_lines(&mut self, cx: CX![]) {
         while matches!(self.phase, Phase::Starting | Phase::Idle) {
+            if self.stream.output.len() >= OUTPUT_PAUSE_BYTES {
+                self.is_paused = true;
+                return;
+            }
             let line = match line::next_line(&mut self.stream.input) {
                 Ok(Some(line)) => line,
                 Ok(None) => return,
@@ -193,6 +222,7 @@
                 }
                 (Ok(CallerMessage::Query(query)), Phase::Idle) => {
                     self.phase = Phase::Busy;
+                    self.holding.at_work_bytes = line.len();
                     fwd!([self.hub], query.map_or_else(CallerEvent::Malformed, CallerEvent::Query));
                 }
                 (Ok(CallerMessage::Terminate), _) => return self.disconnect(cx),
@@ -238,6 +268,7 @@
             return;
         }
         line::write_answer(&mut self.stream.output, &answer, state);
+        self.holding.at_work_bytes = 0;
         self.phase = Phase::Idle;
         self.flush(cx);
         if self.phase == Phase::Idle {
@@ -246,6 +277,7 @@
         if self.end_requested && self.phase == Phase::Idle && state == TransactionState::Idle {
             self.end(cx);
         }
+        self.report_holding();
     }
 
     /// Processes the input that a statement in progress has held back.
@@ -281,6 +313,7 @@
         }
         self.phase = Phase::Ending;
         self.home = None;
+        self.stream.input = BytesMut::new();
         self.flush(cx);
         if !self.stream.output.is_empty() {
             after!(STALL_LIMIT, [cx], check_progress(self.stream.output.len()));
@@ -310,10 +343,28 @@
             self.stream.finish_output(Shutdown::Write);
             after!(LINGER, [cx], disconnect());
         }
-        let has_room = self.stream.output.len() < RELAY_BUFFER_BYTES;
-        if has_room && self.home.as_ref().is_some_and(|home| home.stream.has_unread()) {
+        if self.stream.output.len() >= OUTPUT_PAUSE_BYTES {
+            return;
+        }
+        if self.home.as_ref().is_some_and(|home| home.stream.has_unread()) {
             call!([cx], read_home());
         }
+        if std::mem::take(&mut self.is_paused) {
+            call!([cx], resume());
+        }
+    }
+
+    /// Goes on after the caller has read its answers.
+    fn resume(&mut self, cx: CX![]) {
+        match self.phase {
+            Phase::Idle => {
+                self.resume_input(cx);
+                self.flush(cx);
+            }
+            Phase::Relaying => self.relay_lines(cx),
+            Phase::Starting | Phase::Busy | Phase::Ending => {}
+        }
+        self.report_holding();
     }
 
     pub(super) fn disconnect(&mut self, cx: CX![]) {
--- a/src/net/proxy/home.rs
+++ b/src/net/proxy/home.rs
@@ -9,7 +9,9 @@
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, Ready};
 
-use super::caller::{CallerEvent, LineCaller, Phase, SessionRequest, MAX_INPUT_BYTES};
+use super::caller::{
+    CallerEvent, LineCaller, Phase, SessionRequest, MAX_INPUT_BYTES, OUTPUT_PAUSE_BYTES,
+};
 use crate::core::life::LifeState;
 use crate::core::proxy::relay::{RelayLedger, RelayedStatement};
 use crate::core::proxy::{shutdown, Answer};
@@ -22,8 +24,10 @@
 /// Time limit for the first answer of a session's home; a reachable home answers within a few
 /// milliseconds.
 const HOME_ANSWER_LIMIT: Duration = Duration::from_millis(300);
-/// Bytes buffered for a slow reader, beyond which relaying stops reading from the other side.
-pub(super) const RELAY_BUFFER_BYTES: usize = 1024 * 1024;
+/// Bytes buffered for the home, beyond which no more of the caller's lines are passed on.
+const RELAY_BUFFER_BYTES: usize = 64 * 1024;
+/// Bytes of answers read from the home at once.
+const RELAY_READ_BYTES: usize = 64 * 1024;
 /// Bytes of answered setup statements that wait for the next statement; a session's setup takes a
 /// few hundred.
 const MAX_DEFERRED_BYTES: usize = 16 * 1024;
@@ -37,9 +41,9 @@
     /// Whether the home has answered the startup message.
     has_answered: bool,
     /// Statements that the home has not answered yet.
-    ledger: RelayLedger,
+    pub(super) ledger: RelayLedger,
     /// Setup statements that were answered here and are sent before the next statement.
-    deferred: BytesMut,
+    pub(super) deferred: BytesMut,
     /// Whether the home has refused one of them, so that the session differs from what its caller
     /// was told.
     refused_setup: bool,
@@ -122,17 +126,19 @@
                 self.disconnect(cx);
             }
         }
+        self.report_holding();
     }
 
     /// Reads and relays what the home has sent, as far as the caller takes it.
     pub(super) fn read_home(&mut self, cx: CX![]) {
         loop {
             let Some(home) = &mut self.home else { return };
-            let has_room = self.stream.output.len() < RELAY_BUFFER_BYTES;
+            let has_room = self.stream.output.len() < OUTPUT_PAUSE_BYTES;
             if !home.stream.has_unread() || !has_room {
                 return self.relay_lines(cx);
             }
-            let mut input_state = home.stream.fill(MAX_INPUT_BYTES);
+            let limit = (home.stream.input.len() + RELAY_READ_BYTES).min(MAX_INPUT_BYTES);
+            let mut input_state = home.stream.fill(limit);
             self.relay_lines(cx);
             let Some(home) = &self.home else { return };
             if home.stream.input.len() >= MAX_INPUT_BYTES {
@@ -169,6 +175,10 @@
     fn relay_statements(&mut self, cx: CX![]) {
         loop {
             let Some(home) = &mut self.home else { return };
+            if self.stream.output.len() >= OUTPUT_PAUSE_BYTES {
+                self.is_paused = true;
+                return;
+            }
             let must_wait = !self.host_state.runs_statements() && !home.ledger.is_settled();
             // Until the home has answered the startup, it may still decline the session.
             if !home.has_answered || !home.has_room() || must_wait {
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -21,6 +21,8 @@
 use super::peers::Peers;
 use super::report::Report;
 use super::store::{CallEnd, CallPurpose, CallQueue};
+use crate::core::buffers::{BufferLimits, Buffers};
+use crate::core::connection_limit::{self, ConnectionLimit};
 use crate::core::life::DrainTimes;
 use crate::core::peer::PeerMessage;
 use crate::core::proxy::entries::EntryTable;
@@ -117,6 +119,8 @@
     pub(super) promotions: ActorOwn<CallQueue>,
     pub(super) callers: BTreeMap<SessionId, ActorOwn<LineCaller>>,
     pub(super) endpoints: BTreeMap<ConnectionId, ActorOwn<LineEndpoint>>,
+    pub(super) buffers: Buffers,
+    pub(super) connections: ConnectionLimit,
     pub(super) entries: EntryTable,
     /// Text of the operator's configuration in use.
     pub(super) configuration: Option<Bytes>,
@@ -186,6 +190,15 @@
         };
         tracing::info!(host = settings.host.as_str(), domain = settings.failure_domain.as_str(),
             listen = %settings.listen, "host: starting");
+        let limits = BufferLimits::within(settings.memory);
+        let socket_limit = connection_limit::socket_limit(settings.descriptors);
+        tracing::info!(
+            rooms = limits.rooms,
+            held_bytes = limits.held.0,
+            socket_limit,
+            "host: limits of callers"
+        );
+        let (buffers, connections) = (Buffers::new(limits), ConnectionLimit::new(socket_limit));
         call!([cx], write_host_row());
         call!([cx], tick());
         Some(Self {
@@ -204,6 +217,8 @@
             promotions,
             callers: BTreeMap::new(),
             endpoints: BTreeMap::new(),
+            buffers,
+            connections,
             entries: EntryTable::default(),
             configuration: None,
             hosts: BTreeMap::new(),
@@ -277,11 +292,13 @@
     fn tick(&mut self, cx: CX![]) {
         let now = suspend_aware_clock();
         self.core.tick(now);
+        self.apply_buffer_decisions(now);
         self.carry_out(cx);
         if let Some(age) = self.configuration_age(now) {
             self.report.on_configuration_age(age);
         }
         self.report.on_state(now, &self.core);
+        self.report.on_buffers(&self.buffers);
         after!(TICK, [cx], tick());
     }
 
--- a/src/net/proxy/mod.rs
+++ b/src/net/proxy/mod.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod endpoint;
 mod feed;
+mod holding;
 mod home;
 pub mod host;
 pub mod http;
--- a/src/net/proxy/report.rs
+++ b/src/net/proxy/report.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::sync::atomic::AtomicU64;
 
+use derive_more::Display;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -14,6 +15,7 @@
 
 use super::feed::ReadOutcome;
 use super::store::CallEnd;
+use crate::core::buffers::Buffers;
 use crate::core::proxy::statement_record::StatementRecord;
 use crate::core::proxy::Proxy;
 use crate::types::{DurationMs, EndpointId, StoreEra, Timestamp};
@@ -49,6 +51,21 @@
     outcome: String,
 }
 
+/// Why a caller was disconnected for the sake of others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Eviction {
+    /// It held too much memory.
+    Memory,
+    /// There were too many connections.
+    Connections,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EvictionLabels {
+    reason: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CrossingLabels {
     crossing: String,
@@ -74,6 +91,9 @@
     waiting: Gauge,
     leaderless_groups: Gauge,
     configuration_version: Gauge,
+    evictions: Family<EvictionLabels, Counter>,
+    buffered_bytes: Gauge,
+    rooms_given: Gauge,
     evacuated_domains: Gauge,
     cold_endpoints: Gauge,
     dropped_lines: Gauge,
@@ -110,6 +130,9 @@
             waiting: Gauge::default(),
             leaderless_groups: Gauge::default(),
             configuration_version: Gauge::default(),
+            evictions: Family::default(),
+            buffered_bytes: Gauge::default(),
+            rooms_given: Gauge::default(),
             evacuated_domains: Gauge::default(),
             cold_endpoints: Gauge::default(),
             dropped_lines: Gauge::default(),
@@ -178,6 +201,21 @@
             self.configuration_version.clone(),
         );
 
+        registry.register(
+            "caller_evictions",
+            "Callers disconnected for the sake of others, by reason",
+            self.evictions.clone(),
+        );
+        registry.register(
+            "buffered_bytes",
+            "Bytes that callers without room for a long message hold",
+            self.buffered_bytes.clone(),
+        );
+        registry.register(
+            "long_messages",
+            "Callers that have room for a long message",
+            self.rooms_given.clone(),
+        );
         registry.register(
             "evacuated_domains",
             "Failure domains that the operator has evacuated",
@@ -238,6 +276,19 @@
         self.connects.inc();
     }
 
+    /// Records that a caller was disconnected for the sake of others.
+    pub fn on_eviction(&self, reason: Eviction) {
+        let labels = EvictionLabels { reason: reason.to_string() };
+        self.evictions.get_or_create(&labels).inc();
+    }
+
+    /// Updates the gauges of the memory that callers hold.
+    pub fn on_buffers(&self, buffers: &Buffers) {
+        let count = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.buffered_bytes.set(count(buffers.held().0));
+        self.rooms_given.set(count(buffers.rooms_given() as u64));
+    }
+
     /// Records that a promotion was ordered.
     pub fn on_promotion(&self) {
         self.promotions.inc();
--- a/src/net/proxy/sessions.rs
+++ b/src/net/proxy/sessions.rs
@@ -9,6 +9,9 @@
 
 use super::caller::{CallerEvent, LineCaller, SessionRequest};
 use super::host::{ProxyHost, RelayedCaller};
+use super::report::Eviction;
+use crate::core::buffers::BufferDecision;
+use crate::core::connection_limit::Displaced;
 use crate::error::{Error, ErrorKind};
 use crate::net::host::HostNotice;
 use crate::net::reactor::suspend_aware_clock;
@@ -17,6 +20,8 @@
 /// Time after which no further home is asked to run a session, so that it runs on this host before
 /// its caller gives up, after about two seconds. Homes whose process has ended refuse at once.
 const HOME_SEARCH_LIMIT: DurationMs = DurationMs(700);
+/// Connections accepted before displaced ones are closed.
+const MAX_ACCEPTS: usize = 16;
 /// Poll priority of the listening sockets.
 const LISTENER_PRIORITY: u32 = 10;
 
@@ -66,6 +71,7 @@
     }
 
     fn accept_from(&mut self, cx: CX![], is_remote: bool) {
+        let mut accepted = 0;
         loop {
             let listener = if is_remote { &self.relay_listener } else { &self.listener };
             let Some(listener) = listener else { return };
@@ -81,6 +87,13 @@
                     if is_remote {
                         self.remote_sessions.insert(id);
                     }
+                    self.displace_for(id);
+                    accepted += 1;
+                    if accepted == MAX_ACCEPTS {
+                        // Displaced connections are closed before more are accepted.
+                        call!([cx], accept_from(is_remote));
+                        return;
+                    }
                 }
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
@@ -93,6 +106,49 @@
         }
     }
 
+    /// Closes the connection that makes room for a new one, if the limit is reached.
+    fn displace_for(&mut self, id: SessionId) {
+        let (displaced, has_session) =
+            match self.connections.on_accepted(id, self.relayed_callers.len()) {
+                Some(Displaced::Starting(displaced)) => (displaced, false),
+                Some(Displaced::Session(displaced)) => (displaced, true),
+                None => return,
+            };
+        tracing::info!(
+            session = displaced.0,
+            has_session,
+            "caller: disconnected, too many connections"
+        );
+        self.report.on_eviction(Eviction::Connections);
+        if let Some(caller) = self.callers.get(&displaced) {
+            call!([caller], displace());
+        }
+    }
+
+    /// Gives room for long messages, and closes connections that hold too much.
+    pub(super) fn apply_buffer_decisions(&mut self, now: Timestamp) {
+        for decision in self.buffers.decide(now) {
+            match decision {
+                BufferDecision::GiveRoom(id) => {
+                    if let Some(caller) = self.callers.get(&id) {
+                        call!([caller], give_room());
+                    }
+                }
+                BufferDecision::Close(id, bytes) => {
+                    tracing::info!(
+                        session = id.0,
+                        bytes = bytes.0,
+                        "caller: disconnected, it holds too much memory"
+                    );
+                    self.report.on_eviction(Eviction::Memory);
+                    if let Some(caller) = self.callers.get(&id) {
+                        call!([caller], release());
+                    }
+                }
+            }
+        }
+    }
+
     /// Stops accepting relayed sessions; the other hosts then serve their callers themselves.
     pub(super) fn refuse_remote_sessions(&mut self) {
         self.relay_listener = None;
@@ -103,6 +159,9 @@
 
     fn caller_event(&mut self, cx: CX![], id: SessionId, event: CallerEvent) {
         let now = suspend_aware_clock();
+        if matches!(event, CallerEvent::Startup(_)) {
+            self.connections.on_started(id);
+        }
         match event {
             CallerEvent::Startup(request) if self.remote_sessions.contains(&id) => {
                 self.open_remote_session(id, &request);
@@ -123,6 +182,8 @@
                 self.remove_relayed_caller(id);
                 self.start_session(id, request, asked_at);
             }
+            CallerEvent::NeedsRoom => self.buffers.ask(now, id),
+            CallerEvent::Holds { bytes, is_busy } => self.buffers.on_held(now, id, bytes, is_busy),
             CallerEvent::Query(query) => self.core.submit(now, id, query),
             CallerEvent::Malformed(cause) => {
                 let error = Error::new(ErrorKind::BadMessage, cause.to_string());
@@ -130,6 +191,7 @@
             }
             CallerEvent::Disconnected => self.core.close_session(now, id),
         }
+        self.apply_buffer_decisions(now);
         self.carry_out(cx);
     }
 
@@ -200,6 +262,8 @@
 
     fn caller_ended(&mut self, cx: CX![], id: SessionId, _: StopCause) {
         self.callers.remove(&id);
+        self.buffers.remove(id);
+        self.connections.remove(id);
         self.core.set_open_callers(self.callers.len());
         self.remote_sessions.remove(&id);
         self.remove_relayed_caller(id);
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -17,8 +17,6 @@
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Poll priority of TCP sockets.
 const SOCKET_PRIORITY: u32 = 10;
-/// Capacity in bytes above which the memory of an empty buffer is released.
-const MAX_IDLE_CAPACITY_BYTES: usize = 1024;
 
 /// Whether a stream can still be used.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -128,7 +126,8 @@
         let mut chunk = [0_u8; READ_CHUNK_BYTES];
         self.has_unread = true;
         while self.input.len() < limit_bytes {
-            match self.source.read(&mut chunk) {
+            let room = chunk.len().min(limit_bytes - self.input.len());
+            match self.source.read(&mut chunk[..room]) {
                 Ok(0) => return StreamState::Closed("peer closed the connection".into()),
                 Ok(count) => {
                     if let Err(cause) = self.accept_bytes(&chunk[..count]) {
@@ -234,8 +233,10 @@
     Ok(())
 }
 
+/// Releases the memory of an empty buffer. Its capacity does not tell how much that is: what is left
+/// of a buffer after a message was split off keeps the memory of the whole message.
 fn release_if_empty(buffer: &mut BytesMut) {
-    if buffer.is_empty() && buffer.capacity() > MAX_IDLE_CAPACITY_BYTES {
+    if buffer.is_empty() {
         *buffer = BytesMut::new();
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -10,12 +10,20 @@
 use crate::core::proxy::slow_start::SlowStartMargin;
 use crate::core::proxy::Margins;
 use crate::error::{Error, ErrorKind};
-use crate::types::{DurationMs, FailureDomain, HostId, MilliCores};
+use crate::types::{ByteCount, DescriptorCount, DurationMs, FailureDomain, HostId, MilliCores};
 
 /// Environment variable with the path of the settings file.
 pub const FILE_VARIABLE: &str = "MEDLARSTILE_NODE_FILE";
 /// Processor capacity, in cores, of a host whose settings do not limit it.
 const DEFAULT_CORES: f64 = 1.0;
+/// Memory in megabytes of a host whose settings do not limit it.
+const DEFAULT_MEMORY_MB: u64 = 256;
+/// Least memory in megabytes; the process takes about 20 at rest.
+const MIN_MEMORY_MB: u64 = 32;
+/// Descriptors of a host whose settings do not limit them.
+const DEFAULT_DESCRIPTORS: u64 = 4_096;
+/// Fewest descriptors; 200 are kept for files.
+const MIN_DESCRIPTORS: u64 = 256;
 /// Time within which a configuration has to be in force, of a platform that states none.
 const DEFAULT_CONFIGURATION_LIMIT: DurationMs = DurationMs(3_000);
 
@@ -40,6 +48,10 @@
     pub promotions: SocketAddr,
     /// Processor capacity of the host.
     pub processor: MilliCores,
+    /// Memory that the process may use.
+    pub memory: ByteCount,
+    /// Descriptors that the process may open.
+    pub descriptors: DescriptorCount,
     /// Time from the request to stop until the process is killed.
     pub stop_limit_ms: DurationMs,
     /// How an endpoint is proven to lead its group.
@@ -118,6 +130,25 @@
 struct Limits {
     /// Share of one core that the host may use.
     cpu_share: Option<f64>,
+    memory_mb: Option<u64>,
+    max_fds: Option<u64>,
+}
+
+impl Limits {
+    /// Memory and descriptors of the process.
+    fn resources(&self) -> Result<(ByteCount, DescriptorCount), String> {
+        let memory_mb = self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        if memory_mb < MIN_MEMORY_MB {
+            return Err(format!(
+                "memoryMb is {memory_mb}, at least {MIN_MEMORY_MB} are needed for one long message"
+            ));
+        }
+        let descriptors = self.max_fds.unwrap_or(DEFAULT_DESCRIPTORS);
+        if descriptors < MIN_DESCRIPTORS {
+            return Err(format!("maxFds is {descriptors}, at least {MIN_DESCRIPTORS} are needed"));
+        }
+        Ok((ByteCount(memory_mb.saturating_mul(1024 * 1024)), DescriptorCount(descriptors)))
+    }
 }
 
 #[derive(Deserialize)]
@@ -166,7 +197,10 @@
         if cores.is_nan() || cores <= 0.0 {
             return Err(format!("cpuShare is {cores}, must be greater than 0"));
         }
+        let (memory, descriptors) = file.limits.resources()?;
         Ok(Self {
+            memory,
+            descriptors,
             processor: MilliCores((cores * 1_000.0) as u32),
             host: file.node_name.parse().map_err(|error| format!("nodeName: {error}"))?,
             failure_domain: file.zone.parse().map_err(|error| format!("zone: {error}"))?,
--- a/src/types/amount.rs
+++ b/src/types/amount.rs
@@ -32,6 +32,10 @@
     Slots(u32);
     /// Thousandths of a processor core that a host may use.
     MilliCores(u32);
+    /// Bytes of memory.
+    ByteCount(u64);
+    /// Descriptors that a process may open.
+    DescriptorCount(u64);
     /// Connections that an endpoint accepts from the whole fleet.
     ConnectionCount(u32);
 }
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -6,7 +6,8 @@
 mod time;
 
 pub use amount::{
-    Burst, ConnectionCount, Cost, MilliCores, MilliTokens, Priority, RatePerS, Slots, Weight,
+    Burst, ByteCount, ConnectionCount, Cost, DescriptorCount, MilliCores, MilliTokens, Priority,
+    RatePerS, Slots, Weight,
 };
 pub use id::{
     AccountId, AttemptId, CallId, ConnectionId, DatabaseName, EditorName, EndpointId,
