Answer statements that cross the loss of a session's home

Likely cause: a relaying host that learns that the home has closed the session ends the caller's connection without looking at what has arrived.

Change: what has arrived and was not relayed is refused as not run before the connection ends.

Measured: platform_relay::statements_that_cross_the_loss_of_the_home_are_ answered passes; it stops the relaying host, kills the home, sends statements and lets the host go on.

--- a/src/net/proxy/home.rs
+++ b/src/net/proxy/home.rs
@@ -262,6 +262,31 @@
         }
     }
 
+    /// Answers the statements that have arrived and were not relayed. A statement that crosses the
+    /// loss of the home would otherwise get no answer, although its caller could repeat it at once.
+    fn refuse_unrelayed(&mut self, cx: CX![], home: &HomeConnection) {
+        // The caller may have closed its connection; its last statement is refused all the same.
+        if let StreamState::Closed(cause) = self.stream.fill(MAX_INPUT_BYTES) {
+            tracing::debug!(cause, "relay: caller has closed the connection");
+        }
+        loop {
+            let line = match line::next_line(&mut self.stream.input) {
+                Ok(Some(line)) => line,
+                Ok(None) => return,
+                Err(error) => return self.reject_message(cx, &error),
+            };
+            if let RelayedMessage::Statement(query) = line::read_relayed_message(&line) {
+                let statement = home.ledger.describe(&query);
+                let kind = match statement.in_transaction {
+                    true => ErrorKind::TransactionLost,
+                    false => ErrorKind::HostDraining,
+                };
+                let detail = "the host that runs the session closed the connection before";
+                self.refuse_relayed(&statement, Error::new(kind, detail));
+            }
+        }
+    }
+
     /// Lets a relayed transaction only be ended from now on, because the host stops.
     pub fn end_transaction(&mut self, cx: CX![]) {
         self.host_state = LifeState::Finishing;
@@ -287,6 +312,7 @@
         let Some(home) = self.home.take() else { return };
         if home.has_answered {
             self.refuse_unanswered(&home, "the host that runs the session closed the connection");
+            self.refuse_unrelayed(cx, &home);
             return self.end(cx);
         }
         tracing::info!(cause, "relay: home closed the connection without an answer");
--- a/tests/platform_relay.rs
+++ b/tests/platform_relay.rs
@@ -316,3 +316,18 @@
         std::thread::sleep(Duration::from_millis(50));
     }
 }
+
+/// Guards against statements that get no answer because they arrive while the relaying host learns
+/// that the home is gone.
+#[test]
+fn statements_that_cross_the_loss_of_the_home_are_answered() {
+    let hosts = start_fleet(4);
+    let mut callers: Vec<Caller> = (0..8).map(|_| Caller::open(&hosts[3])).collect();
+    hosts[3].signal(Signal::STOP);
+    hosts[0].signal(Signal::KILL);
+    for caller in &mut callers {
+        caller.send("QUERY q1 READ x\r\n");
+    }
+    hosts[3].signal(Signal::CONT);
+    assert!(callers.iter_mut().all(|caller| caller.answer().is_some()));
+}
