--- a/src/core/proxy/quota.rs
+++ b/src/core/proxy/quota.rs
@@ -217,7 +217,8 @@
     }
 
     /// Whether a measured demand is reported to the other hosts. The reports of hosts that only relay
-    /// are empty and are the most by number; every third one keeps within [`REPORT_LIFETIME`].
+    /// are empty and are the most by number; every third one still comes within the time for
+    /// which a report counts.
     pub fn is_report_due(&mut self, demand: &Demand) -> bool {
         if !demand.is_empty() {
             self.quiet_intervals = 0;
