Refuse what arrives shortly after the loss of a session's home

A home ends sessions that it takes for idle, when the homes change; with setup answered by the relaying host, such a session is in the middle of its setup, and its caller sends the next statement a few milliseconds after each answer, so that it crosses the end of the connection.

Change: a relaying host whose session's home is lost refuses what arrives within 150 ms, as not run, and ends the connection only then.

The ordinary caller of the crowd tests repeats a refused request, and all three requests have to be answered: on a busy machine the first request to a host that has just started was refused once.

--- a/src/net/proxy/caller.rs
+++ b/src/net/proxy/caller.rs
@@ -14,6 +14,7 @@
 use super::home::HomeConnection;
 use crate::core::buffers::OWN_PART;
 use crate::core::life::LifeState;
+use crate::core::proxy::relay::RelayLedger;
 use crate::core::proxy::statement::Query;
 use crate::core::proxy::Answer;
 use crate::core::transaction::TransactionState;
@@ -87,6 +88,8 @@
     Busy,
     /// Relays the session to its home.
     Relaying,
+    /// Refuses what arrives after the loss of the session's home.
+    Refusing,
     /// Waits for the caller to close the connection.
     Ending,
 }
@@ -100,6 +103,8 @@
     /// Lifecycle state of this host, as far as it matters for relayed sessions.
     pub(super) host_state: LifeState,
     pub(super) home: Option<HomeConnection>,
+    /// The statements of the session whose home was lost.
+    pub(super) refused: Option<RelayLedger>,
     /// What was reported of the memory that the connection holds.
     pub(super) holding: HoldingReports,
     /// Whether statements or answers wait because the caller does not read.
@@ -133,6 +138,7 @@
                     end_requested: false,
                     host_state: LifeState::Serving,
                     home: None,
+                    refused: None,
                     holding: HoldingReports::default(),
                     is_paused: false,
                     output_finished: false,
@@ -174,7 +180,8 @@
                 Phase::Starting | Phase::Idle | Phase::Relaying if self.holding.has_room => {
                     MAX_INPUT_BYTES
                 }
-                Phase::Starting | Phase::Idle | Phase::Relaying | Phase::Busy => OWN_PART_BYTES,
+                Phase::Starting | Phase::Idle | Phase::Relaying => OWN_PART_BYTES,
+                Phase::Busy | Phase::Refusing => OWN_PART_BYTES,
             };
             let has_room = self.home.as_ref().is_none_or(HomeConnection::has_room);
             if !self.stream.has_unread() || !has_room || self.stream.input.len() >= limit {
@@ -184,6 +191,7 @@
             let input_state = self.stream.fill(limit);
             match self.phase {
                 Phase::Relaying => self.relay_lines(cx),
+                Phase::Refusing => self.refuse_lines(cx),
                 Phase::Ending => self.stream.input = BytesMut::new(),
                 Phase::Starting | Phase::Idle | Phase::Busy => self.process_lines(cx),
             }
@@ -362,7 +370,7 @@
                 self.flush(cx);
             }
             Phase::Relaying => self.relay_lines(cx),
-            Phase::Starting | Phase::Busy | Phase::Ending => {}
+            Phase::Starting | Phase::Busy | Phase::Refusing | Phase::Ending => {}
         }
         self.report_holding();
     }
--- a/src/net/proxy/home.rs
+++ b/src/net/proxy/home.rs
@@ -24,6 +24,9 @@
 /// Time limit for the first answer of a session's home; a reachable home answers within a few
 /// milliseconds.
 const HOME_ANSWER_LIMIT: Duration = Duration::from_millis(300);
+/// Time for which statements are refused after the home was lost, before the connection ends. A
+/// caller that sets up its session sends the next statement a few milliseconds after each answer.
+const CROSSING_LIMIT: Duration = Duration::from_millis(150);
 /// Bytes buffered for the home, beyond which no more of the caller's lines are passed on.
 const RELAY_BUFFER_BYTES: usize = 64 * 1024;
 /// Bytes of answers read from the home at once.
@@ -262,13 +265,19 @@
         }
     }
 
-    /// Answers the statements that have arrived and were not relayed. A statement that crosses the
-    /// loss of the home would otherwise get no answer, although its caller could repeat it at once.
-    fn refuse_unrelayed(&mut self, cx: CX![], home: &HomeConnection) {
-        // The caller may have closed its connection; its last statement is refused all the same.
-        if let StreamState::Closed(cause) = self.stream.fill(MAX_INPUT_BYTES) {
-            tracing::debug!(cause, "relay: caller has closed the connection");
+    /// Reads and refuses the statements that cross the loss of the home. They would otherwise get no
+    /// answer, although their callers could repeat them at once.
+    fn refuse_arriving(&mut self, cx: CX![]) {
+        self.stream.set_unread();
+        self.refuse_lines(cx);
+        match self.read_input(cx) {
+            StreamState::Open => self.flush(cx),
+            StreamState::Closed(_) => self.disconnect(cx),
         }
+    }
+
+    /// Refuses the statements that have arrived after the loss of the home, none of which was relayed.
+    pub(super) fn refuse_lines(&mut self, cx: CX![]) {
         loop {
             let line = match line::next_line(&mut self.stream.input) {
                 Ok(Some(line)) => line,
@@ -276,7 +285,8 @@
                 Err(error) => return self.reject_message(cx, &error),
             };
             if let RelayedMessage::Statement(query) = line::read_relayed_message(&line) {
-                let statement = home.ledger.describe(&query);
+                let Some(ledger) = &self.refused else { return };
+                let statement = ledger.describe(&query);
                 let kind = match statement.in_transaction {
                     true => ErrorKind::TransactionLost,
                     false => ErrorKind::HostDraining,
@@ -312,8 +322,10 @@
         let Some(home) = self.home.take() else { return };
         if home.has_answered {
             self.refuse_unanswered(&home, "the host that runs the session closed the connection");
-            self.refuse_unrelayed(cx, &home);
-            return self.end(cx);
+            self.refused = Some(home.ledger);
+            self.phase = Phase::Refusing;
+            after!(CROSSING_LIMIT, [cx], end());
+            return self.refuse_arriving(cx);
         }
         tracing::info!(cause, "relay: home closed the connection without an answer");
         self.phase = Phase::Busy;
