--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -17,7 +17,7 @@
 mod platform_store_double;
 mod ports;
 
-use host_process::{Host, HostSpec};
+use host_process::{Host, HostSpec, LIMIT};
 use platform_store_double::Store;
 
 /// Memory that a host may use, in megabytes; its settings say so.
@@ -28,8 +28,6 @@
 const LARGE_CROWD: usize = 80;
 /// Number of callers that send nothing.
 const SILENT_CROWD: usize = 400;
-/// Attempts of an ordinary caller.
-const READ_ATTEMPTS: usize = 5;
 /// Longest message that the protocol allows.
 const MESSAGE_BYTES: usize = 1024 * 1024;
 
@@ -120,23 +118,11 @@
     }
 }
 
-/// The signature of an ordinary read, or what came last instead. As every caller does, it repeats a
-/// request that was refused as not run: a host that has just started may have no connection yet.
+/// The signature of an ordinary read, or what came instead. There is one attempt.
 fn ordinary_read(address: SocketAddr) -> Result<String, String> {
-    let mut last = "no attempt".to_owned();
-    for _ in 0..READ_ATTEMPTS {
-        match try_read(address) {
-            Ok(signature) => return Ok(signature),
-            Err(cause) => last = cause,
-        }
-    }
-    Err(last)
-}
-
-fn try_read(address: SocketAddr) -> Result<String, String> {
     let failed = |error: std::io::Error| error.to_string();
     let mut stream = TcpStream::connect(address).map_err(failed)?;
-    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a socket option");
+    stream.set_read_timeout(Some(LIMIT)).expect("a socket option");
     stream.write_all(b"STARTUP orders anyone\r\nQUERY q2 READ x\r\n").map_err(failed)?;
     for line in BufReader::new(stream).lines() {
         let line = line.map_err(failed)?;
@@ -253,7 +239,7 @@
     let hosts = start_hosts(hosts);
     let address = hosts.last().expect("a host").front_address;
     let mut stream = TcpStream::connect(address).expect("a connection");
-    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a socket option");
+    stream.set_read_timeout(Some(LIMIT)).expect("a socket option");
     stream.write_all(b"STARTUP orders anyone\r\n").expect("the host reads");
     stream.write_all(&whole()).expect("the host reads");
     let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
