--- a/review/standin-2/hosts.rs
+++ b/review/standin-2/hosts.rs
@@ -20,6 +20,7 @@
 
 /// Store and promotion service.
 pub struct Platform {
+    rows: Arc<Store>,
     store: SocketAddr,
     promotions: SocketAddr,
 }
@@ -29,16 +30,7 @@
     pub fn start(record: &Arc<Record>, groups: &[Arc<Group>]) -> Self {
         let rows = Store::new();
         let service = &groups[0].service;
-        let config = format!(
-            "{{\"version\":7,\"routes\":[{{\"name\":\"r-1\",\"database\":\"main\",\"prefix\":\"/\",\"type\":\"read_your_writes\",\
-             \"timeoutMs\":20000,\"targetLatencyMs\":20000,\"priority\":1,\"service\":\"{service}\",\"maxAttempts\":2,\
-             \"maxStalenessMs\":2500,\"public\":false}}],\
-             \"services\":[{{\"name\":\"{service}\",\"healthCheckPath\":\"/health\",\"maxConnections\":16,\"protocol\":\"h1\",\
-             \"tls\":false,\"syncReplicas\":0}}],\
-             \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000,\
-             \"txIdleMs\":3000}},\
-             \"tenants\":[{{\"name\":\"tenant-a\",\"apiKeys\":[\"key-of-tenant-a\"],\"priority\":1,\"ratePerS\":127,\"burst\":127}}]}}"
-        );
+        let config = configuration(7, service, &["tenant-a", "tenant-b"], "1");
         rows.put("op", "config", &config);
         let (groups, registered) = (groups.to_vec(), Arc::clone(&rows));
         let register = move |sequence| {
@@ -55,16 +47,40 @@
                 register(sequence);
             }
         });
-        let store = serve("127.0.0.1", move |request| rows.answer(request));
+        let served = Arc::clone(&rows);
+        let store = serve("127.0.0.1", move |request| served.answer(request));
         let record = Arc::clone(record);
         let promotions = serve("127.0.0.1", move |request| {
             record.line(&format!("platform: {} {} {}", request.method, request.path, request.body));
             Some((409, "{}".into()))
         });
-        Self { store, promotions }
+        Self { rows, store, promotions }
+    }
+
+    /// Writes a configuration as the operator does; its return is the acknowledgement.
+    pub fn configure(&self, config: &str) {
+        self.rows.put("op", "config", config);
     }
 }
 
+/// A configuration with a key for each tenant, and `priority` for its route.
+pub fn configuration(version: u64, service: &str, tenants: &[&str], priority: &str) -> String {
+    let tenant = |name: &&str| {
+        format!("{{\"name\":\"{name}\",\"apiKeys\":[\"key-of-{name}\"],\"priority\":1,\"ratePerS\":127,\"burst\":127}}")
+    };
+    let tenants: Vec<String> = tenants.iter().map(tenant).collect();
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"database\":\"main\",\"prefix\":\"/\",\
+         \"type\":\"read_your_writes\",\"timeoutMs\":20000,\"targetLatencyMs\":20000,\"priority\":{priority},\
+         \"service\":\"{service}\",\"maxAttempts\":2,\"maxStalenessMs\":2500,\"public\":false}}],\
+         \"services\":[{{\"name\":\"{service}\",\"healthCheckPath\":\"/health\",\"maxConnections\":16,\"protocol\":\"h1\",\
+         \"tls\":false,\"syncReplicas\":0}}],\
+         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000,\
+         \"txIdleMs\":3000}},\"tenants\":[{}]}}",
+        tenants.join(",")
+    )
+}
+
 struct Watched {
     peak_kb: AtomicU64,
     killed: AtomicBool,
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 
 use database::Group;
-use hosts::{Host, Platform};
+use hosts::{configuration, Host, Platform};
 use record::Record;
 
 /// Why a case could not run.
@@ -177,6 +177,44 @@
     result
 }
 
+/// The operator takes a tenant's key away and, in the same version, gives a route a priority of 1000.
+/// Returns whether a request with that key still ran 3 s after the store's acknowledgement.
+fn priority(record: &Arc<Record>, folder: &Path, has_trouble: bool) -> Result<bool, Failure> {
+    let groups = vec![Group::start("ledger", 3, record)];
+    let platform = Platform::start(record, &groups);
+    let hosts = Host::start_all(record, folder, &platform, 1)?;
+    let result = (|| {
+        hosts[0].wait_ready(Duration::from_secs(30))?;
+        let open = |name: &str, tenant: &str| {
+            Client::open(record, name, hosts[0].frontend, "main", &format!("key-of-{tenant}"))
+        };
+        let mut client = open("b before", "tenant-b")?;
+        if !is_success(&client.ask(b"QUERY b1 WRITE probe first\r\n")) {
+            return Err("an ordinary write was not served".into());
+        }
+        // A host is in touch contactMs after its start.
+        thread::sleep(Duration::from_millis(5_000));
+        let priority = if has_trouble { "1000" } else { "2" };
+        platform.configure(&configuration(8, "ledger", &["tenant-a"], priority));
+        record.line(&format!("operator: version 8 is acknowledged; tenant-b and its key are gone, priority {priority}"));
+        thread::sleep(Duration::from_millis(6_000));
+        let kept = is_success(&client.ask(b"QUERY b2 WRITE probe with-the-old-session\r\n"));
+        let new = open("b after", "tenant-b");
+        let new = new.is_ok_and(|mut client| is_success(&client.ask(b"QUERY b3 WRITE probe with-a-new-session\r\n")));
+        let mut other = open("a after", "tenant-a")?;
+        if !is_success(&other.ask(b"QUERY a1 WRITE probe of-tenant-a\r\n")) {
+            return Err("a write of the tenant that stays was not served".into());
+        }
+        let ran = groups[0].written("probe").iter().filter(|data| data.starts_with(b"with-")).count();
+        record.line(&format!(
+            "6 s after the acknowledgement: success on the old session {kept}, on a new one {new}; writes that ran with the key {ran}"
+        ));
+        Ok(ran > 0)
+    })();
+    Host::end_all(hosts);
+    result
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &arguments[..] else {
@@ -197,6 +235,7 @@
     let result = match case.as_str() {
         "two-lines" => two_lines(&record, folder, has_trouble),
         "long-answer" => long_answer(&record, folder, has_trouble),
+        "priority" => priority(&record, folder, has_trouble),
         other => Err(format!("no such case: {other}")),
     };
     record.line(&format!("took {:.1} s: {result:?}", started.elapsed().as_secs_f64()));
