Review: a host becomes deaf to SIGHUP

Case 10, a script: after 300 SIGHUPs a host does not read its settings any more, so that it stays with a store that has moved and with withdrawn keys.

--- a/review/standin-2/hosts.rs
+++ b/review/standin-2/hosts.rs
@@ -4,7 +4,7 @@
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -21,7 +21,8 @@
 /// Store and promotion service.
 pub struct Platform {
     rows: Arc<Store>,
-    store: SocketAddr,
+    pub store: SocketAddr,
+    is_moved: Arc<AtomicBool>,
     promotions: SocketAddr,
 }
 
@@ -47,14 +48,26 @@
                 register(sequence);
             }
         });
-        let served = Arc::clone(&rows);
-        let store = serve("127.0.0.1", move |request| served.answer(request));
+        let is_moved = Arc::new(AtomicBool::new(false));
+        let (served, silent) = (Arc::clone(&rows), Arc::clone(&is_moved));
+        let store = serve("127.0.0.1", move |request| {
+            let answer = served.answer(request);
+            if silent.load(Ordering::Relaxed) { None } else { answer }
+        });
         let record = Arc::clone(record);
         let promotions = serve("127.0.0.1", move |request| {
             record.line(&format!("platform: {} {} {}", request.method, request.path, request.body));
             Some((409, "{}".into()))
         });
-        Self { rows, store, promotions }
+        Self { rows, store, is_moved, promotions }
+    }
+
+    /// Serves the store at a new address, which is returned; the former one answers nothing any more.
+    pub fn move_store(&self) -> SocketAddr {
+        let served = Arc::clone(&self.rows);
+        let address = serve("127.0.0.1", move |request| served.answer(request));
+        self.is_moved.store(true, Ordering::Relaxed);
+        address
     }
 
     /// Writes a configuration as the operator does; its return is the acknowledgement.
@@ -92,6 +105,7 @@
     pub name: String,
     pub frontend: SocketAddr,
     readiness: SocketAddr,
+    settings: PathBuf,
     child: Arc<Mutex<Child>>,
     watched: Arc<Watched>,
 }
@@ -170,6 +184,7 @@
         let host = Self {
             frontend: SocketAddr::new(ip.parse().expect("an address"), frontend),
             readiness: SocketAddr::new(ip.parse().expect("an address"), readiness),
+            settings: path,
             name,
             child: Arc::new(Mutex::new(child)),
             watched,
@@ -200,6 +215,19 @@
         });
     }
 
+    /// Sends SIGHUP.
+    pub fn hang_up(&self) -> Result<(), String> {
+        let pid = self.child.lock().expect("child").id().to_string();
+        let status = Command::new("kill").args(["-HUP", &pid]).status().map_err(|error| error.to_string())?;
+        if status.success() { Ok(()) } else { Err("SIGHUP was not sent".into()) }
+    }
+
+    /// Replaces an address in the settings file.
+    pub fn change_settings(&self, from: SocketAddr, to: SocketAddr) -> Result<(), String> {
+        let text = fs::read_to_string(&self.settings).map_err(|error| error.to_string())?;
+        fs::write(&self.settings, text.replace(&from.to_string(), &to.to_string())).map_err(|error| error.to_string())
+    }
+
     pub fn was_killed(&self) -> bool {
         self.watched.killed.load(Ordering::Relaxed)
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -215,6 +215,47 @@
     result
 }
 
+/// The platform sends SIGHUP many times while the settings are as they were, then once after it has moved
+/// the store to another address. A new version takes a key away. Returns whether a request with that key
+/// still ran 3 s after the store's acknowledgement.
+fn hang_ups(record: &Arc<Record>, folder: &Path, has_trouble: bool) -> Result<bool, Failure> {
+    let groups = vec![Group::start("ledger", 3, record)];
+    let platform = Platform::start(record, &groups);
+    let hosts = Host::start_all(record, folder, &platform, 1)?;
+    let result = (|| {
+        hosts[0].wait_ready(Duration::from_secs(30))?;
+        let mut client = Client::open(record, "b before", hosts[0].frontend, "main", "key-of-tenant-b")?;
+        if !is_success(&client.ask(b"QUERY b1 WRITE probe first\r\n")) {
+            return Err("an ordinary write was not served".into());
+        }
+        let count = if has_trouble { 300 } else { 0 };
+        for _ in 0..count {
+            hosts[0].hang_up()?;
+            thread::sleep(Duration::from_millis(30));
+        }
+        record.line(&format!("platform: {count} times SIGHUP to {}", hosts[0].name));
+        let address = platform.move_store();
+        hosts[0].change_settings(platform.store, address)?;
+        hosts[0].hang_up()?;
+        record.line("platform: the store has moved, the settings file has its new address, SIGHUP");
+        // A host is in touch contactMs after a disruption.
+        thread::sleep(Duration::from_millis(5_000));
+        platform.configure(&configuration(8, "ledger", &["tenant-a"], "1"));
+        record.line("operator: version 8 is acknowledged; tenant-b and its key are gone");
+        thread::sleep(Duration::from_millis(6_000));
+        let kept = is_success(&client.ask(b"QUERY b2 WRITE probe with-the-old-session\r\n"));
+        let new = Client::open(record, "b after", hosts[0].frontend, "main", "key-of-tenant-b");
+        let new = new.is_ok_and(|mut client| is_success(&client.ask(b"QUERY b3 WRITE probe with-a-new-session\r\n")));
+        let ran = groups[0].written("probe").iter().filter(|data| data.starts_with(b"with-")).count();
+        record.line(&format!(
+            "6 s after the acknowledgement: success on the old session {kept}, on a new one {new}; writes that ran with the key {ran}"
+        ));
+        Ok(ran > 0)
+    })();
+    Host::end_all(hosts);
+    result
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &arguments[..] else {
@@ -236,6 +277,7 @@
         "two-lines" => two_lines(&record, folder, has_trouble),
         "long-answer" => long_answer(&record, folder, has_trouble),
         "priority" => priority(&record, folder, has_trouble),
+        "hang-ups" => hang_ups(&record, folder, has_trouble),
         other => Err(format!("no such case: {other}")),
     };
     record.line(&format!("took {:.1} s: {result:?}", started.elapsed().as_secs_f64()));
