--- a/review/standin-2/database.rs
+++ b/review/standin-2/database.rs
@@ -114,6 +114,12 @@
     prepared: BTreeMap<String, (String, String)>,
 }
 
+/// What follows the first `count` blanks of a line.
+fn after_blanks(line: &[u8], count: usize) -> &[u8] {
+    let blanks = line.iter().enumerate().filter(|(_, byte)| **byte == b' ');
+    blanks.map(|(at, _)| &line[at + 1..]).nth(count - 1).unwrap_or_default()
+}
+
 enum Answer {
     Done(String),
     Rows(Vec<Vec<u8>>),
@@ -268,20 +274,18 @@
             }
             "READ" => self.read(id, rest),
             "WRITE" => {
-                let data_at = line.len() - rest.split_once(' ').map_or(0, |(_, data)| data.len());
                 let item = rest.split(' ').next().unwrap_or("").to_owned();
-                self.write(id, &item, &line[data_at..])
+                self.write(id, &item, after_blanks(line, 4))
             }
             "EXECUTE" => {
                 let (name, arguments) = rest.split_once(' ').unwrap_or((rest, ""));
                 let Some((access, _)) = self.prepared.get(name).cloned() else { return Answer::Error("NOSTMT") };
-                let (item, data) = arguments.split_once(' ').unwrap_or((arguments, ""));
+                let item = arguments.split(' ').next().unwrap_or("");
                 if access == "READ" {
                     self.read(id, item)
                 } else {
-                    let data_at = line.len() - data.len();
                     let item = item.to_owned();
-                    self.write(id, &item, &line[data_at..])
+                    self.write(id, &item, after_blanks(line, 5))
                 }
             }
             "PREPARE" => {
