--- a/review/standin-2/hosts.rs
+++ b/review/standin-2/hosts.rs
@@ -255,14 +255,18 @@
 
     /// Ends all processes.
     pub fn end_all(hosts: Vec<Self>) {
-        for host in hosts {
-            host.watched.ended.store(true, Ordering::Relaxed);
-            let mut child = host.child.lock().expect("child");
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        drop(hosts);
         let _ = fs::remove_dir_all(
             std::env::temp_dir().join(format!("review-2-{}", std::process::id())),
         );
     }
 }
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.watched.ended.store(true, Ordering::Relaxed);
+        let mut child = self.child.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
