Prepare statements under a number, not under their text

Cause: the name of a prepared statement on an endpoint's connection was made of its access and text. A name is one field of a line and ends at a blank. A shape of 600 KiB gave a line of 1,228,829 bytes, above the limit of a message, since it stood in it twice.

Change: a connection numbers its prepared statements, and the number is the name. A number is not used again after the endpoint has dropped its statements, so no name stands for two of them. The session's statement and the connection's name are now different types (StatementPayload, JobPayload), so that a text cannot become a name again.

The expected lines of platform_codec and proxy change with the names; what they check stays.

--- a/src/core/proxy/connection.rs
+++ b/src/core/proxy/connection.rs
@@ -4,7 +4,7 @@
 //! is opened, or to the host itself. It keeps the session variables and prepared statements of the
 //! last session that used it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::LazyLock;
 
 use compact_str::CompactString;
@@ -13,7 +13,7 @@
 use super::statement::PreparedStatement;
 use crate::chart::{Chart, ChartError, Machine, NoGuard};
 use crate::chart_names;
-use crate::types::{AccountId, EndpointId, GroupId, RequestId, SessionId, Timestamp};
+use crate::types::{AccountId, EndpointId, GroupId, PreparedId, RequestId, SessionId, Timestamp};
 
 chart_names! {
     /// States of a pooled connection.
@@ -88,7 +88,34 @@
     /// Session variables set on it.
     pub variables: BTreeMap<CompactString, CompactString>,
     /// Statements prepared on it.
-    pub prepared: BTreeSet<PreparedStatement>,
+    pub prepared: PreparedStatements,
+}
+
+/// Statements prepared on a connection. Sessions that prepare the same statement share it.
+#[derive(Debug, Default)]
+pub struct PreparedStatements {
+    ids: BTreeMap<PreparedStatement, PreparedId>,
+    /// Rises over the life of the connection, so that no id ever stands for two statements.
+    next_id: u64,
+}
+
+impl PreparedStatements {
+    /// Forgets all statements, which the endpoint has dropped.
+    pub fn clear(&mut self) {
+        self.ids.clear();
+    }
+
+    /// Returns the id of a statement, and the setup step that prepares it if it is not prepared yet;
+    /// the step is recorded as done.
+    pub fn prepare(&mut self, statement: &PreparedStatement) -> (PreparedId, Option<Setup>) {
+        if let Some(id) = self.ids.get(statement) {
+            return (*id, None);
+        }
+        self.next_id += 1;
+        let id = PreparedId(self.next_id);
+        self.ids.insert(statement.clone(), id);
+        (id, Some(Setup::Prepare(id, statement.clone())))
+    }
 }
 
 impl PooledConnection {
@@ -111,13 +138,9 @@
         }
     }
 
-    /// Returns the setup steps that give the connection exactly these session variables and prepare
-    /// the statement, and records them as done.
-    pub fn adapt(
-        &mut self,
-        variables: &BTreeMap<CompactString, CompactString>,
-        statement: Option<&PreparedStatement>,
-    ) -> Vec<Setup> {
+    /// Returns the setup steps that give the connection exactly these session variables, and records
+    /// them as done.
+    pub fn adapt(&mut self, variables: &BTreeMap<CompactString, CompactString>) -> Vec<Setup> {
         let mut steps = Vec::new();
         if self.variables.keys().any(|name| !variables.contains_key(name)) {
             steps.push(Setup::Reset);
@@ -130,10 +153,6 @@
                 self.variables.insert(name.clone(), value.clone());
             }
         }
-        if let Some(statement) = statement.filter(|statement| !self.prepared.contains(*statement)) {
-            steps.push(Setup::Prepare(statement.clone()));
-            self.prepared.insert(statement.clone());
-        }
         steps
     }
 }
--- a/src/core/proxy/dispatch.rs
+++ b/src/core/proxy/dispatch.rs
@@ -2,7 +2,7 @@
 
 use super::catalog::ReadRule;
 use super::connection::{Owner, PooledEvent, Task};
-use super::job::{Job, Setup, Work};
+use super::job::{Job, JobPayload, Setup, Work};
 use super::placement::Placement;
 use super::request::ProxyRequestEvent;
 use super::statement::StatementPayload;
@@ -177,11 +177,15 @@
         let Some(connection) = self.connections.get_mut(&connection_id) else { return };
         let Some(session) = self.sessions.get_mut(&request.session) else { return };
         request.sent = now;
-        let statement = match &request.payload {
-            StatementPayload::Execute(statement, _) => Some(statement),
-            StatementPayload::Text(_) => None,
+        let mut setup = connection.adapt(&session.variables);
+        let payload = match &request.payload {
+            StatementPayload::Text(text) => JobPayload::Text(text.clone()),
+            StatementPayload::Execute(statement, arguments) => {
+                let (id, step) = connection.prepared.prepare(statement);
+                setup.extend(step);
+                JobPayload::Execute(id, arguments.clone())
+            }
         };
-        let mut setup = connection.adapt(&session.variables, statement);
         if request.wrapped_in_transaction || request.starts_transaction {
             let read_only = request.starts_transaction
                 && !request.at_primary
@@ -202,11 +206,7 @@
             }
         }
         let after = request.after.filter(|_| request.statement_kind == StatementKind::SingleRead);
-        let work = Work::Statement {
-            id: request.statement_id.clone(),
-            payload: request.payload.clone(),
-            after,
-        };
+        let work = Work::Statement { id: request.statement_id.clone(), payload, after };
         let job = Job { setup, work, rollback: request.wrapped_in_transaction };
         self.expect_answer(now, connection_id);
         self.count_slow_start(now, connection_id);
--- a/src/core/proxy/job.rs
+++ b/src/core/proxy/job.rs
@@ -3,10 +3,10 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 
-use super::statement::{PreparedStatement, StatementPayload};
+use super::statement::PreparedStatement;
 use crate::core::group::Role;
 use crate::core::transaction::TransactionState;
-use crate::types::{DurationMs, Position, Term};
+use crate::types::{DurationMs, Position, PreparedId, Term};
 
 /// A setup step that prepares a connection for a statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,8 +15,8 @@
     Reset,
     /// Sets a session variable to a value.
     Set(CompactString, CompactString),
-    /// Prepares a statement.
-    Prepare(PreparedStatement),
+    /// Prepares a statement under an id.
+    Prepare(PreparedId, PreparedStatement),
     /// Starts a transaction.
     Begin {
         /// Whether it only reads.
@@ -42,6 +42,15 @@
     Demote(Term),
 }
 
+/// Form in which a caller's statement is sent on a connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum JobPayload {
+    /// The caller's text.
+    Text(Bytes),
+    /// A statement that is prepared on the connection, with the caller's arguments.
+    Execute(PreparedId, Bytes),
+}
+
 /// What a job runs after its setup steps.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Work {
@@ -50,7 +59,7 @@
         /// Statement id chosen by the caller.
         id: CompactString,
         /// What the endpoint is to run.
-        payload: StatementPayload,
+        payload: JobPayload,
         /// Log position that the endpoint must have applied.
         after: Option<Position>,
     },
--- a/src/core/proxy/pool.rs
+++ b/src/core/proxy/pool.rs
@@ -1,8 +1,10 @@
 //! The connection pool: selecting, opening, rolling back and closing connections.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
-use super::connection::{Owner, PooledConnection, PooledEvent, PooledState, CHART};
+use super::connection::{
+    Owner, PooledConnection, PooledEvent, PooledState, PreparedStatements, CHART,
+};
 use super::job::{Job, Order, Setup, Work};
 use super::{Proxy, ProxyEffect};
 use crate::types::{ConnectionId, EndpointId, GroupId, Timestamp};
@@ -146,7 +148,7 @@
             started: now,
             last_used: now,
             variables: BTreeMap::new(),
-            prepared: BTreeSet::new(),
+            prepared: PreparedStatements::default(),
         };
         self.connections.insert(connection, pooled);
         self.out.push(ProxyEffect::Connect {
--- a/src/core/proxy/statement.rs
+++ b/src/core/proxy/statement.rs
@@ -74,7 +74,7 @@
     pub text: Bytes,
 }
 
-/// Form in which a caller's statement is sent to an endpoint.
+/// What a caller's statement runs on an endpoint, whatever the connection.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StatementPayload {
     /// The caller's text.
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -6,14 +6,12 @@
 
 use crate::core::group::Role;
 use crate::core::proxy::connection::Owner;
-use crate::core::proxy::job::{Order, Refusal, Setup, StatusReport, Work};
-use crate::core::proxy::statement::{
-    Access, PreparedStatement, Query, Statement, StatementPayload,
-};
+use crate::core::proxy::job::{JobPayload, Order, Refusal, Setup, StatusReport, Work};
+use crate::core::proxy::statement::{Access, PreparedStatement, Query, Statement};
 use crate::core::proxy::Answer;
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind, Ran};
-use crate::types::{DurationMs, EndpointId, GroupId, HostId, Position, Term};
+use crate::types::{DurationMs, EndpointId, GroupId, HostId, Position, PreparedId, Term};
 
 /// Size limit of a message, including its line end.
 pub const MAX_LINE_BYTES: usize = 1024 * 1024;
@@ -371,9 +369,9 @@
     match step {
         Setup::Reset => put_proxy_query(out, &["RESET"]),
         Setup::Set(name, value) => put_proxy_query(out, &["SET", name, value]),
-        Setup::Prepare(prepared) => {
+        Setup::Prepare(id, prepared) => {
             let access = access_word(prepared.access);
-            put_proxy_query(out, &["PREPARE", &prepared_name(prepared), access, &prepared.text]);
+            put_proxy_query(out, &["PREPARE", &prepared_name(*id), access, &prepared.text]);
         }
         Setup::Begin { read_only, after } => {
             let after = after.map(write_position);
@@ -401,10 +399,10 @@
                 out.extend_from_slice(format!("AFTER {} ", write_position(*after)).as_bytes());
             }
             match payload {
-                StatementPayload::Text(text) => out.extend_from_slice(text),
-                StatementPayload::Execute(prepared, arguments) => {
+                JobPayload::Text(text) => out.extend_from_slice(text),
+                JobPayload::Execute(prepared, arguments) => {
                     out.extend_from_slice(
-                        format!("EXECUTE {} ", prepared_name(prepared)).as_bytes(),
+                        format!("EXECUTE {} ", prepared_name(*prepared)).as_bytes(),
                     );
                     out.extend_from_slice(arguments);
                 }
@@ -433,9 +431,10 @@
     put_line(out, &["TERMINATE"]);
 }
 
-/// Name of a prepared statement on a connection; the same for all callers, so that they share it.
-fn prepared_name(prepared: &PreparedStatement) -> String {
-    format!("{}.{}", access_word(prepared.access).to_ascii_lowercase(), prepared.text)
+/// Name of a prepared statement on a connection. A name is a single field, and a statement's text,
+/// which may hold blanks, must not be part of it.
+fn prepared_name(id: PreparedId) -> String {
+    format!("p{id}")
 }
 
 fn access_word(access: Access) -> &'static str {
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -170,6 +170,8 @@
     RequestId(u64);
     /// Number of a connection to an endpoint, unique within one host incarnation.
     ConnectionId(u64);
+    /// Number of a prepared statement, unique within one connection to an endpoint.
+    PreparedId(u64);
     /// Id of one attempt to change a row of the platform. It is stored in the row, so that the
     /// writer recognises its own write when it reads the row back.
     AttemptId(u64);
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -11,8 +11,8 @@
 };
 pub use id::{
     AccountId, AttemptId, CallId, ConnectionId, DatabaseName, EditorName, EndpointId,
-    FailureDomain, GroupId, HostId, IdError, Incarnation, KeyId, ObjectName, PoolName, RequestId,
-    RouteName, RowKey, SessionId, ShareSlot, TableName,
+    FailureDomain, GroupId, HostId, IdError, Incarnation, KeyId, ObjectName, PoolName, PreparedId,
+    RequestId, RouteName, RowKey, SessionId, ShareSlot, TableName,
 };
 pub use position::{
     CommitSeq, Position, PositionError, Renewals, RowVersion, StoreEra, TableVersion, Term,
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -5,8 +5,8 @@
 use medlarstile::core::proxy::connection::Owner;
 use medlarstile::core::proxy::entries::EntryTable;
 use medlarstile::core::proxy::group::EndpointEntry;
-use medlarstile::core::proxy::job::{Refusal, Setup, Work};
-use medlarstile::core::proxy::statement::{Access, PreparedStatement, Statement, StatementPayload};
+use medlarstile::core::proxy::job::{JobPayload, Refusal, Setup, Work};
+use medlarstile::core::proxy::statement::{Access, PreparedStatement, Statement};
 use medlarstile::core::proxy::Answer;
 use medlarstile::core::transaction::TransactionState;
 use medlarstile::error::{Error, ErrorKind, Ran};
@@ -14,7 +14,9 @@
 use medlarstile::platform::settings::PlatformSettings;
 use medlarstile::platform::store::{self, HttpAnswer, RowsAnswer, WriteAnswer};
 use medlarstile::platform::{configuration, discovery};
-use medlarstile::types::{AccountId, DurationMs, Position, RowVersion, Term, Timestamp};
+use medlarstile::types::{
+    AccountId, DurationMs, Position, PreparedId, RowVersion, Term, Timestamp,
+};
 use yare::parameterized;
 
 const SETTINGS: &str = r#"{"nodeName":"frontend-a-1","ip":"127.0.0.1","zone":"a","unknown":{},
@@ -94,14 +96,14 @@
     let (group, host) = ("db".parse().expect("a group"), "h1".parse().expect("a host"));
     line::write_startup(&mut out, &group, &owner, &host, &"i-1".parse().expect("an endpoint"));
     let prepared = PreparedStatement { access: Access::Read, text: "q1".into() };
-    line::write_setup(&mut out, &Setup::Prepare(prepared.clone()));
+    line::write_setup(&mut out, &Setup::Prepare(PreparedId(7), prepared));
     let after = Some(Position::new(Term(3), 1207));
-    let read = StatementPayload::Text("READ 1a4".into());
+    let read = JobPayload::Text("READ 1a4".into());
     line::write_work(&mut out, &Work::Statement { id: "q1".into(), payload: read, after });
-    let execute = StatementPayload::Execute(prepared, "1a4 x".into());
+    let execute = JobPayload::Execute(PreparedId(7), "1a4 x".into());
     line::write_work(&mut out, &Work::Statement { id: "q2".into(), payload: execute, after: None });
-    let expected = "STARTUP db north i-1\r\nQUERY - PREPARE read.q1 READ q1\r\n\
-        QUERY q1 AFTER 3.1207 READ 1a4\r\nQUERY q2 EXECUTE read.q1 1a4 x\r\n";
+    let expected = "STARTUP db north i-1\r\nQUERY - PREPARE p7 READ q1\r\n\
+        QUERY q1 AFTER 3.1207 READ 1a4\r\nQUERY q2 EXECUTE p7 1a4 x\r\n";
     assert_eq!(out, expected.as_bytes());
 }
 
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -7,7 +7,7 @@
 use medlarstile::core::proxy::{Answer, ProxyEffect};
 use medlarstile::core::transaction::TransactionState;
 use medlarstile::error::ErrorKind;
-use medlarstile::types::RowVersion;
+use medlarstile::types::{PreparedId, RowVersion};
 use proxy_rig::{at, catalog, entry, id, refused, Rig, BEGIN, READ, WRITE};
 use yare::parameterized;
 
@@ -246,11 +246,11 @@
     for (session, statement) in [one, two].into_iter().zip(statements.clone()) {
         rig.send(session, Statement::Prepare { name: "s".into(), statement });
     }
-    for (session, statement) in [one, two].into_iter().zip(statements) {
+    for (session, (number, statement)) in [one, two].into_iter().zip((1..).zip(statements)) {
         let arguments = "1 x".into();
         rig.send(session, Statement::Execute { name: "s".into(), arguments });
         let (connection, _, job) = rig.next_job();
-        assert!(job.setup.contains(&Setup::Prepare(statement)));
+        assert!(job.setup.contains(&Setup::Prepare(PreparedId(number), statement)));
         rig.succeed(connection, &job, TransactionState::Idle);
     }
 }
