Decode a caller's last field to the end of the line

A caller with the key "k-1 of north" was served as the account of the key "k-1", although no configuration ever held its key, and a key with a blank could not be used at all. "CLOSE s x" removed the statement s, whose preparing had been acknowledged.

Cause: the decoder took the next word for the key of STARTUP and the name of CLOSE, and ignored the rest; the last field of a line extends to its end.

Change: both use last_field. The other last fields were decoded to the end before; the relayed STARTUP has the key last and passes unchanged.

Tests: platform_codec, 7 new cases. On the code before, key_with_blanks and close_of_two_words failed; now all hold.

--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -105,6 +105,13 @@
     utf8_text(&word)
 }
 
+/// Returns the last field of a `message`, which extends to the end of the line, or fails if there is
+/// none.
+fn last_field(rest: Option<Bytes>, message: &'static str) -> Result<CompactString, LineError> {
+    let field = rest.filter(|field| !field.is_empty()).ok_or(LineError::MissingField(message))?;
+    utf8_text(&field)
+}
+
 /// Decodes a message from a caller.
 ///
 /// # Errors
@@ -115,7 +122,7 @@
     match &word[..] {
         b"STARTUP" => Ok(CallerMessage::Startup {
             database: next_field(&mut rest, "STARTUP")?,
-            key: next_field(&mut rest, "STARTUP")?,
+            key: last_field(rest, "STARTUP")?,
         }),
         b"QUERY" => {
             let id = next_field(&mut rest, "QUERY")?;
@@ -151,7 +158,7 @@
             name: next_field(&mut rest, "EXECUTE")?,
             arguments: rest.unwrap_or_default(),
         },
-        b"CLOSE" => Statement::Close { name: next_field(&mut rest, "CLOSE")? },
+        b"CLOSE" => Statement::Close { name: last_field(rest, "CLOSE")? },
         _ => return Err(LineError::UnknownMessage(utf8_text(&word)?)),
     };
     Ok(Query { id, statement, text: query })
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -49,6 +49,9 @@
     prepare_other = { "PREPARE s DROP q2", None },
     execute = { "EXECUTE s 1a4 x y", Some(Statement::Execute {
         name: "s".into(), arguments: Bytes::from_static(b"1a4 x y") }) },
+    close = { "CLOSE s", Some(Statement::Close { name: "s".into() }) },
+    close_of_two_words = { "CLOSE s x", Some(Statement::Close { name: "s x".into() }) },
+    close_nothing = { "CLOSE", None },
     after = { "AFTER 1.2 READ 1", None },
     status = { "STATUS", None },
     nothing = { "", None },
@@ -57,6 +60,21 @@
     assert_eq!(statement(text), expected);
 }
 
+/// Guards against a key that is accepted by its first word, although no configuration ever held it.
+#[parameterized(
+    key = { "STARTUP db k-1", Some(("db", "k-1")) },
+    key_with_blanks = { "STARTUP db k-1 of north ", Some(("db", "k-1 of north ")) },
+    no_key = { "STARTUP db", None },
+    empty_key = { "STARTUP db ", None },
+)]
+fn a_key_extends_to_the_end_of_the_line(text: &str, expected: Option<(&str, &str)>) {
+    let expected = expected.map(|(database, key)| CallerMessage::Startup {
+        database: database.into(),
+        key: key.into(),
+    });
+    assert_eq!(caller(text).ok(), expected);
+}
+
 /// Guards against messages that are truncated or joined, and against overlong messages.
 #[test]
 fn lines_are_split_at_their_ends() {
