Decode each entry of the configuration by itself, with any number

Cause: a version was decoded as a whole into types narrower than what the operator may write (8 bits for a priority, whole milliseconds, 32 bits for connections). One value that did not fit, or one entry that was not valid, made the host keep the version in use. Evidence: seven unrelated values and entries have the same effect in the new test of the process.

Each entry is decoded by itself; one that is not valid is left out, what it names is refused, and the rest applies. Keeping the former version of such an entry was weighed and dropped, as it may allow what the operator has just forbidden. Ignored entries are logged without their keys and counted; a version that cannot be decoded at all is logged as an error.

What platform_codec and proxy_urgency check stays; their types change.

--- a/src/core/proxy/urgency.rs
+++ b/src/core/proxy/urgency.rs
@@ -27,7 +27,7 @@
 /// The class that a request counts in after it has waited.
 pub fn effective_priority(priority: Priority, waited: DurationMs, target: DurationMs) -> Priority {
     let gained = waited.0 / target.0.max(1);
-    Priority(priority.0.saturating_sub(u8::try_from(gained).unwrap_or(u8::MAX)))
+    Priority(priority.0.saturating_sub(gained))
 }
 
 /// Time for which a request may wait and still be answered within `target` by an endpoint that needs
--- a/src/net/proxy/report.rs
+++ b/src/net/proxy/report.rs
@@ -91,6 +91,8 @@
     waiting: Gauge,
     leaderless_groups: Gauge,
     configuration_version: Gauge,
+    ignored_entries: Gauge,
+    unreadable_configurations: Counter,
     evictions: Family<EvictionLabels, Counter>,
     buffered_bytes: Gauge,
     rooms_given: Gauge,
@@ -130,6 +132,8 @@
             waiting: Gauge::default(),
             leaderless_groups: Gauge::default(),
             configuration_version: Gauge::default(),
+            ignored_entries: Gauge::default(),
+            unreadable_configurations: Counter::default(),
             evictions: Family::default(),
             buffered_bytes: Gauge::default(),
             rooms_given: Gauge::default(),
@@ -200,6 +204,16 @@
             "Version in use",
             self.configuration_version.clone(),
         );
+        registry.register(
+            "configuration_ignored_entries",
+            "Entries of the version in use that cannot be decoded",
+            self.ignored_entries.clone(),
+        );
+        registry.register(
+            "configuration_unreadable",
+            "Times that a version of the configuration could not be decoded",
+            self.unreadable_configurations.clone(),
+        );
 
         registry.register(
             "caller_evictions",
@@ -325,6 +339,16 @@
         self.era.set(i64::try_from(era.0).unwrap_or(i64::MAX));
     }
 
+    /// Records how many entries of the version that comes into use cannot be decoded.
+    pub fn on_ignored_entries(&self, entries: usize) {
+        self.ignored_entries.set(i64::try_from(entries).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a version of the configuration that cannot be decoded.
+    pub fn on_unreadable_configuration(&self) {
+        self.unreadable_configurations.inc();
+    }
+
     /// Records the time since the version in use was last known to be the latest.
     pub fn on_configuration_age(&self, age_ms: DurationMs) {
         self.configuration_age.set(age_ms.0 as f64 / 1_000.0);
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -15,15 +15,18 @@
 use crate::core::proxy::follow::HostRow;
 use crate::core::proxy::group::EndpointEntry;
 use crate::net::reactor::suspend_aware_clock;
+use crate::platform::configuration::{self, Configuration, IgnoredEntry};
+use crate::platform::discovery;
 use crate::platform::store::{self, StoreRow, WriteAnswer};
-use crate::platform::{configuration, discovery};
-use crate::types::{GroupId, HostId, RowVersion, StoreEra, Timestamp};
+use crate::types::{GroupId, HostId, RowVersion, StoreEra, TableVersion, Timestamp};
 use crate::wire::fleet_rows::{WireClaim, WireHostRow};
 
 /// Prefix of the keys of the hosts' rows.
 const HOST_KEY_PREFIX: &str = "host.";
 /// Prefix of the keys of the groups' rows.
 const GROUP_KEY_PREFIX: &str = "group.";
+/// Ignored entries of a version of the configuration that are logged; all of them are counted.
+const MAX_LOGGED_ENTRIES: usize = 20;
 /// Pause before a failed write of a row is retried.
 const REWRITE_PAUSE: Duration = Duration::from_millis(700);
 
@@ -170,10 +173,11 @@
     /// Adopts a configuration from the store or from another host, unless it is older than the one
     /// in use.
     pub(super) fn adopt_configuration(&mut self, text: &[u8]) {
-        let catalog = match configuration::read(text) {
-            Ok(catalog) => catalog,
+        let Configuration { catalog, ignored } = match configuration::read(text) {
+            Ok(read) => read,
             Err(detail) => {
-                tracing::warn!(detail, "configuration: version cannot be decoded");
+                tracing::error!(detail, "configuration: version cannot be decoded");
+                self.report.on_unreadable_configuration();
                 return;
             }
         };
@@ -181,6 +185,8 @@
         if Some(catalog.version) > before {
             self.configuration = Some(Bytes::copy_from_slice(text));
             self.clear_outdated();
+            log_ignored_entries(catalog.version, &ignored);
+            self.report.on_ignored_entries(ignored.len());
         }
         self.core.set_catalog(suspend_aware_clock(), catalog);
         self.update_hosts();
@@ -306,6 +312,14 @@
     }
 }
 
+fn log_ignored_entries(version: TableVersion, ignored: &[IgnoredEntry]) {
+    for entry in ignored.iter().take(MAX_LOGGED_ENTRIES) {
+        let IgnoredEntry { section, name, detail } = entry;
+        tracing::error!(%version, section, name = name.as_deref(), detail,
+            "configuration: entry is ignored");
+    }
+}
+
 fn read_entry(row: &StoreRow) -> Option<EndpointEntry> {
     match discovery::read(&row.key, row.version, row.value.as_deref()?) {
         Ok(entry) => Some(entry),
--- a/src/types/amount.rs
+++ b/src/types/amount.rs
@@ -27,7 +27,7 @@
     /// Weight of a client account in fair queueing.
     Weight(u32);
     /// Class of urgency; 0 is the most urgent.
-    Priority(u8);
+    Priority(u64);
     /// Statements that an endpoint runs concurrently.
     Slots(u32);
     /// Thousandths of a processor core that a host may use.
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -207,7 +207,7 @@
         "services":[{"name":"s1","maxConnections":38,"syncReplicas":1}],
         "limits":{"txIdleMs":3000},
         "tenants":[{"name":"t1","apiKeys":["k1","k2"],"ratePerS":140,"burst":70}]}"#;
-    let catalog = configuration::read(text).expect("a configuration");
+    let catalog = configuration::read(text).expect("a configuration").catalog;
     let route = &catalog.routes[&"d1".parse().expect("a name")];
     assert_eq!(route.rule, ReadRule::OwnWrites(DurationMs(2_500)));
     assert_eq!(catalog.routes.len(), 1, "a route without a database is for other traffic");
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -210,6 +210,51 @@
     assert_eq!(received, answer);
 }
 
+/// A configuration with a public route and an account with the key `k-1`.
+fn with_key(version: u64) -> String {
+    format!(
+        r#"{{"version":{version},"services":[{{"name":"db","maxConnections":4}}],"limits":{{}},
+        "routes":[{{"name":"r","database":"orders","type":"primary","service":"db",
+        "timeoutMs":1000,"priority":1}}],
+        "tenants":[{{"name":"north","apiKeys":["k-1"]}},{{"name":"south","apiKeys":["k-2"]}}]}}"#
+    )
+}
+
+/// What a host answers to a startup.
+fn open(host: &Host, key: &str) -> String {
+    let mut stream = TcpStream::connect(host.front_address).expect("a connection");
+    stream.set_read_timeout(Some(LIMIT)).expect("a time limit");
+    stream.write_all(format!("STARTUP orders {key}\r\n").as_bytes()).expect("it is sent");
+    let mut word = [0; 5];
+    stream.read_exact(&mut word).expect("an answer");
+    String::from_utf8_lossy(&word).into_owned()
+}
+
+/// Guards against a withdrawn key that goes on working, because a value or an entry elsewhere in the
+/// version that withdraws it keeps the host from decoding the version.
+#[parameterized(
+    large_priority = { r#""priority":1"#, r#""priority":1000"# },
+    priority_above_64_bits = { r#""priority":1"#, r#""priority":36893488147419103232"# },
+    fraction_of_a_millisecond = { r#""timeoutMs":1000"#, r#""timeoutMs":999.5"# },
+    many_connections = { r#""maxConnections":4"#, r#""maxConnections":5000000000"# },
+    route_of_another_type = { r#""routes":["#, r#""routes":[{"database":"d","type":"new"},"# },
+    entry_of_another_writer = { r#""services":["#, r#""services":[7,{"name":"a b"},"# },
+    account_with_an_odd_name = { r#""tenants":["#, r#""tenants":[{"name":"a b"},{},"# },
+)]
+fn a_version_with_any_values_withdraws_a_key(found: &str, replacement: &str) {
+    let store = Store::default();
+    store.put("op", "config", with_key(3).as_bytes());
+    let mut host = Host::start("h1", store.serve(None));
+    host.wait_for("host: callers are accepted");
+    assert_eq!(open(&host, "k-1"), "READY");
+    let text = with_key(8).replace(r#"{"name":"north","apiKeys":["k-1"]},"#, "");
+    assert!(text.contains(found));
+    store.put("op", "config", text.replace(found, replacement).as_bytes());
+    let line = host.wait_for("configuration: version is in use");
+    assert!(line.contains(r#""version":"8""#), "{line}");
+    assert_eq!((open(&host, "k-1"), open(&host, "k-2")), ("ERROR".into(), "READY".into()));
+}
+
 /// Guards against a restarted host with a lower incarnation than before: the other hosts take the
 /// higher incarnation for the newer one and keep the link to the former process until it times out.
 #[test]
--- a/tests/proxy_urgency.rs
+++ b/tests/proxy_urgency.rs
@@ -19,8 +19,9 @@
     past_its_target = { 2, 100, 1 },
     past_it_twice = { 2, 250, 0 },
     most_urgent = { 0, 900, 0 },
+    of_many_classes = { 1_000, 250, 998 },
 )]
-fn waiting_raises_the_class(priority: u8, waited_ms: u64, expected: u8) {
+fn waiting_raises_the_class(priority: u64, waited_ms: u64, expected: u64) {
     let found = effective_priority(Priority(priority), DurationMs(waited_ms), DurationMs(100));
     assert_eq!(found, Priority(expected));
 }
