Remove queues of classes of urgency that no route has

A host kept a queue, with its accounts, for each class of urgency that any version of the configuration ever had, and looked at all of them whenever requests waited. Priorities of 8 bits had bounded this at 256; since they have 64, versions with new priorities would let it grow for as long as the host runs.

Change: a version that comes into use removes the empty queues of classes that it does not have. Only classes with waiting requests are looked at, and parked requests are counted once for all classes.

Test: proxy_urgency classes_of_former_versions_are_removed; without the removal 37 queues are left, with it 1.

--- a/src/core/proxy/dispatch.rs
+++ b/src/core/proxy/dispatch.rs
@@ -1,5 +1,7 @@
 //! Dispatch of queued requests to pooled connections.
 
+use std::collections::BTreeMap;
+
 use super::catalog::ReadRule;
 use super::connection::{Owner, PooledEvent, Task};
 use super::job::{Job, JobPayload, Setup, Work};
@@ -7,7 +9,7 @@
 use super::request::ProxyRequestEvent;
 use super::statement::StatementPayload;
 use super::{Proxy, ProxyEffect, StatementKind};
-use crate::types::{ConnectionId, DurationMs, GroupId, RequestId, Timestamp};
+use crate::types::{ConnectionId, DurationMs, GroupId, Priority, RequestId, Timestamp};
 
 /// Limit of parked requests of a class: those taken from the fair queue that wait for a connection of
 /// their account.
@@ -48,12 +50,12 @@
     /// Takes requests out of the group's queue and parks them, up to the limit of each class.
     fn park_waiting(&mut self, now: Timestamp, group_id: &GroupId) {
         let Some(group) = self.groups.get_mut(group_id) else { return };
+        let mut parked: BTreeMap<Priority, usize> = BTreeMap::new();
+        for request in group.parked.iter().filter_map(|id| self.requests.get(id)) {
+            *parked.entry(request.route.priority).or_default() += 1;
+        }
         for priority in group.queue.priorities() {
-            let is_of_class = |id: &&RequestId| {
-                self.requests.get(id).is_some_and(|found| found.route.priority == priority)
-            };
-            let parked = group.parked.iter().filter(is_of_class).count();
-            for _ in parked..MAX_PARKED {
+            for _ in parked.get(&priority).copied().unwrap_or_default()..MAX_PARKED {
                 let Some(id) = group.queue.class(priority).pop(now) else { break };
                 if let Some(request) = self.requests.get_mut(&id) {
                     request.ticket = None;
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -63,7 +63,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::types::{
     ConnectionId, DurationMs, EndpointId, FailureDomain, GroupId, HostId, MilliCores, Position,
-    RequestId, RowVersion, SessionId, Timestamp,
+    Priority, RequestId, RowVersion, SessionId, Timestamp,
 };
 
 /// Identity and settings of a host.
@@ -318,6 +318,11 @@
             "configuration: version is in use");
         self.quota.set_accounts(now, &catalog.accounts);
         self.groups.retain(|group, _| catalog.groups.contains_key(group));
+        let priorities: BTreeSet<Priority> =
+            catalog.routes.values().map(|route| route.priority).collect();
+        for group in self.groups.values_mut() {
+            group.queue.retain(|priority| priorities.contains(&priority));
+        }
         for (id, config) in &catalog.groups {
             match self.groups.get_mut(id) {
                 Some(group) => group.config = config.clone(),
--- a/src/core/queue/classes.rs
+++ b/src/core/queue/classes.rs
@@ -43,9 +43,20 @@
         self.class(priority).push(now, account, Weight(1), cost, deadline, item)
     }
 
-    /// The classes that have had requests, the most urgent first.
+    /// The classes with waiting requests, the most urgent first.
     pub fn priorities(&self) -> Vec<Priority> {
-        self.classes.keys().copied().collect()
+        let waiting = self.classes.iter().filter(|(_, queue)| !queue.is_empty());
+        waiting.map(|(priority, _)| *priority).collect()
+    }
+
+    /// Removes the queues of classes that are no longer used, once no request waits in them.
+    pub fn retain(&mut self, is_used: impl Fn(Priority) -> bool) {
+        self.classes.retain(|priority, queue| !queue.is_empty() || is_used(*priority));
+    }
+
+    /// Number of classes that have a queue.
+    pub fn class_count(&self) -> usize {
+        self.classes.len()
     }
 
     /// Number of waiting requests of all classes.
--- a/tests/proxy_urgency.rs
+++ b/tests/proxy_urgency.rs
@@ -124,3 +124,20 @@
     rig.send(session, WRITE);
     assert_eq!(rig.next_job().0, connection);
 }
+
+/// Guards against queues of former classes that are kept for as long as the host runs: each version
+/// of the configuration may bring classes of its own.
+#[test]
+fn classes_of_former_versions_are_removed() {
+    let mut rig = rig();
+    for version in 3..40 {
+        let mut next = catalog(version);
+        for route in next.routes.values_mut() {
+            Rc::make_mut(route).priority = Priority(version);
+        }
+        rig.core.set_catalog(rig.now, next);
+        write(&mut rig, version, "orders");
+        serve_next(&mut rig);
+    }
+    assert_eq!(rig.group().queue.class_count(), 1);
+}
