Accept any names of one word from the platform

Cause: names that the platform chooses were parsed as identifiers of this project's own tables, whose limits come from PostgreSQL, row keys and file names. The platform's names are fields of lines and texts in JSON.

Change: from_external accepts texts of up to 194 bytes without blanks and control characters. The adapter, the rows that hosts write and the messages between hosts use it. FromStr is as strict as before.

--- a/src/core/proxy/session.rs
+++ b/src/core/proxy/session.rs
@@ -79,7 +79,7 @@
 impl Proxy {
     /// Home host of a session for this database and key, if it is another host.
     pub fn remote_home(&self, database: &str, key: &str) -> Option<HostId> {
-        let name = database.parse::<DatabaseName>().ok()?;
+        let name = DatabaseName::from_external(database).ok()?;
         let (_, account) = self.resolve(&name, &CallerKey::new(key)).ok()?;
         self.home(&account).filter(|home| **home != self.spec.host).cloned()
     }
@@ -97,7 +97,7 @@
         database: &str,
         key: &str,
     ) -> Result<(), Error> {
-        let Ok(name) = database.parse::<DatabaseName>() else {
+        let Ok(name) = DatabaseName::from_external(database) else {
             return Err(Error::new(ErrorKind::NoRoute, "the database name is malformed"));
         };
         let key = CallerKey::new(key);
--- a/src/net/proxy/rows.rs
+++ b/src/net/proxy/rows.rs
@@ -18,7 +18,7 @@
 use crate::platform::configuration::{self, Configuration, IgnoredEntry};
 use crate::platform::discovery;
 use crate::platform::store::{self, StoreRow, WriteAnswer};
-use crate::types::{GroupId, HostId, RowVersion, StoreEra, TableVersion, Timestamp};
+use crate::types::{FailureDomain, GroupId, HostId, RowVersion, StoreEra, TableVersion, Timestamp};
 use crate::wire::fleet_rows::{WireClaim, WireHostRow};
 
 /// Prefix of the keys of the hosts' rows.
@@ -203,7 +203,8 @@
     fn on_own_rows(&mut self, cx: CX![], rows: &FeedRows) {
         let now = suspend_aware_clock();
         if rows.is_complete {
-            let host_of = |row: &StoreRow| row.key.strip_prefix(HOST_KEY_PREFIX)?.parse().ok();
+            let host_of =
+                |row: &StoreRow| HostId::from_external(row.key.strip_prefix(HOST_KEY_PREFIX)?).ok();
             let listed: BTreeSet<HostId> = rows.rows.iter().filter_map(host_of).collect();
             // A row of an earlier era that is missing was lost by a restore and is written again by
             // its host, which goes on meanwhile and keeps its share of the rates.
@@ -222,7 +223,7 @@
             } else if row.key == SECRET_KEY {
                 self.on_secret_row(cx, row);
             } else if let Some(group) = row.key.strip_prefix(GROUP_KEY_PREFIX) {
-                match group.parse::<GroupId>() {
+                match GroupId::from_external(group) {
                     Ok(group) => {
                         let claim = read_claim(row);
                         self.core.on_claim_row(now, &group, row.version, claim.as_ref());
@@ -237,7 +238,9 @@
             self.propose_secret(cx);
         }
         if rows.is_complete {
-            let group_of = |row: &StoreRow| row.key.strip_prefix(GROUP_KEY_PREFIX)?.parse().ok();
+            let group_of = |row: &StoreRow| {
+                GroupId::from_external(row.key.strip_prefix(GROUP_KEY_PREFIX)?).ok()
+            };
             let listed = rows.rows.iter().filter_map(group_of).collect();
             self.core.on_claim_rows_read(now, rows.version, &listed);
             self.own_table_read = rows.version;
@@ -247,7 +250,7 @@
     }
 
     fn on_host_row(&mut self, cx: CX![], host: &str, row: &StoreRow) {
-        let host = match host.parse::<HostId>() {
+        let host = match HostId::from_external(host) {
             Ok(host) => host,
             Err(error) => {
                 tracing::warn!(host, %error, "store: key of a row names no valid host");
@@ -333,7 +336,7 @@
 /// The order in a row of the operator; `None` if the row is for something else.
 fn read_evacuation(row: &StoreRow) -> Option<EvacuationOrder> {
     let name = row.key.strip_prefix(store::EVACUATION_KEY_PREFIX)?;
-    match name.parse() {
+    match FailureDomain::from_external(name) {
         Ok(failure_domain) => Some(EvacuationOrder {
             failure_domain,
             version: row.version,
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -14,7 +14,10 @@
 use serde_json::value::RawValue;
 
 use crate::core::proxy::catalog::{AccountLimit, CallerKey, Catalog, GroupConfig, ReadRule, Route};
-use crate::types::{Burst, ConnectionCount, DurationMs, GroupId, Priority, RatePerS, TableVersion};
+use crate::types::{
+    AccountId, Burst, ConnectionCount, DatabaseName, DurationMs, GroupId, Priority, RatePerS,
+    TableVersion,
+};
 
 /// Maximum age of data for a route that sets none.
 const DEFAULT_AGE: DurationMs = DurationMs(1_000);
@@ -200,7 +203,7 @@
 }
 
 fn add_service(catalog: &mut Catalog, service: JsonService) -> Result<(), String> {
-    let group: GroupId = service.name.parse().map_err(|error| format!("name: {error}"))?;
+    let group = GroupId::from_external(&service.name).map_err(|error| format!("name: {error}"))?;
     let warms_up = service.warmup_s.is_none_or(|seconds| seconds > 0.0);
     let slow_start = service.warmup_per_s.filter(|rate| *rate > 0.0 && warms_up);
     let config = GroupConfig {
@@ -216,7 +219,8 @@
 fn add_route(catalog: &mut Catalog, route: JsonRoute) -> Result<(), String> {
     // A route without a database is for traffic that this proxy does not serve.
     let Some(database) = &route.database else { return Ok(()) };
-    let database = database.parse().map_err(|error| format!("database: {error}"))?;
+    let database =
+        DatabaseName::from_external(database).map_err(|error| format!("database: {error}"))?;
     let route = read_route(&route)?;
     if let Some(group) = catalog.groups.get_mut(&route.group) {
         if route.rule != ReadRule::Primary {
@@ -236,7 +240,8 @@
         other => return Err(format!("unknown route type {other:?}")),
     };
     Ok(Route {
-        group: route.service.parse().map_err(|error| format!("service: {error}"))?,
+        group: GroupId::from_external(&route.service)
+            .map_err(|error| format!("service: {error}"))?,
         rule,
         statement_limit_ms: DurationMs(route.timeout_ms.0),
         target_latency_ms: DurationMs(route.target_latency_ms.unwrap_or(route.timeout_ms).0),
@@ -246,8 +251,8 @@
 }
 
 fn add_tenant(catalog: &mut Catalog, tenant: JsonTenant) -> Result<(), String> {
-    let account: crate::types::AccountId =
-        tenant.name.parse().map_err(|error| format!("name: {error}"))?;
+    let account =
+        AccountId::from_external(&tenant.name).map_err(|error| format!("name: {error}"))?;
     if let Some(rate) = tenant.rate_per_s {
         let burst = Burst(whole_rate(tenant.burst.unwrap_or(rate)));
         let limit = AccountLimit { rate_per_s: RatePerS(whole_rate(rate)), burst };
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 
 use crate::core::proxy::group::EndpointEntry;
-use crate::types::{DurationMs, RowVersion};
+use crate::types::{DurationMs, EndpointId, FailureDomain, GroupId, RowVersion};
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -47,10 +47,12 @@
         return Err(format!("address: {} cannot be connected to", json.address));
     }
     Ok(EndpointEntry {
-        endpoint: id.parse().map_err(|error| format!("id: {error}"))?,
-        group: json.service.parse().map_err(|error| format!("service: {error}"))?,
+        endpoint: EndpointId::from_external(id).map_err(|error| format!("id: {error}"))?,
+        group: GroupId::from_external(&json.service)
+            .map_err(|error| format!("service: {error}"))?,
         address: json.address,
-        failure_domain: json.zone.parse().map_err(|error| format!("zone: {error}"))?,
+        failure_domain: FailureDomain::from_external(&json.zone)
+            .map_err(|error| format!("zone: {error}"))?,
         leaving: json.state == State::Draining,
         claims_primary: json.db_role == DbRole::Primary,
         started_ms: json.born,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -202,8 +202,10 @@
             memory,
             descriptors,
             processor: MilliCores((cores * 1_000.0) as u32),
-            host: file.node_name.parse().map_err(|error| format!("nodeName: {error}"))?,
-            failure_domain: file.zone.parse().map_err(|error| format!("zone: {error}"))?,
+            host: HostId::from_external(&file.node_name)
+                .map_err(|error| format!("nodeName: {error}"))?,
+            failure_domain: FailureDomain::from_external(&file.zone)
+                .map_err(|error| format!("zone: {error}"))?,
             listen: file.bind_addrs.frontend,
             readiness: file.bind_addrs.readiness,
             peers: SocketAddr::new(file.ip, first),
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -7,6 +7,9 @@
 
 /// Longest text identifier in bytes, the same limit as for PostgreSQL identifiers.
 const MAX_ID_BYTES: usize = 63;
+/// Longest name of another system in bytes. Keys of the platform's rows have at most 200, and those of
+/// this project have a prefix of up to 6 before a name.
+const MAX_EXTERNAL_BYTES: usize = 194;
 
 /// Error when parsing an identifier.
 #[derive(Debug, Clone, PartialEq, Eq, DocDisplay)]
@@ -15,6 +18,12 @@
     Empty,
     /// identifier has {0} bytes, at most 63 are allowed (255 in object names)
     TooLong(usize),
+    /// name has {0} bytes, at most 194 are allowed
+    ExternalTooLong(usize),
+    /// name has the character {0:?}, which separates fields or is not printed
+    Separator(char),
+    /// name is reserved
+    Reserved,
     /// identifier has the character {0:?}, allowed are letters, digits, '_', '-' and '.' ('/' in object names)
     Character(char),
 }
@@ -43,6 +52,24 @@
     }
 }
 
+/// Checks a name that another system has chosen. It is a single field of a line, a part of a row's key
+/// and a value of a log line, but never a file name or a word of a statement.
+fn validate_external(text: &str) -> Result<CompactString, IdError> {
+    if text.is_empty() {
+        return Err(IdError::Empty);
+    }
+    if text.len() > MAX_EXTERNAL_BYTES {
+        return Err(IdError::ExternalTooLong(text.len()));
+    }
+    if text == AccountId::OPEN.as_str() {
+        return Err(IdError::Reserved);
+    }
+    match text.chars().find(|c| c.is_whitespace() || c.is_control()) {
+        Some(c) => Err(IdError::Separator(c)),
+        None => Ok(CompactString::from(text)),
+    }
+}
+
 macro_rules! text_id {
     ($($(#[$doc:meta])* $name:ident;)*) => {$(
         $(#[$doc])*
@@ -59,6 +86,17 @@
             pub fn as_str(&self) -> &str {
                 self.0.as_str()
             }
+
+            /// Accepts a name that another system has chosen, which may have other characters and be
+            /// longer than one in this project's tables and settings, which `FromStr` parses.
+            ///
+            /// # Errors
+            ///
+            /// The name is empty, reserved or longer than 194 bytes, or has a blank or a control
+            /// character.
+            pub fn from_external(text: &str) -> Result<Self, IdError> {
+                validate_external(text).map(Self)
+            }
         }
 
         impl std::str::FromStr for $name {
--- a/src/wire/fleet_rows.rs
+++ b/src/wire/fleet_rows.rs
@@ -7,7 +7,7 @@
 
 use crate::core::proxy::failover::Claim;
 use crate::core::proxy::follow::HostRow;
-use crate::types::{AttemptId, IdError, Incarnation, MilliCores, Term};
+use crate::types::{AttemptId, EndpointId, HostId, IdError, Incarnation, MilliCores, Term};
 
 /// Why bytes cannot be read as a row.
 pub type RowReadError = String;
@@ -99,10 +99,10 @@
 
     fn try_from(wire: WireClaim) -> Result<Self, IdError> {
         Ok(Self {
-            holder: wire.holder.parse()?,
+            holder: HostId::from_external(&wire.holder)?,
             attempt: AttemptId(wire.attempt),
-            leader: wire.leader.map(|leader| leader.parse()).transpose()?,
-            chosen: wire.chosen.map(|chosen| chosen.parse()).transpose()?,
+            leader: wire.leader.map(|leader| EndpointId::from_external(&leader)).transpose()?,
+            chosen: wire.chosen.map(|chosen| EndpointId::from_external(&chosen)).transpose()?,
             term: Term(wire.term),
         })
     }
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -18,8 +18,8 @@
 use crate::core::proxy::follow::{HostRow, TablesRead};
 use crate::core::view::{Member, Snapshot, Statement};
 use crate::types::{
-    AccountId, AttemptId, CommitSeq, DurationMs, EndpointId, GroupId, HostId, Incarnation,
-    MilliTokens, Position, RowVersion, TableVersion, Term,
+    AccountId, AttemptId, CommitSeq, DurationMs, EndpointId, FailureDomain, GroupId, HostId,
+    Incarnation, MilliTokens, Position, RowVersion, TableVersion, Term,
 };
 
 /// A message with its number.
@@ -250,7 +250,7 @@
             }
             WireMessage::Demand(demand, version) => {
                 let entry = |(account, rate): (CompactString, u64)| {
-                    Ok((account.parse::<AccountId>()?, MilliTokens(rate)))
+                    Ok((AccountId::from_external(&account)?, MilliTokens(rate)))
                 };
                 let demand: Result<_, PeerFault> = demand.into_iter().map(entry).collect();
                 Self::Demand(demand?, version.map(TableVersion))
@@ -261,7 +261,7 @@
             WireMessage::ClaimsRequest(after) => Self::ClaimsRequest(RowVersion(after)),
             WireMessage::Claims(rows) => Self::Claims(rows.try_into()?),
             WireMessage::ClaimConfirmed(group, version) => {
-                Self::ClaimConfirmed(group.parse()?, RowVersion(version))
+                Self::ClaimConfirmed(GroupId::from_external(&group)?, RowVersion(version))
             }
             WireMessage::TablesRead(rows, age_ms) => {
                 let (rows, age_ms) = (RowVersion(rows), DurationMs(age_ms));
@@ -270,14 +270,15 @@
             WireMessage::HostRowsRequest(after) => Self::HostRowsRequest(RowVersion(after)),
             WireMessage::HostRows(rows) => {
                 let row = |(host, version, row): (CompactString, u64, WireHostRow)| {
-                    Ok((host.parse()?, RowVersion(version), row.into()))
+                    Ok((HostId::from_external(&host)?, RowVersion(version), row.into()))
                 };
                 let rows: Result<_, PeerFault> = rows.into_iter().map(row).collect();
                 Self::HostRows(rows?)
             }
             WireMessage::Evacuations(orders) => {
                 let order = |(domain, version, is_evacuated): (CompactString, u64, bool)| {
-                    let (failure_domain, version) = (domain.parse()?, RowVersion(version));
+                    let failure_domain = FailureDomain::from_external(&domain)?;
+                    let version = RowVersion(version);
                     Ok(EvacuationOrder { failure_domain, version, is_evacuated })
                 };
                 let orders: Result<_, PeerFault> = orders.into_iter().map(order).collect();
@@ -303,9 +304,9 @@
 
     fn try_from(wire: WireHello) -> Result<Self, PeerFault> {
         Ok(Self {
-            host: wire.host.parse()?,
+            host: HostId::from_external(&wire.host)?,
             incarnation: Incarnation(wire.incarnation),
-            failure_domain: wire.failure_domain.parse()?,
+            failure_domain: FailureDomain::from_external(&wire.failure_domain)?,
         })
     }
 }
--- a/src/wire/peer_claims.rs
+++ b/src/wire/peer_claims.rs
@@ -77,7 +77,7 @@
 
     fn try_from(wire: WireClaimRows) -> Result<Self, PeerFault> {
         let row = |(group, version, claim): (CompactString, u64, WireClaim)| {
-            Ok((group.parse()?, RowVersion(version), Claim::try_from(claim)?))
+            Ok((GroupId::from_external(&group)?, RowVersion(version), Claim::try_from(claim)?))
         };
         let rows: Result<_, PeerFault> = wire.rows.into_iter().map(row).collect();
         let (after, complete) = (RowVersion(wire.after), RowVersion(wire.complete));
--- a/tests/platform_configuration.rs
+++ b/tests/platform_configuration.rs
@@ -2,7 +2,8 @@
 
 use medlarstile::core::proxy::catalog::{CallerKey, Catalog, ReadRule};
 use medlarstile::platform::configuration::{self, Configuration};
-use medlarstile::types::{DurationMs, Priority};
+use medlarstile::platform::discovery;
+use medlarstile::types::{DatabaseName, DurationMs, Priority, RowVersion};
 use yare::parameterized;
 
 /// A valid version, in which the tests replace a part.
@@ -63,6 +64,32 @@
     assert_eq!(idle, DurationMs(1));
 }
 
+/// Guards against routes, services and accounts that are refused because of their names, or whose
+/// names keep a whole version from coming into force.
+#[parameterized(
+    other_letters = { "bad-tölz" },
+    no_letters = { "倉庫" },
+    punctuation = { "eu/west:1" },
+    long = { &"x".repeat(100) },
+)]
+fn any_name_of_one_word_is_served(name: &str) {
+    let text = VALID
+        .replace("orders", name)
+        .replace("north", name)
+        .replace("\"db\"", &format!("{name:?}"));
+    let read = configuration::read(text.as_bytes()).expect("a configuration");
+    assert_eq!(read.ignored, []);
+    let database = DatabaseName::from_external(name).expect("a name");
+    assert_eq!(read.catalog.routes[&database].group.as_str(), name);
+    assert_eq!(read.catalog.keys[&CallerKey::new("k-1")].as_str(), name);
+    let entry = format!(
+        r#"{{"service":{name:?},"address":"127.0.0.1:80","zone":{name:?},
+        "state":"ready","dbRole":"primary"}}"#
+    );
+    let entry = discovery::read(name, RowVersion(3), entry.as_bytes()).expect("an entry");
+    assert_eq!((entry.endpoint.as_str(), entry.group.as_str()), (name, name));
+}
+
 /// Guards against one entry that is not valid and keeps the others of its version from coming into
 /// force, and against an entry that stays in use although it is not decoded.
 #[parameterized(
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -240,6 +240,7 @@
     route_of_another_type = { r#""routes":["#, r#""routes":[{"database":"d","type":"new"},"# },
     entry_of_another_writer = { r#""services":["#, r#""services":[7,{"name":"a b"},"# },
     account_with_an_odd_name = { r#""tenants":["#, r#""tenants":[{"name":"a b"},{},"# },
+    names_of_other_letters = { r#""name":"south""#, r#""name":"süd/1""# },
 )]
 fn a_version_with_any_values_withdraws_a_key(found: &str, replacement: &str) {
     let store = Store::default();
--- a/tests/types.rs
+++ b/tests/types.rs
@@ -28,6 +28,30 @@
     assert!(text.parse::<AccountId>().is_err());
 }
 
+/// Guards against a name of another system that is refused although its protocol allows it, and
+/// against one that is taken for several fields, ends a line or stands for the open routes.
+#[parameterized(
+    plain = { "north-1", true },
+    other_letters = { "bad-tölz", true },
+    combined_letters = { "bad-to\u{308}lz", true },
+    no_letters = { "倉庫", true },
+    punctuation = { "eu/north:1@a", true },
+    quotes = { "a\"b\\c", true },
+    longer_than_an_id = { &"x".repeat(64), true },
+    longest = { &"x".repeat(194), true },
+    too_long = { &"x".repeat(195), false },
+    empty = { "", false },
+    blank = { "a b", false },
+    other_blank = { "a\u{a0}b", false },
+    line_feed = { "a\n", false },
+    control = { "a\u{1}b", false },
+    open_account = { "*", false },
+)]
+fn names_of_other_systems(text: &str, is_valid: bool) {
+    let name = AccountId::from_external(text).ok();
+    assert_eq!(name.as_ref().map(AccountId::as_str), is_valid.then_some(text));
+}
+
 /// Guards against amounts that don't parse or print as plain numbers.
 #[test]
 fn amounts_parse_and_print() {
