Read a host's limits with or without a fraction

A host whose settings state memoryMb as 260.0 or maxFds with a fraction did not start, as the whole file could not be decoded; the bounds beside them were read either way.

Whole moves into a module that both decoders use.

Test: platform_codec limits_of_a_host_are_read; the case with fractions cannot be decoded into the former type.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -5,14 +5,14 @@
 //! What is left out is refused: an earlier version of the entry is no longer what the operator wants.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use serde::de::{DeserializeOwned, Deserializer, Visitor};
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use super::number::Whole;
 use crate::core::proxy::catalog::{AccountLimit, CallerKey, Catalog, GroupConfig, ReadRule, Route};
 use crate::types::{
     AccountId, Burst, ConnectionCount, DatabaseName, DurationMs, GroupId, Priority, RatePerS,
@@ -111,45 +111,6 @@
     name: CompactString,
 }
 
-/// A number that is not negative, of which the fraction is dropped and what is above 64 bits is the
-/// largest number. JSON has one type of numbers, and no field of the configuration has a largest one.
-#[derive(Debug, Clone, Copy, Default)]
-struct Whole(u64);
-
-impl Whole {
-    fn to_u32(self) -> u32 {
-        u32::try_from(self.0).unwrap_or(u32::MAX)
-    }
-}
-
-impl<'de> Deserialize<'de> for Whole {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        struct WholeVisitor;
-
-        impl Visitor<'_> for WholeVisitor {
-            type Value = Whole;
-
-            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str("a number that is not negative")
-            }
-
-            fn visit_u64<E: serde::de::Error>(self, number: u64) -> Result<Whole, E> {
-                Ok(Whole(number))
-            }
-
-            fn visit_f64<E: serde::de::Error>(self, number: f64) -> Result<Whole, E> {
-                if number >= 0.0 {
-                    Ok(Whole(number as u64))
-                } else {
-                    Err(E::invalid_value(serde::de::Unexpected::Float(number), &self))
-                }
-            }
-        }
-
-        deserializer.deserialize_u64(WholeVisitor)
-    }
-}
-
 /// Decodes a version of the configuration.
 ///
 /// # Errors
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,5 +6,6 @@
 pub mod configuration;
 pub mod discovery;
 pub mod line;
+mod number;
 pub mod settings;
 pub mod store;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use serde::Deserialize;
 
+use super::number::Whole;
 use crate::core::proxy::lease::LeadProof;
 use crate::core::proxy::slow_start::SlowStartMargin;
 use crate::core::proxy::Margins;
@@ -130,20 +131,20 @@
 struct Limits {
     /// Share of one core that the host may use.
     cpu_share: Option<f64>,
-    memory_mb: Option<u64>,
-    max_fds: Option<u64>,
+    memory_mb: Option<Whole>,
+    max_fds: Option<Whole>,
 }
 
 impl Limits {
     /// Memory and descriptors of the process.
     fn resources(&self) -> Result<(ByteCount, DescriptorCount), String> {
-        let memory_mb = self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        let memory_mb = self.memory_mb.map_or(DEFAULT_MEMORY_MB, |memory_mb| memory_mb.0);
         if memory_mb < MIN_MEMORY_MB {
             return Err(format!(
                 "memoryMb is {memory_mb}, at least {MIN_MEMORY_MB} are needed for one long message"
             ));
         }
-        let descriptors = self.max_fds.unwrap_or(DEFAULT_DESCRIPTORS);
+        let descriptors = self.max_fds.map_or(DEFAULT_DESCRIPTORS, |descriptors| descriptors.0);
         if descriptors < MIN_DESCRIPTORS {
             return Err(format!("maxFds is {descriptors}, at least {MIN_DESCRIPTORS} are needed"));
         }
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -15,7 +15,8 @@
 use medlarstile::platform::store::{self, HttpAnswer, RowsAnswer, WriteAnswer};
 use medlarstile::platform::{configuration, discovery};
 use medlarstile::types::{
-    AccountId, DurationMs, Position, PreparedId, RowVersion, Term, Timestamp,
+    AccountId, ByteCount, DescriptorCount, DurationMs, Position, PreparedId, RowVersion, Term,
+    Timestamp,
 };
 use yare::parameterized;
 
@@ -186,6 +187,18 @@
     }
 }
 
+/// Guards against a host that does not start because its limits are written with a fraction.
+#[parameterized(
+    whole = { r#"{"memoryMb":260,"maxFds":4200}"#, 260, 4_200 },
+    fractions = { r#"{"memoryMb":260.0,"maxFds":4200.5}"#, 260, 4_200 },
+)]
+fn limits_of_a_host_are_read(limits: &str, memory_mb: u64, descriptors: u64) {
+    let text = SETTINGS.replace(r#""bounds""#, &format!(r#""limits":{limits},"bounds""#));
+    let settings = PlatformSettings::parse(&text, 9_464).expect("the settings are valid");
+    assert_eq!(settings.memory, ByteCount(memory_mb * 1024 * 1024));
+    assert_eq!(settings.descriptors, DescriptorCount(descriptors));
+}
+
 /// Guards against a host that takes longer to follow the configuration than its platform allows.
 #[parameterized(
     stated = { r#""graceS":6,"contactMs":5000,"configApplyMs":4000"#, 4_000 },
