Soak: shapes with blanks, and versions with any numbers and odd entries

The soak's callers prepared shapes of one word, its operator wrote small whole numbers and valid entries only, and its endpoints did not compare the shape that they run with the one that the caller prepared.

Change: shapes hold blanks and words of the protocol, and endpoints check them; versions have priorities of up to 1e30, fractions and, each third time, a route and an account that are not valid.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -40,6 +40,8 @@
     database: &'static str,
     max_age: Option<u64>,
     tag: String,
+    /// Access and text of the prepared statement.
+    shape: String,
     /// Signatures of the statements of the transaction.
     signatures: Vec<String>,
     stream: TcpStream,
@@ -88,7 +90,7 @@
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(PATIENCE)).ok()?;
         let lines = BufReader::new(stream.try_clone().ok()?);
-        let (shared, tag, signatures) = (shared.clone(), String::new(), Vec::new());
+        let (shared, tag, shape) = (shared.clone(), String::new(), String::new());
         let mut session = Self {
             shared,
             name,
@@ -97,7 +99,8 @@
             database,
             max_age,
             tag,
-            signatures,
+            shape,
+            signatures: Vec::new(),
             stream,
             lines,
             next: 0,
@@ -123,6 +126,7 @@
             account: self.account,
             key: self.key,
             tag: self.tag.clone(),
+            shape: if text.starts_with("EXECUTE") { self.shape.clone() } else { String::new() },
             sent: Instant::now(),
         };
         let sent = asked.sent;
@@ -200,11 +204,19 @@
         };
         if prepared {
             // Shapes differ, so that the connection of a transaction often lacks one.
-            let shape = rng.random_range(0..1_000);
-            let (_, end, alive) = self.ask(&format!("PREPARE s READ shape{shape}"));
+            let number = rng.random_range(0..1_000);
+            // A shape may hold blanks, and words of the protocol.
+            let shape = match number % 4 {
+                0 => format!("READ shape{number}"),
+                1 => format!("READ shape{number} READ"),
+                2 => format!("READ shape{number} WRITE to"),
+                _ => format!("READ  {number} "),
+            };
+            let (_, end, alive) = self.ask(&format!("PREPARE s {shape}"));
             if !alive || !matches!(end, End::Done(_)) {
                 return false;
             }
+            self.shape = shape;
         }
         let began = if inside { began } else { Instant::now() };
         let (id, end, alive) = self.ask(text);
--- a/tests/soak/endpoint.rs
+++ b/tests/soak/endpoint.rs
@@ -1,6 +1,6 @@
 //! An emulated endpoint that speaks the platform's lines.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
@@ -33,7 +33,10 @@
     account: String,
     open: Option<Open>,
     values: BTreeMap<String, String>,
-    shapes: BTreeSet<String>,
+    /// Access and text of the prepared statements by name.
+    shapes: BTreeMap<String, String>,
+    /// That of the statement in progress, if it is a prepared one.
+    shape: String,
 }
 
 /// Starts the endpoint `member`.
@@ -78,7 +81,8 @@
         account: words.get(2).unwrap_or(&"").to_string(),
         open: None,
         values: BTreeMap::new(),
-        shapes: BTreeSet::new(),
+        shapes: BTreeMap::new(),
+        shape: String::new(),
     };
     output.write_all(connection.ready().as_bytes())?;
     for line in lines {
@@ -130,6 +134,10 @@
         if !failed && self.has_lost_lead() && !matches!(words[0], "COMMIT" | "ROLLBACK") {
             return self.error("READONLY");
         }
+        self.shape = match words[..] {
+            ["EXECUTE", name, ..] => self.shapes.get(name).cloned().unwrap_or_default(),
+            _ => String::new(),
+        };
         match words[..] {
             ["ROLLBACK"] => {
                 self.open = None;
@@ -141,16 +149,16 @@
             ["READ", "list"] => self.read(id, LIST),
             ["READ", _] => self.read(id, (1, 5)),
             ["WRITE", _, data] => self.write(id, data),
-            ["EXECUTE", shape, _] if self.shapes.contains(shape) => self.read(id, (1, 5)),
-            ["EXECUTE", shape, _, data] if self.shapes.contains(shape) => self.write(id, data),
-            ["EXECUTE", ..] => self.error("NOSTMT"),
+            ["EXECUTE", ..] if self.shape.is_empty() => self.error("NOSTMT"),
+            ["EXECUTE", _, _] => self.read(id, (1, 5)),
+            ["EXECUTE", _, _, data] => self.write(id, data),
             ["COMMIT"] => self.commit(id),
             ["SET", name, value] => {
                 self.values.insert(name.into(), value.into());
                 "COMPLETE -\r\n".into()
             }
-            ["PREPARE", name, ..] => {
-                self.shapes.insert(name.into());
+            ["PREPARE", name, "READ" | "WRITE", ..] => {
+                self.shapes.insert(name.into(), words[2..].join(" "));
                 "COMPLETE -\r\n".into()
             }
             ["RESET"] => {
@@ -218,6 +226,9 @@
         if asked.tag != self.values.get("tag").map_or("", String::as_str) {
             world.violation(format!("PINNED: {id} ran with the values {:?}", self.values));
         }
+        if asked.shape != self.shape {
+            world.violation(format!("PINNED: {id} ran {:?}, not {:?}", self.shape, asked.shape));
+        }
         if first {
             world.arrive(&asked);
         }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -119,11 +119,18 @@
     /// Writes a configuration without the keys in `withdrawn`.
     fn configure(&mut self, withdrawn: &[&str]) -> Instant {
         self.version += self.rng.random_range(1..4);
+        // Numbers have no largest value and may have a fraction; an entry that is not valid must not
+        // keep the others from coming into force.
+        let priority =
+            [json!(1), json!(300), json!(1e30), json!(2.5)][self.version as usize % 4].clone();
+        let is_odd = self.version % 3 == 0;
+        let odd = |entry: Value| is_odd.then_some(entry);
         let route = |(name, age): &(&str, Option<u64>)| {
             let rule = ["primary", "bounded_staleness", "read_your_writes"]
                 [caller::DATABASES.iter().position(|one| one.0 == *name).expect("a database")];
-            json!({"database": name, "type": rule, "service": GROUP, "timeoutMs": 1_000,
-                "targetLatencyMs": 300, "maxStalenessMs": age, "public": false})
+            json!({"database": name, "type": rule, "service": GROUP, "timeoutMs": 1_000.5,
+                "targetLatencyMs": 300, "maxStalenessMs": age, "priority": priority,
+                "public": false})
         };
         let tenant = |(name, key, rate): &(&str, &str, u64)| {
             let keys: Vec<&str> = [*key].into_iter().filter(|k| !withdrawn.contains(k)).collect();
@@ -131,10 +138,12 @@
         };
         let config = json!({
             "version": self.version,
-            "routes": caller::DATABASES.iter().map(route).collect::<Vec<Value>>(),
+            "routes": odd(json!({"name": "odd", "database": "odd", "type": "later"})).into_iter()
+                .chain(caller::DATABASES.iter().map(route)).collect::<Vec<Value>>(),
             "services": [{"name": GROUP, "maxConnections": endpoint::MAX_CONNECTIONS,
                 "syncReplicas": 0}],
-            "tenants": ACCOUNTS.iter().map(tenant).collect::<Vec<Value>>(),
+            "tenants": odd(json!({"name": "a b", "apiKeys": [7]})).into_iter()
+                .chain(ACCOUNTS.iter().map(tenant)).collect::<Vec<Value>>(),
             "limits": {"txIdleMs": 3_000},
         });
         self.platform.put("op", "config", &config)
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -50,6 +50,8 @@
     pub key: &'static str,
     /// Session value that was acknowledged to the caller.
     pub tag: String,
+    /// What the caller prepared under the name that it executes; empty for other statements.
+    pub shape: String,
     pub sent: Instant,
 }
 
