Show the error's text when a relay test fails

The code stands for several kinds of errors, and the test did not keep the text that tells them apart. It is now part of the answer and is printed with a failed comparison. What the test checks stays.

--- a/tests/platform_relay.rs
+++ b/tests/platform_relay.rs
@@ -85,11 +85,13 @@
     lines: BufReader<TcpStream>,
 }
 
-/// A complete answer: the number of rows, its last word, and the state of the session.
+/// A complete answer: the number of rows, its signature or error code, the text of the error, and the
+/// state of the session.
 #[derive(Debug, PartialEq, Eq)]
 struct Answer {
     rows: usize,
     result: String,
+    error: String,
     state: String,
 }
 
@@ -118,7 +120,7 @@
 
     /// Reads a complete answer; `None` if the connection ends before.
     fn answer(&mut self) -> Option<Answer> {
-        let (mut rows, mut result) = (0, String::new());
+        let (mut rows, mut result, mut error) = (0, String::new(), String::new());
         loop {
             let mut line = String::new();
             if self.lines.read_line(&mut line).unwrap_or(0) == 0 {
@@ -126,9 +128,12 @@
             }
             match line.trim_end().split(' ').collect::<Vec<&str>>()[..] {
                 ["ROW", row] => rows += usize::from(row.len() == ROW_BYTES),
-                ["COMPLETE", word] | ["ERROR", word, ..] => result = word.to_owned(),
+                ["COMPLETE", word] => result = word.to_owned(),
+                ["ERROR", word, ref text @ ..] => {
+                    (result, error) = (word.to_owned(), text.join(" "))
+                }
                 ["READY", state, ..] => {
-                    return Some(Answer { rows, result, state: state.to_owned() });
+                    return Some(Answer { rows, result, error, state: state.to_owned() });
                 }
                 _ => panic!("{line:?}"),
             }
@@ -298,7 +303,8 @@
     let hosts = start_hosts(links.iter().map(|link| link.address).collect());
     let host = hosts.last().expect("a host");
     let mut caller = Caller::open(host);
-    assert_eq!(caller.ask("READ item").expect("an answer").result, "e0");
+    let first = caller.ask("READ item").expect("an answer");
+    assert_eq!(first.result, "e0", "{first:?}");
     links.iter().for_each(Link::silence_open);
     store.put("op", "config", configuration(8, &["orders", "plans"]).as_bytes());
     store.put("servers", "e0", entry(endpoints[0], "replica", "draining", 2).as_bytes());
