Let requests wait for a host's first lease

Callers of a host that had just begun to accept them got BUSY, "group has no reachable primary", for statements that it could have run a moment later. Only platforms that do not check fencing tokens are affected, since only there a primary needs a lease.

Cause: a host accepts callers when it knows the configuration, the endpoints and the other hosts. Its lease begins when it has read its own row back. A request without a usable primary is refused if the lease ended 0.3 s ago or earlier, and a lease that has never begun counted as such, so the next tick refused it.

Change: before the first lease, the 0.3 s count from the time at which the host has begun to serve. After that it refuses at once, as before.

--- a/src/core/proxy/lead.rs
+++ b/src/core/proxy/lead.rs
@@ -10,8 +10,8 @@
 use super::{Proxy, ProxyEffect};
 use crate::types::{DurationMs, EndpointId, GroupId, HostId, RowVersion, Term, Timestamp};
 
-/// Time after the end of the lease for which a request waits for a new one. Another host's answer
-/// may renew it; a partition lasts longer.
+/// Time after the end of the lease, or after the host has begun to serve, for which a request waits
+/// for a new one. An answer of the store or of another host may grant it; a partition lasts longer.
 const RENEWAL_WAIT: DurationMs = DurationMs(300);
 
 impl Proxy {
@@ -41,7 +41,9 @@
     /// soon, because it is cut off from the store and from most hosts.
     pub(super) fn lacks_lease(&self, now: Timestamp, request: &Request) -> bool {
         let Some(group) = self.groups.get(&request.route.group) else { return false };
-        !self.is_leased(now - RENEWAL_WAIT) && self.placements(now, group, request).is_empty()
+        let has_begun = now >= self.serving_since + RENEWAL_WAIT;
+        let is_lacking = has_begun && !self.is_leased(now - RENEWAL_WAIT);
+        is_lacking && self.placements(now, group, request).is_empty()
     }
 
     /// Renews the lease from what is known.
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -221,6 +221,8 @@
     lease_end: Timestamp,
     /// Whether it had not ended when this was last looked at.
     was_leased: bool,
+    /// When this host began to accept callers, which may be before its first lease.
+    serving_since: Timestamp,
     sessions: BTreeMap<SessionId, Session>,
     requests: BTreeMap<RequestId, Request>,
     connections: BTreeMap<ConnectionId, PooledConnection>,
@@ -254,6 +256,7 @@
             claims: BTreeMap::new(),
             evidence: Evidence::default(),
             lease_end: Timestamp(0),
+            serving_since: Timestamp(0),
             was_leased: false,
             sessions: BTreeMap::new(),
             requests: BTreeMap::new(),
