Let requests wait for a host's lease after a pause of its process

Callers got BUSY, "group has no reachable primary", from a host whose process had been paused for longer than its lease, although it had a new lease a moment later. The cause is that of the first lease: the end of the lease lies further back than the 0.3 s for which a request waits, so the next tick refused it.

Change: a tick that comes 0.3 s late or more shows a pause, and the requests wait until 0.3 s after it. The two times are one field, running_since.

Test: proxy_lease, requests_wait_for_a_lease_after_a_pause, failed on the code before and holds now.

--- a/src/core/proxy/lead.rs
+++ b/src/core/proxy/lead.rs
@@ -10,8 +10,9 @@
 use super::{Proxy, ProxyEffect};
 use crate::types::{DurationMs, EndpointId, GroupId, HostId, RowVersion, Term, Timestamp};
 
-/// Time after the end of the lease, or after the host has begun to serve, for which a request waits
-/// for a new one. An answer of the store or of another host may grant it; a partition lasts longer.
+/// Time after the end of the lease for which a request waits for a new one, and the time for which it
+/// waits on a host that has just begun to serve or was paused. An answer of the store or of another
+/// host may grant the lease; a partition lasts longer.
 const RENEWAL_WAIT: DurationMs = DurationMs(300);
 
 impl Proxy {
@@ -41,11 +42,19 @@
     /// soon, because it is cut off from the store and from most hosts.
     pub(super) fn lacks_lease(&self, now: Timestamp, request: &Request) -> bool {
         let Some(group) = self.groups.get(&request.route.group) else { return false };
-        let has_begun = now >= self.serving_since + RENEWAL_WAIT;
-        let is_lacking = has_begun && !self.is_leased(now - RENEWAL_WAIT);
+        let has_run = now >= self.running_since + RENEWAL_WAIT;
+        let is_lacking = has_run && !self.is_leased(now - RENEWAL_WAIT);
         is_lacking && self.placements(now, group, request).is_empty()
     }
 
+    /// Notes a pause of the process, in which it could not renew its lease.
+    pub(super) fn detect_pause(&mut self, now: Timestamp) {
+        if now >= self.ticked_at + RENEWAL_WAIT {
+            self.running_since = now;
+        }
+        self.ticked_at = now;
+    }
+
     /// Renews the lease from what is known.
     pub(super) fn renew_lease(&mut self, now: Timestamp) {
         if self.spec.lead_proof == LeadProof::Transaction {
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -221,8 +221,11 @@
     lease_end: Timestamp,
     /// Whether it had not ended when this was last looked at.
     was_leased: bool,
-    /// When this host began to accept callers, which may be before its first lease.
-    serving_since: Timestamp,
+    /// When this host began to accept callers, which may be before its first lease, or was last
+    /// resumed after a pause.
+    running_since: Timestamp,
+    /// Time of the last tick.
+    ticked_at: Timestamp,
     sessions: BTreeMap<SessionId, Session>,
     requests: BTreeMap<RequestId, Request>,
     connections: BTreeMap<ConnectionId, PooledConnection>,
@@ -256,8 +259,9 @@
             claims: BTreeMap::new(),
             evidence: Evidence::default(),
             lease_end: Timestamp(0),
-            serving_since: Timestamp(0),
             was_leased: false,
+            running_since: Timestamp(0),
+            ticked_at: Timestamp(0),
             sessions: BTreeMap::new(),
             requests: BTreeMap::new(),
             connections: BTreeMap::new(),
--- a/src/core/proxy/shutdown.rs
+++ b/src/core/proxy/shutdown.rs
@@ -99,7 +99,7 @@
     pub(super) fn advance_life(&mut self, now: Timestamp) {
         let initialized = self.catalog.is_some() && self.discovered && self.hosts_known;
         if self.life.state() == LifeState::Starting && initialized {
-            self.serving_since = now;
+            self.running_since = now;
             self.fire_life_event(now, LifeEvent::Ready);
         }
         let remaining = Remaining {
--- a/src/core/proxy/tick.rs
+++ b/src/core/proxy/tick.rs
@@ -30,6 +30,7 @@
     /// Does the periodic work. Must be called at least every 25 ms.
     pub fn tick(&mut self, now: Timestamp) {
         self.ticks += 1;
+        self.detect_pause(now);
         if let Some(demand) = self.quota.tick(now) {
             if self.quota.is_report_due(&demand) {
                 self.out.push(ProxyEffect::ReportDemand(demand));
--- a/tests/proxy_lease.rs
+++ b/tests/proxy_lease.rs
@@ -122,6 +122,21 @@
     assert_eq!(rig.answers.last().and_then(|_| outcome(&rig)), expected);
 }
 
+/// Guards against requests that a host refuses after a pause of its process, in which its lease has
+/// ended, although a new one begins a moment later.
+#[test]
+fn requests_wait_for_a_lease_after_a_pause() {
+    let mut rig = leased_rig();
+    let session = rig.session(1, "orders");
+    rig.now += DurationMs(5_000);
+    rig.send(session, Statement::Data(Access::Write));
+    rig.pass(60);
+    assert_eq!(rig.answers, []);
+    rig.core.on_store_read(rig.now, read_at(rig.now));
+    rig.settle();
+    assert_eq!(rig.jobs.len(), 1);
+}
+
 /// Guards against a commit that is sent to an old primary: the transaction is rolled back, and the
 /// caller is told that nothing of it is kept.
 #[test]
