Tests: plain parameters for the first lease's cases

The linter rejects unwrap_or on the literals that a case's parameters become. The cases and what they check stay.

--- a/tests/proxy_lease.rs
+++ b/tests/proxy_lease.rs
@@ -97,22 +97,22 @@
 /// Guards against requests that a host refuses although its first lease begins a moment after it has
 /// accepted their callers, and against requests that wait for a lease that does not begin.
 #[parameterized(
-    lease_begins = { 0, Some(60), None },
-    lease_does_not_begin = { 0, None, Some(ErrorKind::NoPrimary) },
-    lease_has_not_begun_for_long = { 400, None, Some(ErrorKind::NoPrimary) },
+    lease_begins = { 0, 60, true, None },
+    lease_does_not_begin = { 0, 400, false, Some(ErrorKind::NoPrimary) },
+    lease_has_not_begun_for_long = { 400, 20, false, Some(ErrorKind::NoPrimary) },
 )]
 fn requests_wait_for_the_first_lease(
     age_ms: u64,
-    lease_after_ms: Option<u64>,
+    wait_ms: u64,
+    is_granted: bool,
     expected: Option<ErrorKind>,
 ) {
     let mut rig = Rig::with_proof(LeadProof::Lease);
     rig.pass(age_ms);
     let session = rig.session(1, "orders");
     rig.send(session, Statement::Data(Access::Write));
-    // Without a lease for long the request is refused by the next tick, otherwise within 400 ms.
-    rig.pass(lease_after_ms.unwrap_or(if age_ms > 0 { 20 } else { 400 }));
-    if lease_after_ms.is_some() {
+    rig.pass(wait_ms);
+    if is_granted {
         assert_eq!(rig.answers, []);
         rig.core.on_listed();
         rig.core.on_store_read(rig.now, read_at(rig.now));
