Keep the fractions of an account's rate and burst

An account with a rate below 1 was served one operation and then always refused, and one with a rate of 2.5 was served as if it had 2. What an account asks within its rate is to be served.

They were converted to whole operations per second, although the buckets count thousandths.

Change: AccountLimit holds thousandths, which the configuration decodes directly. The highest rate that is told apart stays.

--- a/src/core/proxy/catalog.rs
+++ b/src/core/proxy/catalog.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 
 use crate::types::{
-    AccountId, Burst, ConnectionCount, DatabaseName, DurationMs, GroupId, Priority, RatePerS,
+    AccountId, ConnectionCount, DatabaseName, DurationMs, GroupId, MilliTokens, Priority, RatePerS,
     TableVersion,
 };
 
@@ -72,10 +72,10 @@
 /// Limits of a client account.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AccountLimit {
-    /// Operations per second, over all hosts.
-    pub rate_per_s: RatePerS,
-    /// Operations admitted at once, over all hosts.
-    pub burst: Burst,
+    /// Operations per second, over all hosts, in thousandths.
+    pub rate_per_s: MilliTokens,
+    /// Operations admitted at once, over all hosts, in thousandths.
+    pub burst: MilliTokens,
 }
 
 /// One version of the configuration.
--- a/src/core/proxy/quota.rs
+++ b/src/core/proxy/quota.rs
@@ -137,10 +137,10 @@
             let Some(bucket) = self.buckets.get_mut(account) else { continue };
             let reported = self.reports.values().filter_map(|report| report.demand.get(account));
             let demand = bucket.demand + reported.map(|demand| demand.0).sum::<u64>();
-            let rate = limit.rate_per_s.0 * MilliTokens::ONE.0;
+            let rate = limit.rate_per_s.0;
             let is_due = bucket.taken_over_at.is_none_or(|at| now >= at + TAKEOVER_INTERVAL);
             if is_due && demand <= rate * UNSPENT_PERCENT / 100 {
-                let half_burst = limit.burst.0 * MilliTokens::ONE.0 / 2;
+                let half_burst = limit.burst.0 / 2;
                 bucket.level = bucket.level.max((rate * TAKEOVER_LEVEL.0 / 1_000).min(half_burst));
                 bucket.taken_over_at = Some(now);
             }
@@ -290,7 +290,7 @@
 
 impl RateShares {
     fn new(limit: &AccountLimit, hosts: u64, reporting_hosts: u64) -> Self {
-        let rate = limit.rate_per_s.0 * MilliTokens::ONE.0;
+        let rate = limit.rate_per_s.0;
         let equal = rate / hosts;
         let reserved = equal * hosts.saturating_sub(reporting_hosts);
         let free = rate.saturating_sub(reserved).max(equal);
@@ -315,7 +315,7 @@
         // The unused rate is divided by demand too, since a small demand varies most.
         let rate = scale(shares.free, own_demand, total);
         self.rate = if is_leaving { rate.min(self.rate) } else { rate };
-        let burst = scale(limit.burst.0 * MilliTokens::ONE.0, self.rate, shares.rate);
+        let burst = scale(limit.burst.0, self.rate, shares.rate);
         self.burst = burst.max(MilliTokens::ONE.0);
         if self.taken_over_at.is_none_or(|at| self.refilled_at >= at + TAKEOVER_INTERVAL) {
             self.level = self.level.min(self.burst);
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -15,7 +15,7 @@
 use super::number::Whole;
 use crate::core::proxy::catalog::{AccountLimit, CallerKey, Catalog, GroupConfig, ReadRule, Route};
 use crate::types::{
-    AccountId, Burst, ConnectionCount, DatabaseName, DurationMs, GroupId, Priority, RatePerS,
+    AccountId, ConnectionCount, DatabaseName, DurationMs, GroupId, MilliTokens, Priority, RatePerS,
     TableVersion,
 };
 
@@ -215,8 +215,8 @@
     let account =
         AccountId::from_external(&tenant.name).map_err(|error| format!("name: {error}"))?;
     if let Some(rate) = tenant.rate_per_s {
-        let burst = Burst(whole_rate(tenant.burst.unwrap_or(rate)));
-        let limit = AccountLimit { rate_per_s: RatePerS(whole_rate(rate)), burst };
+        let burst = milli_tokens(tenant.burst.unwrap_or(rate));
+        let limit = AccountLimit { rate_per_s: milli_tokens(rate), burst };
         catalog.accounts.insert(account.clone(), limit);
     }
     let keys: BTreeMap<CallerKey, _> =
@@ -228,3 +228,8 @@
 fn whole_rate(rate: f64) -> u64 {
     rate.clamp(0.0, MAX_RATE) as u64
 }
+
+/// Operations, or operations per second, in thousandths.
+fn milli_tokens(operations: f64) -> MilliTokens {
+    MilliTokens((operations.clamp(0.0, MAX_RATE) * MilliTokens::ONE.0 as f64) as u64)
+}
--- a/src/types/amount.rs
+++ b/src/types/amount.rs
@@ -40,6 +40,19 @@
     ConnectionCount(u32);
 }
 
+impl From<RatePerS> for MilliTokens {
+    /// Returns the tokens of one second at the rate.
+    fn from(rate: RatePerS) -> Self {
+        Self(rate.0.saturating_mul(Self::ONE.0))
+    }
+}
+
+impl From<Burst> for MilliTokens {
+    fn from(burst: Burst) -> Self {
+        Self(burst.0.saturating_mul(Self::ONE.0))
+    }
+}
+
 impl MilliTokens {
     /// The tokens of one statement.
     pub const ONE: MilliTokens = MilliTokens(1_000);
--- a/tests/lead_model/mod.rs
+++ b/tests/lead_model/mod.rs
@@ -172,7 +172,7 @@
         read_target_ms: DurationMs(100),
     };
     catalog.groups.insert(id("db"), group);
-    let limit = AccountLimit { rate_per_s: RatePerS(10_000), burst: Burst(10_000) };
+    let limit = AccountLimit { rate_per_s: RatePerS(10_000).into(), burst: Burst(10_000).into() };
     catalog.accounts.insert(id("north"), limit);
     catalog.keys.insert(CallerKey::new("k"), id("north"));
     catalog
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -15,8 +15,8 @@
 use medlarstile::platform::store::{self, HttpAnswer, RowsAnswer, WriteAnswer};
 use medlarstile::platform::{configuration, discovery};
 use medlarstile::types::{
-    AccountId, ByteCount, DescriptorCount, DurationMs, Position, PreparedId, RowVersion, Term,
-    Timestamp,
+    AccountId, ByteCount, DescriptorCount, DurationMs, MilliTokens, Position, PreparedId,
+    RowVersion, Term, Timestamp,
 };
 use yare::parameterized;
 
@@ -226,7 +226,7 @@
     assert_eq!(catalog.routes.len(), 1, "a route without a database is for other traffic");
     let account: AccountId = "t1".parse().expect("an account");
     assert_eq!(catalog.keys[&CallerKey::new("k2")], account);
-    assert_eq!(catalog.accounts[&account].burst.0, 70);
+    assert_eq!(catalog.accounts[&account].burst, MilliTokens(70_000));
     assert!(configuration::read(b"{\"version\":\"x\"}").is_err());
     assert!(!format!("{catalog:?}").contains("k1"), "a key is printed");
 }
--- a/tests/platform_configuration.rs
+++ b/tests/platform_configuration.rs
@@ -1,9 +1,10 @@
 //! Decoding of the operator's configuration: values at the limits, and entries that are not valid.
 
 use medlarstile::core::proxy::catalog::{CallerKey, Catalog, ReadRule};
+use medlarstile::core::proxy::quota::Quota;
 use medlarstile::platform::configuration::{self, Configuration};
 use medlarstile::platform::discovery;
-use medlarstile::types::{DatabaseName, DurationMs, Priority, RowVersion};
+use medlarstile::types::{DatabaseName, DurationMs, Priority, RowVersion, Timestamp};
 use yare::parameterized;
 
 /// A valid version, in which the tests replace a part.
@@ -64,6 +65,23 @@
     assert_eq!(idle, DurationMs(1));
 }
 
+/// Guards against a rate whose fraction is dropped, so that an account with a rate below 1 is refused
+/// for ever and others are served less than they may ask for.
+#[parameterized(
+    below_one = { "0.5", 11 },
+    above_one = { "2.5", 51 },
+    whole = { "2", 41 },
+)]
+fn an_account_is_admitted_at_its_rate(rate: &str, expected: usize) {
+    let limit = format!(r#""ratePerS":{rate},"burst":1"#);
+    let catalog = read(r#""ratePerS":140,"burst":70"#, &limit).catalog;
+    let mut quota = Quota::default();
+    quota.set_accounts(Timestamp(0), &catalog.accounts);
+    let account = "north".parse().expect("a name");
+    let times = (0..=20_000).step_by(100).map(|ms| Timestamp(ms * 1_000));
+    assert_eq!(times.filter(|now| quota.admit(*now, &account)).count(), expected);
+}
+
 /// Guards against routes, services and accounts that are refused because of their names, or whose
 /// names keep a whole version from coming into force.
 #[parameterized(
--- a/tests/proxy_home.rs
+++ b/tests/proxy_home.rs
@@ -20,7 +20,7 @@
     let mut rig = Rig::new();
     let mut catalog = catalog(2);
     for number in 0..accounts {
-        let limit = AccountLimit { rate_per_s: RatePerS(1), burst: Burst(1) };
+        let limit = AccountLimit { rate_per_s: RatePerS(1).into(), burst: Burst(1).into() };
         catalog.accounts.insert(id(&format!("t{number}")), limit);
     }
     if let Some(group) = catalog.groups.get_mut(&id("db")) {
--- a/tests/proxy_quota.rs
+++ b/tests/proxy_quota.rs
@@ -33,7 +33,7 @@
     fn with_hosts(now: Timestamp, hosts: usize) -> Self {
         let names: Vec<HostId> =
             (0..hosts).map(|n| format!("h{n}").parse().expect("a host")).collect();
-        let limit = AccountLimit { rate_per_s: RatePerS(RATE), burst: Burst(BURST) };
+        let limit = AccountLimit { rate_per_s: RatePerS(RATE).into(), burst: Burst(BURST).into() };
         let limits = BTreeMap::from([(account(), limit)]);
         let host = |name: &HostId| {
             let mut quota = Quota::default();
@@ -197,7 +197,7 @@
     let others: Vec<HostId> =
         (1..HOSTS).map(|n| format!("h{n}").parse().expect("a host")).collect();
     let (own, former): (HostId, HostId) = ("h0".parse().expect("a host"), others[0].clone());
-    let limit = AccountLimit { rate_per_s: RatePerS(RATE), burst: Burst(BURST) };
+    let limit = AccountLimit { rate_per_s: RatePerS(RATE).into(), burst: Burst(BURST).into() };
     quota.set_hosts(START, others);
     quota.set_accounts(START, &BTreeMap::from([(account(), limit)]));
     quota.on_report(START, former.clone(), [(account(), MilliTokens(reported * 1_000))].into());
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -74,7 +74,7 @@
         read_target_ms: DurationMs(100),
     };
     catalog.groups.insert(id("db"), plan);
-    let plan = AccountLimit { rate_per_s: RatePerS(1_000), burst: Burst(1_000) };
+    let plan = AccountLimit { rate_per_s: RatePerS(1_000).into(), burst: Burst(1_000).into() };
     catalog.accounts.insert(id(ACCOUNT), plan);
     catalog.keys.insert(CallerKey::new(KEY), id(ACCOUNT));
     catalog.transaction_idle_ms = DurationMs(3_000);
