Decode a version's number and an entry's count with a fraction

A configuration whose version is written 8.0 was not applied, so that keys which it withdraws go on working, and an endpoint whose entry counts with 7.0 was not used. JSON has one type of numbers, and only the time of an endpoint's start is promised to be whole.

Change: both have the type of the configuration's other numbers.

Tests: platform_configuration any_number_is_decoded::version_with_a_fraction and platform_codec entries_are_checked::count_with_a_fraction failed on the code before and hold now.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -49,7 +49,7 @@
 
 #[derive(Deserialize)]
 struct JsonConfiguration<'a> {
-    version: u64,
+    version: Whole,
     #[serde(borrow, default)]
     routes: Vec<&'a RawValue>,
     #[serde(borrow, default)]
@@ -120,7 +120,7 @@
 pub fn read(bytes: &[u8]) -> Result<Configuration, String> {
     let json: JsonConfiguration<'_> =
         serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
-    let version = TableVersion(json.version);
+    let version = TableVersion(json.version.0);
     let mut read =
         Configuration { catalog: Catalog { version, ..Catalog::default() }, ignored: Vec::new() };
     let limits = json.limits.into_iter().collect();
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -3,6 +3,7 @@
 use compact_str::CompactString;
 use serde::Deserialize;
 
+use super::number::Whole;
 use crate::core::proxy::group::EndpointEntry;
 use crate::types::{DurationMs, EndpointId, FailureDomain, GroupId, RowVersion};
 
@@ -16,7 +17,7 @@
     db_role: DbRole,
     #[serde(default)]
     born: u64,
-    sequence: Option<u64>,
+    sequence: Option<Whole>,
     /// Milliseconds for which the endpoint is still slow after its start.
     warmup_remaining_ms: Option<f64>,
 }
@@ -57,7 +58,7 @@
         claims_primary: json.db_role == DbRole::Primary,
         started_ms: json.born,
         cold_for_ms: DurationMs(json.warmup_remaining_ms.unwrap_or_default().max(0.0) as u64),
-        report: json.sequence,
+        report: json.sequence.map(|sequence| sequence.0),
         version,
     })
 }
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -231,10 +231,12 @@
     assert!(!format!("{catalog:?}").contains("k1"), "a key is printed");
 }
 
-/// Guards against invalid entries that are used as endpoints.
+/// Guards against invalid entries that are used as endpoints, and valid ones that are not.
 #[parameterized(
     whole = { r#"{"service":"s1","address":"127.0.0.1:80","zone":"a","state":"draining",
         "dbRole":"primary","born":5}"#, true },
+    count_with_a_fraction = { r#"{"service":"s1","address":"127.0.0.1:80","zone":"a",
+        "state":"draining","dbRole":"primary","born":5,"sequence":7.0}"#, true },
     unknown_state = { r#"{"service":"s1","address":"127.0.0.1:80","zone":"a","state":"odd",
         "dbRole":"primary"}"#, false },
     no_address = { r#"{"service":"s1","zone":"a","state":"ready","dbRole":"primary"}"#, false },
--- a/tests/platform_configuration.rs
+++ b/tests/platform_configuration.rs
@@ -39,6 +39,7 @@
     replicas_with_a_fraction = { r#""syncReplicas":0"#, r#""syncReplicas":0.0"# },
     idle_time_with_a_fraction = { r#""txIdleMs":3000"#, r#""txIdleMs":2999.5"# },
     high_rate = { r#""ratePerS":140"#, r#""ratePerS":1e300"# },
+    version_with_a_fraction = { r#""version":8"#, r#""version":8.0"# },
     no_limits = { r#"{"txIdleMs":3000}"#, "null" },
 )]
 fn any_number_is_decoded(found: &str, replacement: &str) {
