Accept callers when a host's first lease has begun

Cause: a host accepted callers, and sessions that other hosts relay, before its first lease. The store answers slowly when many hosts start, so the lease may take longer than any wait that its callers have.

Change: a host accepts callers with its first lease, or 1.5 s after it knows all else, since without a lease it can still relay sessions. The others serve the callers meanwhile. The wait of 0.3 s stays after a pause of the process. Where tokens are checked, nothing changes.

--- a/src/core/proxy/lead.rs
+++ b/src/core/proxy/lead.rs
@@ -10,9 +10,8 @@
 use super::{Proxy, ProxyEffect};
 use crate::types::{DurationMs, EndpointId, GroupId, HostId, RowVersion, Term, Timestamp};
 
-/// Time after the end of the lease for which a request waits for a new one, and the time for which it
-/// waits on a host that has just begun to serve or was paused. An answer of the store or of another
-/// host may grant the lease; a partition lasts longer.
+/// Time after the end of the lease, or after a pause of the process, for which a request waits for a
+/// new one. An answer of the store or of another host may grant it; a partition lasts longer.
 const RENEWAL_WAIT: DurationMs = DurationMs(300);
 
 impl Proxy {
@@ -34,7 +33,7 @@
         self.is_leased(at) && group.failover.allowed_at(at, endpoint, term)
     }
 
-    fn is_leased(&self, at: Timestamp) -> bool {
+    pub(super) fn is_leased(&self, at: Timestamp) -> bool {
         self.spec.lead_proof == LeadProof::Transaction || at < self.lease_end
     }
 
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -205,6 +205,8 @@
     quota: Quota,
     /// Whether the list of the fleet's hosts has been received.
     hosts_known: bool,
+    /// When all that a host needs to know before it accepts callers was known.
+    initialized_at: Option<Timestamp>,
     /// Number of other hosts that share the endpoints' connections, if no homes are used.
     sharing_hosts: u64,
     homes: Homes,
@@ -221,8 +223,7 @@
     lease_end: Timestamp,
     /// Whether it had not ended when this was last looked at.
     was_leased: bool,
-    /// When this host began to accept callers, which may be before its first lease, or was last
-    /// resumed after a pause.
+    /// When the process was started, or last resumed after a pause.
     running_since: Timestamp,
     /// Time of the last tick.
     ticked_at: Timestamp,
@@ -250,6 +251,7 @@
             discovered: false,
             quota: Quota::default(),
             hosts_known: false,
+            initialized_at: None,
             sharing_hosts: 0,
             homes: Homes::default(),
             homes_changed_at: Timestamp(0),
--- a/src/core/proxy/shutdown.rs
+++ b/src/core/proxy/shutdown.rs
@@ -1,4 +1,5 @@
-//! Shutdown of a host: what still runs while it stops, and what callers are told about the rest.
+//! Start and shutdown of a host: when it accepts callers, what still runs while it stops, and what
+//! callers are told about the rest.
 
 use super::quota::Demand;
 use super::statement::{Access, Statement};
@@ -6,7 +7,12 @@
 use crate::core::life::{LifeAction, LifeEvent, LifeState, Remaining};
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
-use crate::types::{RequestId, SessionId, Timestamp};
+use crate::types::{DurationMs, RequestId, SessionId, Timestamp};
+
+/// Longest wait of a starting host for its first lease, without which it can use no primary. Other
+/// hosts serve the callers meanwhile. After it the host can still relay sessions to hosts that have
+/// a lease.
+const FIRST_LEASE_WAIT: DurationMs = DurationMs(1_500);
 
 /// Error with which a stopping host refuses a caller's statement; `None` if the statement still
 /// runs. After the time for open transactions they can only be ended.
@@ -99,8 +105,10 @@
     pub(super) fn advance_life(&mut self, now: Timestamp) {
         let initialized = self.catalog.is_some() && self.discovered && self.hosts_known;
         if self.life.state() == LifeState::Starting && initialized {
-            self.running_since = now;
-            self.fire_life_event(now, LifeEvent::Ready);
+            let since = *self.initialized_at.get_or_insert(now);
+            if self.is_leased(now) || now >= since + FIRST_LEASE_WAIT {
+                self.fire_life_event(now, LifeEvent::Ready);
+            }
         }
         let remaining = Remaining {
             idle: self.sessions.is_empty() && self.relayed_callers == 0,
