Log an answer that an endpoint repeats

The logs could not tell an answer that is sent twice from a relay that counts its answers wrongly. The actor of an endpoint's connection logs the statement and the signature when the connection gets a signature again; nothing else changes.

A stand-in that sends every answer again after 20 ms shows it: a read is answered with the repeated answer to the host's own BEGIN, and the log names the next statement and the signature '-'.

--- a/src/net/proxy/endpoint.rs
+++ b/src/net/proxy/endpoint.rs
@@ -1,5 +1,7 @@
 //! Actor of one connection to an endpoint: owns the socket and runs one job at a time.
 
+use std::collections::BTreeSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
@@ -76,6 +78,8 @@
     result: Option<Result<CompactString, (Refusal, CompactString)>>,
     /// First refusal of a setup step of the current job.
     setup_refusal: Option<Refusal>,
+    /// Hashes of the signatures of the connection's answers.
+    signatures: BTreeSet<u64>,
 }
 
 impl LineEndpoint {
@@ -97,6 +101,7 @@
                 rows: Vec::new(),
                 result: None,
                 setup_refusal: None,
+                signatures: BTreeSet::new(),
             }),
             Err(error) => {
                 let cause = error.to_string();
@@ -244,6 +249,7 @@
                 let Some(result) = result else {
                     return self.report_lost(cx, None, "answer has no result".into());
                 };
+                self.log_repetition(&result);
                 let status = self.read_status(&rows, &result);
                 let rollback = self.job.as_ref().is_some_and(|job| job.rollback);
                 self.expecting = Expecting::Nothing;
@@ -301,6 +307,22 @@
         }
     }
 
+    /// Logs that the endpoint has given the signature of this answer before on the connection.
+    fn log_repetition(&mut self, result: &Result<CompactString, (Refusal, CompactString)>) {
+        let Some(Job { work: Work::Statement { id, .. }, .. }) = &self.job else { return };
+        let Ok(signature) = result else { return };
+        let mut hasher = DefaultHasher::new();
+        signature.hash(&mut hasher);
+        if !self.signatures.insert(hasher.finish()) {
+            tracing::warn!(
+                endpoint = self.target.endpoint.as_str(),
+                request = id.as_str(),
+                signature = signature.as_str(),
+                "endpoint: repeated an answer"
+            );
+        }
+    }
+
     fn read_status(
         &self,
         rows: &[Bytes],
