End a line of the platform at CR LF, not at a line feed

A caller's value with a line feed reached the endpoint cut off there, and its rest ran as a statement that nobody had sent if it looked like one. A row or a signature with a line feed broke the connection to the endpoint, was cut off, or was taken for another message of the answer.

The codec and the relaying host ended a message at the first line feed, in five places, while the protocol ends it at CR LF. LineReader is the only place that finds the end of a line now, the first CR LF, for callers, endpoints and both directions of a relay. Everything else in a line belongs to its fields, so no field can end it. The reader goes on where its last search ended: a message of 1 MiB in pieces of 16 bytes took 12 s to find before. The size limit counts both bytes of the line end, as before. Relayed statements are no longer stripped of carriage returns and line feeds when they are judged.

lines_are_split_at_their_ends keeps its checks and calls the reader in place of the function that it replaces.

--- a/src/net/proxy/caller.rs
+++ b/src/net/proxy/caller.rs
@@ -20,7 +20,7 @@
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
 use crate::net::stream::{Stream, StreamState};
-use crate::platform::line::{self, CallerMessage, LineError};
+use crate::platform::line::{self, CallerMessage, LineError, LineReader};
 use crate::types::{ByteCount, TableVersion};
 use crate::wire::relay;
 
@@ -98,6 +98,8 @@
 pub struct LineCaller {
     pub(super) hub: Fwd<CallerEvent>,
     pub(super) stream: Stream,
+    /// Reads the lines of the stream's input.
+    pub(super) lines: LineReader,
     pub(super) phase: Phase,
     pub(super) end_requested: bool,
     /// Lifecycle state of this host, as far as it matters for relayed sessions.
@@ -134,6 +136,7 @@
                 Some(Self {
                     hub,
                     stream,
+                    lines: LineReader::default(),
                     phase: Phase::Starting,
                     end_requested: false,
                     host_state: LifeState::Serving,
@@ -208,7 +211,7 @@
                 self.is_paused = true;
                 return;
             }
-            let line = match line::next_line(&mut self.stream.input) {
+            let line = match self.lines.next_line(&mut self.stream.input) {
                 Ok(Some(line)) => line,
                 Ok(None) => return,
                 Err(error) => return self.reject_message(cx, &error),
@@ -322,6 +325,7 @@
         self.phase = Phase::Ending;
         self.home = None;
         self.stream.input = BytesMut::new();
+        self.lines = LineReader::default();
         self.flush(cx);
         if !self.stream.output.is_empty() {
             after!(STALL_LIMIT, [cx], check_progress(self.stream.output.len()));
--- a/src/net/proxy/endpoint.rs
+++ b/src/net/proxy/endpoint.rs
@@ -15,7 +15,7 @@
 use crate::core::proxy::LossReport;
 use crate::core::transaction::TransactionState;
 use crate::net::stream::{Stream, StreamState};
-use crate::platform::line::{self, EndpointMessage};
+use crate::platform::line::{self, EndpointMessage, LineReader};
 use crate::types::{EndpointId, GroupId, HostId, Position};
 
 /// Bytes read at once; more than the longest message, so that each read can be processed.
@@ -69,6 +69,8 @@
     target: Target,
     hub: Fwd<EndpointEvent>,
     stream: Stream,
+    /// Reads the lines of the stream's input.
+    lines: LineReader,
     expecting: Expecting,
     startup_sent: bool,
     /// Whether the statement or order of the last job was sent.
@@ -94,6 +96,7 @@
                 target,
                 hub,
                 stream,
+                lines: LineReader::default(),
                 expecting: Expecting::Startup,
                 startup_sent: false,
                 work_sent: false,
@@ -191,7 +194,7 @@
     /// Processes all messages that have arrived; returns false once the connection is closed.
     fn process_lines(&mut self, cx: CX![]) -> bool {
         loop {
-            let line = match line::next_line(&mut self.stream.input) {
+            let line = match self.lines.next_line(&mut self.stream.input) {
                 Ok(Some(line)) => line,
                 Ok(None) => return true,
                 Err(error) => {
@@ -348,6 +351,7 @@
 
     fn report_lost(&mut self, cx: CX![], refusal: Option<Refusal>, cause: String) {
         self.stream.input = BytesMut::new();
+        self.lines = LineReader::default();
         let report = LossReport { sent: self.work_sent, refusal, cause };
         fwd!([self.hub], EndpointEvent::Lost(report));
         stop!(cx);
--- a/src/net/proxy/holding.rs
+++ b/src/net/proxy/holding.rs
@@ -33,7 +33,7 @@
         if !reads || !is_long || holding.has_room || holding.has_asked {
             return;
         }
-        if !self.stream.input.contains(&b'\n') {
+        if !self.lines.has_line(&self.stream.input) {
             holding.has_asked = true;
             fwd!([self.hub], CallerEvent::NeedsRoom);
         }
--- a/src/net/proxy/home.rs
+++ b/src/net/proxy/home.rs
@@ -18,7 +18,7 @@
 use crate::core::transaction::TransactionState;
 use crate::error::{Error, ErrorKind};
 use crate::net::stream::{Stream, StreamState};
-use crate::platform::line::{self, LineError, RelayedMessage};
+use crate::platform::line::{self, LineReader, RelayedMessage, LINE_END};
 use crate::wire::relay;
 
 /// Time limit for the first answer of a session's home; a reachable home answers within a few
@@ -38,6 +38,8 @@
 /// The connection to the home of a relayed session.
 pub(super) struct HomeConnection {
     pub(super) stream: Stream,
+    /// Reads the lines of the stream's input.
+    lines: LineReader,
     request: SessionRequest,
     started: Instant,
     startup_sent: bool,
@@ -61,7 +63,7 @@
     /// Sends the deferred setup statements and then `line`.
     fn send(&mut self, line: &[u8]) {
         self.stream.output.unsplit(self.deferred.split());
-        self.stream.output.extend_from_slice(line);
+        line::write_line(&mut self.stream.output, line);
     }
 }
 
@@ -77,6 +79,7 @@
                 self.phase = Phase::Relaying;
                 self.home = Some(HomeConnection {
                     stream,
+                    lines: LineReader::default(),
                     request,
                     started: cx.now(),
                     startup_sent: false,
@@ -187,19 +190,18 @@
             if !home.has_answered || !home.has_room() || must_wait {
                 return;
             }
-            let Some(end) = self.stream.input.iter().position(|byte| *byte == b'\n') else {
-                if self.stream.input.len() >= MAX_INPUT_BYTES {
-                    self.reject_message(cx, &LineError::TooLong);
-                }
-                return;
+            let line = match self.lines.next_line(&mut self.stream.input) {
+                Ok(Some(line)) => line,
+                Ok(None) => return,
+                Err(error) => return self.reject_message(cx, &error),
             };
-            let line = self.stream.input.split_to(end + 1).freeze();
             match line::read_relayed_message(&line) {
                 RelayedMessage::Statement(query) => {
-                    let fits = home.deferred.len() + line.len() <= MAX_DEFERRED_BYTES;
+                    let line_bytes = line.len() + LINE_END.len();
+                    let fits = home.deferred.len() + line_bytes <= MAX_DEFERRED_BYTES;
                     if fits && home.ledger.answers_here(&query.statement) {
                         home.ledger.defer();
-                        home.deferred.extend_from_slice(&line);
+                        line::write_line(&mut home.deferred, &line);
                         let output = &mut self.stream.output;
                         line::write_answer(output, &Answer::Done, TransactionState::Idle);
                         continue;
@@ -225,11 +227,13 @@
         }
     }
 
-    /// Relays the home's complete lines to the caller.
-    fn relay_answers(&mut self) {
-        let Some(home) = &mut self.home else { return };
-        while let Some(end) = home.stream.input.iter().position(|byte| *byte == b'\n') {
-            let line = home.stream.input.split_to(end + 1);
+    /// Relays the home's complete lines to the caller; returns whether there were any. A line that is
+    /// too long stays in the input, upon which [`Self::read_home`] gives up the home.
+    fn relay_answers(&mut self) -> bool {
+        let Some(home) = &mut self.home else { return false };
+        let mut has_relayed = false;
+        while let Ok(Some(line)) = home.lines.next_line(&mut home.stream.input) {
+            has_relayed = true;
             let is_dropped = home.has_answered && home.ledger.drops_next();
             if let Some(is_idle) = line::read_relayed_ready(&line) {
                 // The first answer is to the startup message.
@@ -238,11 +242,12 @@
                 }
             }
             if !is_dropped {
-                self.stream.output.extend_from_slice(&line);
+                line::write_line(&mut self.stream.output, &line);
             } else if line::is_relayed_error(&line) {
                 home.refused_setup = true;
             }
         }
+        has_relayed
     }
 
     /// Answers a statement of a relayed session with an error of this host.
@@ -279,7 +284,7 @@
     /// Refuses the statements that have arrived after the loss of the home, none of which was relayed.
     pub(super) fn refuse_lines(&mut self, cx: CX![]) {
         loop {
-            let line = match line::next_line(&mut self.stream.input) {
+            let line = match self.lines.next_line(&mut self.stream.input) {
                 Ok(Some(line)) => line,
                 Ok(None) => return,
                 Err(error) => return self.reject_message(cx, &error),
@@ -336,11 +341,9 @@
     fn read_last_answers(&mut self) {
         while let Some(home) = &mut self.home {
             let input_state = home.stream.fill(MAX_INPUT_BYTES);
-            let may_have_more = input_state == StreamState::Open
-                && home.stream.has_unread()
-                && home.stream.input.contains(&b'\n');
-            self.relay_answers();
-            if !may_have_more {
+            let may_have_more = input_state == StreamState::Open && home.stream.has_unread();
+            let has_relayed = self.relay_answers();
+            if !may_have_more || !has_relayed {
                 return;
             }
         }
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -15,6 +15,8 @@
 
 /// Size limit of a message, including its line end.
 pub const MAX_LINE_BYTES: usize = 1024 * 1024;
+/// End of a message.
+pub const LINE_END: &[u8] = b"\r\n";
 /// Stands for the client account on connections for callers without one.
 const NO_ACCOUNT: &str = "-";
 
@@ -64,24 +66,53 @@
     Ready(TransactionState, Option<Position>),
 }
 
-/// Removes the next complete line from `input` and returns it without its line end.
-///
-/// # Errors
-///
-/// The line is too long.
-pub fn next_line(input: &mut BytesMut) -> Result<Option<Bytes>, LineError> {
-    let Some(end) = input.iter().position(|byte| *byte == b'\n') else {
-        return if input.len() > MAX_LINE_BYTES { Err(LineError::TooLong) } else { Ok(None) };
-    };
-    if end >= MAX_LINE_BYTES {
-        return Err(LineError::TooLong);
+/// Reads lines from an input to which bytes are appended as they arrive. The input must not change
+/// otherwise.
+#[derive(Debug, Default)]
+pub struct LineReader {
+    /// Bytes at the start of the input that hold no line end. They are not searched again, so that a
+    /// long message in small pieces takes linear time.
+    searched_bytes: usize,
+}
+
+impl LineReader {
+    /// Removes the next complete line from `input` and returns it without its line end. Only the first
+    /// CR LF ends a line; other line feeds and carriage returns belong to its fields.
+    ///
+    /// # Errors
+    ///
+    /// The line is too long.
+    pub fn next_line(&mut self, input: &mut BytesMut) -> Result<Option<Bytes>, LineError> {
+        let Some(end) = self.find_end(input) else {
+            return if input.len() > MAX_LINE_BYTES { Err(LineError::TooLong) } else { Ok(None) };
+        };
+        if end + LINE_END.len() > MAX_LINE_BYTES {
+            return Err(LineError::TooLong);
+        }
+        self.searched_bytes = 0;
+        let line = input.split_to(end).freeze();
+        input.advance(LINE_END.len());
+        Ok(Some(line))
     }
-    let mut line = input.split_to(end).freeze();
-    input.advance(1);
-    if line.last() == Some(&b'\r') {
-        line.truncate(line.len() - 1);
+
+    /// Whether `input` holds a complete line.
+    pub fn has_line(&mut self, input: &[u8]) -> bool {
+        self.find_end(input).is_some()
+    }
+
+    fn find_end(&mut self, input: &[u8]) -> Option<usize> {
+        let unsearched = &input[self.searched_bytes..];
+        let found = unsearched.windows(LINE_END.len()).position(|pair| pair == LINE_END);
+        // The last byte may be the first one of a line end that has not arrived in full.
+        self.searched_bytes += found.unwrap_or(unsearched.len().saturating_sub(1));
+        found.map(|_| self.searched_bytes)
     }
-    Ok(Some(line))
+}
+
+/// Appends a line that was read, with its line end.
+pub fn write_line(out: &mut BytesMut, line: &[u8]) {
+    out.extend_from_slice(line);
+    out.extend_from_slice(LINE_END);
 }
 
 /// Splits a line into its first word and the rest.
@@ -186,10 +217,9 @@
     Other,
 }
 
-/// Decodes a caller's line, with its line end, that is to be relayed.
+/// Decodes a caller's line that is to be relayed.
 pub fn read_relayed_message(line: &Bytes) -> RelayedMessage {
-    let end = line.len() - line.iter().rev().take_while(|byte| b"\r\n".contains(byte)).count();
-    match read_caller(&line.slice(..end)) {
+    match read_caller(line) {
         Ok(CallerMessage::Query(Ok(query))) => RelayedMessage::Statement(query),
         Ok(CallerMessage::Query(Err(_))) => RelayedMessage::Malformed,
         _ if line.starts_with(b"QUERY ") => RelayedMessage::Malformed,
@@ -342,7 +372,7 @@
             for row in rows {
                 out.extend_from_slice(b"ROW ");
                 out.extend_from_slice(row);
-                out.extend_from_slice(b"\r\n");
+                out.extend_from_slice(LINE_END);
             }
             put_line(out, &["COMPLETE", signature]);
             answer_position = *position;
@@ -414,7 +444,7 @@
                     out.extend_from_slice(arguments);
                 }
             }
-            out.extend_from_slice(b"\r\n");
+            out.extend_from_slice(LINE_END);
         }
         Work::Order(order) => match order {
             // The begin among the job's setup steps is the proof.
@@ -467,5 +497,5 @@
         }
         out.extend_from_slice(word.as_bytes());
     }
-    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(LINE_END);
 }
--- a/tests/line_endpoint_double/mod.rs
+++ b/tests/line_endpoint_double/mod.rs
@@ -24,6 +24,8 @@
     in_pieces: bool,
     /// Texts of the statements that ran, in their order.
     ran: Arc<Mutex<Vec<Vec<u8>>>>,
+    /// Texts of the `SET` and `PREPARE` statements, in their order.
+    set_up: Arc<Mutex<Vec<Vec<u8>>>>,
     /// Data of the last write.
     stored: Arc<Mutex<Vec<u8>>>,
 }
@@ -48,6 +50,7 @@
             repeat_after,
             in_pieces,
             ran: Arc::default(),
+            set_up: Arc::default(),
             stored: Arc::default(),
         };
         let running = endpoint.clone();
@@ -67,6 +70,18 @@
         self.ran.lock().expect("the texts").clone()
     }
 
+    /// Texts of the `SET` and `PREPARE` statements that connections got, in their order.
+    #[allow(dead_code, reason = "not every test looks at them")]
+    pub fn set_up(&self) -> Vec<Vec<u8>> {
+        self.set_up.lock().expect("the texts").clone()
+    }
+
+    /// Replaces the data of the last write.
+    #[allow(dead_code, reason = "not every test does")]
+    pub fn store(&self, data: &[u8]) {
+        *self.stored.lock().expect("the data") = data.to_vec();
+    }
+
     fn converse(&self, mut stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let output = Arc::new(Mutex::new(stream.try_clone()?));
@@ -149,6 +164,10 @@
             [b"COMMIT"] => {
                 format!("COMPLETE {}.{}\r\n", self.signature, self.record(words)).into_bytes()
             }
+            [b"SET" | b"PREPARE", ..] => {
+                self.set_up.lock().expect("the texts").push(words.join(&b' '));
+                b"COMPLETE -\r\n".to_vec()
+            }
             [b"STATUS"] => b"ROW primary 1 1.1 1 0 0 0\r\nCOMPLETE -\r\n".to_vec(),
             _ => b"COMPLETE -\r\n".to_vec(),
         }
--- a/tests/platform_codec.rs
+++ b/tests/platform_codec.rs
@@ -1,5 +1,7 @@
 //! Codecs of the platform's line protocol, settings, configuration, entries and store calls.
 
+use std::time::{Duration, Instant};
+
 use bytes::{Bytes, BytesMut};
 use medlarstile::core::proxy::catalog::{CallerKey, ReadRule};
 use medlarstile::core::proxy::connection::Owner;
@@ -10,7 +12,9 @@
 use medlarstile::core::proxy::Answer;
 use medlarstile::core::transaction::TransactionState;
 use medlarstile::error::{Error, ErrorKind, Ran};
-use medlarstile::platform::line::{self, CallerMessage, EndpointMessage, LineError};
+use medlarstile::platform::line::{
+    self, CallerMessage, EndpointMessage, LineError, LineReader, RelayedMessage,
+};
 use medlarstile::platform::settings::PlatformSettings;
 use medlarstile::platform::store::{self, HttpAnswer, RowsAnswer, WriteAnswer};
 use medlarstile::platform::{configuration, discovery};
@@ -76,16 +80,174 @@
     assert_eq!(caller(text).ok(), expected);
 }
 
+/// Reads the lines of `pieces` that arrive one after the other, up to the first error.
+fn lines_of(pieces: &[&[u8]]) -> Vec<Result<Bytes, LineError>> {
+    let (mut input, mut reader, mut lines) = (BytesMut::new(), LineReader::default(), Vec::new());
+    for piece in pieces {
+        input.extend_from_slice(piece);
+        while let Some(line) = reader.next_line(&mut input).transpose() {
+            let is_last = line.is_err();
+            lines.push(line);
+            if is_last {
+                return lines;
+            }
+        }
+    }
+    lines
+}
+
 /// Guards against messages that are truncated or joined, and against overlong messages.
 #[test]
 fn lines_are_split_at_their_ends() {
-    let mut input = BytesMut::from(&b"QUERY 1 READ a\r\nQUERY 2 RE"[..]);
-    assert_eq!(line::next_line(&mut input), Ok(Some(Bytes::from_static(b"QUERY 1 READ a"))));
-    assert_eq!(line::next_line(&mut input), Ok(None));
-    input.extend_from_slice(b"AD b\r\n");
-    assert_eq!(line::next_line(&mut input), Ok(Some(Bytes::from_static(b"QUERY 2 READ b"))));
-    let mut long = BytesMut::from(vec![b'x'; line::MAX_LINE_BYTES + 1].as_slice());
-    assert_eq!(line::next_line(&mut long), Err(LineError::TooLong));
+    let pieces: [&[u8]; 2] = [b"QUERY 1 READ a\r\nQUERY 2 RE", b"AD b\r\n"];
+    assert_eq!(lines_of(&pieces[..1]), [Ok(Bytes::from_static(b"QUERY 1 READ a"))]);
+    let lines = [&b"QUERY 1 READ a"[..], b"QUERY 2 READ b"].map(|line| Ok(line.into()));
+    assert_eq!(lines_of(&pieces), lines);
+    let long = vec![b'x'; line::MAX_LINE_BYTES + 1];
+    assert_eq!(lines_of(&[&long]), [Err(LineError::TooLong)]);
+}
+
+/// Guards against a message that ends at a line feed or a carriage return of a field, and against one
+/// that loses such bytes at its end, wherever the input is divided.
+#[parameterized(
+    line_feed = { "a\nb" },
+    carriage_return = { "a\rb" },
+    line_feed_and_carriage_return = { "a\n\rb" },
+    carriage_return_at_the_end = { "a\r" },
+    carriage_returns_at_the_end = { "a\r\r" },
+    line_feed_at_the_start = { "\na" },
+    line_feed_at_the_end = { "a\n" },
+    blank_lines = { "a\n\n \n\nb" },
+    statements = { "x\nQUERY a3 WRITE invoice twice" },
+    nothing = { "" },
+)]
+fn lines_end_at_the_first_pair(line: &str) {
+    let input = [line, "\r\n", line, "\r\n"].concat().into_bytes();
+    let expected = [line, line].map(|line| Ok(Bytes::copy_from_slice(line.as_bytes())));
+    for at in 0..=input.len() {
+        let (start, rest) = input.split_at(at);
+        assert_eq!(lines_of(&[start, rest]), expected, "divided at {at}");
+    }
+    let bytes: Vec<&[u8]> = input.chunks(1).collect();
+    assert_eq!(lines_of(&bytes), expected);
+}
+
+/// Guards against a message that ends before its line end has arrived.
+#[parameterized(
+    carriage_return = { "QUERY 1 READ a\r" },
+    line_feed = { "QUERY 1 READ a\n" },
+    line_feed_first = { "QUERY 1 READ a\n\r" },
+)]
+fn half_a_line_end_ends_no_line(input: &str) {
+    assert_eq!(lines_of(&[input.as_bytes()]), []);
+}
+
+/// Guards against a message of the largest size that is refused, and against a larger one that is
+/// accepted or awaited.
+#[parameterized(
+    largest = { &[(b'x', line::MAX_LINE_BYTES - 2), (b'\r', 1), (b'\n', 1)],
+        Some(Ok(line::MAX_LINE_BYTES - 2)) },
+    largest_without_its_last_byte = { &[(b'x', line::MAX_LINE_BYTES - 2), (b'\r', 1)], None },
+    largest_of_line_feeds = { &[(b'\n', line::MAX_LINE_BYTES - 2), (b'\r', 1), (b'\n', 1)],
+        Some(Ok(line::MAX_LINE_BYTES - 2)) },
+    one_more = { &[(b'x', line::MAX_LINE_BYTES - 1), (b'\r', 1), (b'\n', 1)],
+        Some(Err(LineError::TooLong)) },
+    one_more_without_its_last_byte = { &[(b'x', line::MAX_LINE_BYTES - 1), (b'\r', 1)], None },
+    no_line_end = { &[(b'x', line::MAX_LINE_BYTES)], None },
+    no_line_end_and_one_more = { &[(b'x', line::MAX_LINE_BYTES + 1)],
+        Some(Err(LineError::TooLong)) },
+)]
+fn the_size_limit_counts_the_line_end(
+    runs: &[(u8, usize)],
+    expected: Option<Result<usize, LineError>>,
+) {
+    let input: Vec<u8> = runs.iter().flat_map(|(byte, count)| vec![*byte; *count]).collect();
+    let whole = lines_of(&[&input]);
+    let lengths: Vec<_> = whole.iter().cloned().map(|line| line.map(|line| line.len())).collect();
+    assert_eq!(lengths, Vec::from_iter(expected));
+    let pieces: Vec<&[u8]> = input.chunks(1_000).collect();
+    assert_eq!(lines_of(&pieces), whole);
+}
+
+/// Guards against a host that is kept busy by a long message in small pieces, because each of them
+/// makes it search the whole message again.
+#[test]
+fn a_long_message_in_small_pieces_is_searched_once() {
+    let message = [&vec![b'x'; line::MAX_LINE_BYTES - 2][..], b"\r\n"].concat();
+    let pieces: Vec<&[u8]> = message.chunks(16).collect();
+    let started = Instant::now();
+    assert_eq!(lines_of(&pieces).len(), 1);
+    // A search that starts anew for each piece took 12 s.
+    assert!(started.elapsed() < Duration::from_secs(5), "{:?}", started.elapsed());
+}
+
+/// Guards against a relayed statement whose last field is cut off, as which it is counted and, if its
+/// home was lost, answered.
+#[parameterized(
+    write = { "WRITE item a\n\rb\r" },
+    execute = { "EXECUTE s item a\r\r" },
+    set = { "SET v a\n" },
+    set_returns = { "SET v \r\r" },
+    prepare = { "PREPARE s WRITE a\r" },
+    close = { "CLOSE s\n" },
+)]
+fn relayed_statements_keep_their_texts(text: &str) {
+    let line = format!("QUERY q1 {text}");
+    let RelayedMessage::Statement(relayed) = line::read_relayed_message(&line.clone().into())
+    else {
+        panic!("{line:?} is no statement");
+    };
+    assert_eq!(relayed.text, text.as_bytes());
+    assert_eq!(Some(relayed.statement), statement(text));
+}
+
+/// Guards against a row or a signature that is taken for the end of an answer or for an error.
+#[parameterized(
+    row_with_an_end = { "ROW a\nREADY I x", None, false },
+    row_with_an_error = { "ROW a\nERROR b", None, false },
+    signature = { "COMPLETE a\nERROR b\rREADY I 1.1", None, false },
+    error = { "ERROR FAILED a\nREADY I x", None, true },
+    end = { "READY T 1.1", Some(false), false },
+)]
+fn relayed_answers_are_told_by_their_starts(line: &str, is_idle: Option<bool>, is_error: bool) {
+    assert_eq!(line::read_relayed_ready(line.as_bytes()), is_idle);
+    assert_eq!(line::is_relayed_error(line.as_bytes()), is_error);
+}
+
+/// Guards against a key or a database that differs at the home of a session, and against its rest that is
+/// read there as a message of its own.
+#[parameterized(
+    plain = { "db", "k-1" },
+    key_with_line_ends = { "db", "k\n1\r" },
+    database_with_line_ends = { "d\n\rb\r", "k-1" },
+)]
+fn a_relayed_startup_keeps_its_bytes(database: &str, key: &str) {
+    let mut out = BytesMut::new();
+    line::write_caller_startup(&mut out, database, key);
+    let lines = lines_of(&[&out]);
+    let [Ok(line)] = &lines[..] else { panic!("{lines:?}") };
+    let startup = CallerMessage::Startup { database: database.into(), key: key.into() };
+    assert_eq!(line::read_caller(line), Ok(startup));
+}
+
+/// Guards against an answer that changes between endpoint and caller.
+#[parameterized(
+    line_feed = { "a\nREADY I x" },
+    carriage_return_at_the_end = { "a\r" },
+    blank_lines = { "\n\n \r" },
+)]
+fn answers_with_line_ends_keep_their_bytes(text: &str) {
+    let row = Bytes::copy_from_slice(text.as_bytes());
+    let endpoint = |kind: &str| line::read_endpoint(&[kind, text].concat().into());
+    assert_eq!(endpoint("ROW "), Ok(EndpointMessage::Row(row.clone())));
+    assert_eq!(endpoint("COMPLETE "), Ok(EndpointMessage::Complete(text.into())));
+    let refusal = EndpointMessage::Error(Refusal::Failed, text.into());
+    assert_eq!(endpoint("ERROR FAILED "), Ok(refusal));
+    let mut out = BytesMut::new();
+    let answer = Answer::Endpoint { rows: vec![row], signature: text.into(), position: None };
+    line::write_answer(&mut out, &answer, TransactionState::Idle);
+    let lines = [["ROW ", text].concat(), ["COMPLETE ", text].concat(), "READY I -".into()];
+    assert_eq!(lines_of(&[&out]), lines.map(|line| Ok(Bytes::from(line))));
 }
 
 /// Guards against an error code that guarantees no effect for an error kind that does not: a caller
