Keep the line reader within an input that was cleared

The reader remembers how much of its input it has searched. An actor that drops its input, as on a session that ends, and reads on would search beyond the end of what is there, which ends the process. The place is bounded by the length of the input now.

--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -101,6 +101,8 @@
     }
 
     fn find_end(&mut self, input: &[u8]) -> Option<usize> {
+        // The owner may have cleared the input.
+        self.searched_bytes = self.searched_bytes.min(input.len());
         let unsearched = &input[self.searched_bytes..];
         let found = unsearched.windows(LINE_END.len()).position(|pair| pair == LINE_END);
         // The last byte may be the first one of a line end that has not arrived in full.
