Do not ask a replica again for a log position that it lacked

Each read of a session that has written, or that needs a recent position, was sent to every replica in turn, although the replica had just refused another one for an earlier position. While replicas apply their log late, which takes seconds, nearly all such reads made one or two calls in vain. Every refusal also leaves an answer on its connection that an endpoint may send again.

A replica that lacked a position is not asked for one as late for 300 ms, unless it reports a later one before. Reads go to another replica or to the primary at once, as they did after the refusals.

--- a/src/core/proxy/group.rs
+++ b/src/core/proxy/group.rs
@@ -6,6 +6,7 @@
 use super::catalog::GroupConfig;
 use super::domains::AwayShare;
 use super::failover::Failover;
+use super::log_gap::LogGap;
 use super::slow_start::SlowStart;
 use crate::core::queue::{ClassQueue, QueueBounds};
 use crate::types::{
@@ -124,6 +125,8 @@
     pub failed_connects: u32,
     /// Highest log position that it is known to have applied.
     pub applied: Position,
+    /// What it lacked of the log.
+    pub gap: LogGap,
     /// Moving average of its answer times in microseconds.
     pub latency_us: u64,
     /// Lowest answer time in microseconds, which rises slowly in case the distance changes.
@@ -153,6 +156,7 @@
             down_since: None,
             failed_connects: 0,
             applied: Position::default(),
+            gap: LogGap::default(),
             latency_us: 0,
             best_us: 0,
             running: 0,
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -19,6 +19,7 @@
 pub mod job;
 mod lead;
 pub mod lease;
+pub mod log_gap;
 mod order;
 mod placement;
 mod pool;
--- a/src/core/proxy/placement.rs
+++ b/src/core/proxy/placement.rs
@@ -91,7 +91,8 @@
             let reachable = state.connect_after <= now || !state.connections.is_empty();
             let stays_elsewhere = others_stay || (primary_stays && state.evacuated_since.is_some());
             let leaves = state.is_leaving() && stays_elsewhere;
-            !request.tried.contains(id) && reachable && !leaves && admits(state)
+            let lacks = state.gap.covers(now, state.applied, floor);
+            !request.tried.contains(id) && reachable && !leaves && !lacks && admits(state)
         };
         let usable: Vec<_> = replicas.filter(|(id, state)| usable(id, state)).collect();
         let own_domain = &self.spec.failure_domain;
--- a/src/core/proxy/refusals.rs
+++ b/src/core/proxy/refusals.rs
@@ -150,6 +150,12 @@
         if matches!(refusal, Refusal::Lagging | Refusal::Failed) {
             request.tried.push(endpoint.clone());
         }
+        let lacked = request.after.filter(|_| refusal == Refusal::Lagging);
+        let group = self.groups.get_mut(&request.route.group);
+        let state = group.and_then(|group| group.endpoints.get_mut(endpoint));
+        if let (Some(position), Some(state)) = (lacked, state) {
+            state.gap.on_lagging(now, position);
+        }
         tracing::info!(
             request = request.statement_id.as_str(),
             session = request.session.0,
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -262,6 +262,19 @@
         }
     }
 
+    /// Refuses the statement of a job, because the endpoint has applied only `position` of the log.
+    pub fn refuse_lagging(&mut self, connection: ConnectionId, position: Position) {
+        let answer = JobAnswer {
+            rows: Vec::new(),
+            result: Err((Refusal::Lagging, "".into())),
+            transaction: TransactionState::Idle,
+            position: Some(position),
+            status: None,
+        };
+        self.core.on_job_end(self.now, connection, JobEnd::Answered(answer));
+        self.settle();
+    }
+
     /// Refuses the statement of a job.
     pub fn refuse(&mut self, connection: ConnectionId, refusal: Refusal, state: TransactionState) {
         self.end(connection, Err((refusal, "".into())), state);
