Attribute an endpoint's answers by signature and transaction state

Callers got answers of other statements: rows and a signature of an earlier read, or success without a signature. An endpoint may send an answer again, at any time. Answers carry no id, and the actor of an endpoint's connection took the next complete one for the answer to what was sent last; the answer to the host's own BEGIN became the result of a caller's read, and each later answer the one of the statement before.

EndpointAnswers (core, without encoding, with its chart) decides now what an answer belongs to. No two signatures are equal, so a known one marks a repeated answer, which is dropped, and so does an answer without one where a result is awaited. Answers without a signature are told apart by the transaction state that they report. What cannot be told apart is not trusted: - a refusal equal to an earlier one of the connection closes it. Reads run again elsewhere; a write is told to be in doubt, a transaction as aborted; - a connection with a refusal is closed after its job, so that this is rare. Refusals as lagging are the exception, they are frequent and name a position that moves, until the endpoint is known to send answers again; - a connection runs one order at most, and 512 statements, all of whose answers are remembered; - the start of a transaction proves the lead of an endpoint once a later answer shows that it was accepted, if it equals an earlier one; - a result from outside of the statement's transaction is not passed on.

The rig of the proxy tests reported a read inside of the host's transaction as run outside of one, which no endpoint does and the core refuses now; it reports the transaction.

--- a/src/core/proxy/connection.rs
+++ b/src/core/proxy/connection.rs
@@ -46,6 +46,10 @@
 pub(super) static CHART: LazyLock<PooledChart> =
     LazyLock::new(|| chart().expect("charts are checked at start"));
 
+/// Statements and orders sent on a connection, beyond which it is replaced. The task that owns its
+/// socket remembers each of their answers, to recognize one that the endpoint sends again.
+const MAX_USES: u32 = 512;
+
 /// What a connection is running.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Task {
@@ -89,6 +93,11 @@
     pub variables: BTreeMap<CompactString, CompactString>,
     /// Statements prepared on it.
     pub prepared: PreparedStatements,
+    /// Number of statements and orders that were sent on it.
+    pub uses: u32,
+    /// Whether it is closed instead of becoming idle, because a later statement could get an answer
+    /// that cannot be told from one that the endpoint has sent before.
+    pub is_spent: bool,
 }
 
 /// Statements prepared on a connection. Sessions that prepare the same statement share it.
@@ -129,6 +138,11 @@
         self.machine.state() == PooledState::Connecting
     }
 
+    /// Whether it must not run another job.
+    pub fn is_used_up(&self) -> bool {
+        self.is_spent || self.uses >= MAX_USES
+    }
+
     /// Fires an event on its state chart.
     pub fn fire(&mut self, event: PooledEvent) {
         let step = self.machine.fire(event, |guard| match guard {});
--- a/src/core/proxy/dispatch.rs
+++ b/src/core/proxy/dispatch.rs
@@ -196,6 +196,7 @@
             setup.push(Setup::Begin { read_only, after });
         }
         connection.fire(PooledEvent::Run);
+        connection.uses += 1;
         connection.task = Some(Task::Request(id));
         connection.ends_with_rollback = request.wrapped_in_transaction;
         (connection.started, connection.last_used) = (now, now);
--- a/src/core/proxy/events.rs
+++ b/src/core/proxy/events.rs
@@ -77,13 +77,15 @@
         match end {
             JobEnd::RolledBack => {
                 connection.task = None;
-                connection.fire(PooledEvent::Answered);
+                self.make_idle(id);
             }
             JobEnd::SetupRefused(refusal) => self.on_setup_refused(now, id, refusal),
             JobEnd::Answered(answer) => match connection.task.take() {
                 Some(Task::Order(order)) => {
-                    connection.fire(PooledEvent::Answered);
+                    // A repeated status could be taken for the answer to the next order.
+                    connection.is_spent = true;
                     self.on_order_answered(now, id, order, &answer);
+                    self.make_idle(id);
                 }
                 Some(Task::Request(request)) => self.on_answered(now, id, request, answer),
                 None => tracing::warn!(connection = id.0, "pool: answer without a job"),
@@ -101,20 +103,24 @@
                 if refusal != Refusal::ReadOnly {
                     return self.close_connection(id);
                 }
-                connection.fire(PooledEvent::Answered);
-                return self.mark_not_primary(now, id);
+                self.mark_not_primary(now, id);
+                if self.repeats_answers(id) {
+                    return self.discard_connection(id);
+                }
+                return self.make_idle(id);
             }
         };
         if self.requests.get(&request).is_some_and(Request::continues_transaction) {
             return self.refuse_in_transaction(now, id, request, refusal);
         }
+        self.spend_on_refusal(id, refusal);
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let endpoint = connection.endpoint.clone();
         connection.session = None;
         // A refused BEGIN leaves the connection unchanged. After any other refused step the state
         // of the connection is unknown.
         if matches!(refusal, Refusal::Lagging | Refusal::ReadOnly) {
-            connection.fire(PooledEvent::Answered);
+            self.make_idle(id);
         } else {
             self.close_connection(id);
         }
@@ -169,6 +175,17 @@
             return self.release_connection(now, id, answer.transaction);
         };
         let ok = answer.result.is_ok();
+        let in_transaction = request.wrapped_in_transaction
+            || request.statement_kind == StatementKind::InTransaction;
+        if ok && in_transaction && answer.transaction == TransactionState::Idle {
+            tracing::warn!(
+                endpoint = endpoint.as_str(),
+                request = request.statement_id.as_str(),
+                "pool: a statement ran outside of its transaction"
+            );
+            self.discard_connection(id);
+            return self.request_lost(now, request_id, true);
+        }
         let proves_primary = ok
             && (request.wrapped_in_transaction
                 || request.statement_kind == StatementKind::SingleWrite
@@ -260,7 +277,7 @@
         }
         if transaction == TransactionState::Idle {
             connection.session = None;
-            connection.fire(PooledEvent::Answered);
+            self.make_idle(id);
         } else if in_transaction {
             connection.fire(PooledEvent::Hold);
         } else {
@@ -294,7 +311,7 @@
             return self.await_roll_back(now, id);
         }
         if state == TransactionState::Idle {
-            connection.fire(PooledEvent::Answered);
+            self.make_idle(id);
         } else {
             connection.fire(PooledEvent::Hold);
             self.roll_back_connection(now, id);
@@ -332,6 +349,69 @@
         self.fire(now, id, ProxyRequestEvent::Finish);
     }
 
+    /// Closes a connection when its job is over, if a refusal on it could be taken for the answer to a
+    /// later statement. Replicas refuse many reads as lagging; such a refusal tells the log position,
+    /// which mostly differs from the last one, so they keep their connections unless the endpoint is
+    /// known to send answers again.
+    pub(super) fn spend_on_refusal(&mut self, id: ConnectionId, refusal: Refusal) {
+        let repeats = self.repeats_answers(id);
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.is_spent |= repeats || refusal != Refusal::Lagging;
+    }
+
+    /// Whether the endpoint of a connection has sent an answer again.
+    fn repeats_answers(&self, id: ConnectionId) -> bool {
+        let endpoint = self.connections.get(&id).and_then(|connection| {
+            self.groups.get(&connection.group)?.endpoints.get(&connection.endpoint)
+        });
+        endpoint.is_some_and(|endpoint| endpoint.repeats_answers)
+    }
+
+    /// Records that an endpoint has sent an answer again.
+    pub fn on_repeated_answer(&mut self, id: ConnectionId) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let group = self.groups.get_mut(&connection.group);
+        let endpoint = group.and_then(|group| group.endpoints.get_mut(&connection.endpoint));
+        if let Some(endpoint) = endpoint {
+            endpoint.repeats_answers = true;
+        }
+    }
+
+    /// Handles a connection that was closed because a refusal on it may be one that the endpoint has
+    /// sent before. `sent` tells whether the statement of its job was sent; if so, it may have run.
+    pub fn on_unclear_refusal(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        sent: bool,
+        refusal: Refusal,
+    ) {
+        let Some(connection) = self.remove_connection(id) else { return };
+        let endpoint = connection.endpoint.clone();
+        let group = self.groups.get_mut(&connection.group);
+        if let Some(state) = group.and_then(|group| group.endpoints.get_mut(&endpoint)) {
+            state.on_received(now);
+        }
+        match &connection.task {
+            // A second run does no harm, so the refusal is taken at its word.
+            Some(Task::Request(request)) if self.may_run_again(*request) => {
+                self.detach(*request);
+                self.requeue_refused(now, *request, id, &endpoint, refusal);
+            }
+            _ => self.end_job_of_lost(now, id, connection, sent),
+        }
+        self.dispatch_changed_groups(now);
+    }
+
+    /// Whether a statement changes nothing, and its transaction, if any, has run nothing before it.
+    fn may_run_again(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|request| {
+            request.statement_kind == StatementKind::SingleRead
+                || (request.statement_kind == StatementKind::InTransaction
+                    && request.starts_transaction)
+        })
+    }
+
     /// Handles a connection that was lost or could not be opened.
     pub fn on_lost(&mut self, now: Timestamp, id: ConnectionId, report: &LossReport) {
         let Some(connection) = self.connections.get(&id) else { return };
@@ -339,9 +419,21 @@
         let delay_us = self.random_delay_us(CONNECTION_LIMIT_RETRY_DELAY.as_us());
         let Some(connection) = self.remove_connection(id) else { return };
         self.record_loss(now, &connection, connecting, delay_us, report);
+        self.end_job_of_lost(now, id, connection, report.sent);
+        self.dispatch_changed_groups(now);
+    }
+
+    /// Ends what ran on a connection that is gone.
+    fn end_job_of_lost(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        connection: PooledConnection,
+        sent: bool,
+    ) {
         match connection.task {
             Some(Task::Request(request)) if self.requests.contains_key(&request) => {
-                self.request_lost(now, request, report.sent);
+                self.request_lost(now, request, sent);
             }
             Some(Task::Request(_) | Task::Order(_)) => {}
             None => {
@@ -350,7 +442,6 @@
                 }
             }
         }
-        self.dispatch_changed_groups(now);
     }
 
     /// Handles the loss of a connection on which the transaction of a session is open. A statement
--- a/src/core/proxy/group.rs
+++ b/src/core/proxy/group.rs
@@ -135,6 +135,8 @@
     pub running: u32,
     /// When this host last received anything from it.
     pub received_at: Timestamp,
+    /// Whether it has sent an answer again.
+    pub repeats_answers: bool,
 }
 
 impl EndpointState {
@@ -161,6 +163,7 @@
             best_us: 0,
             running: 0,
             received_at: now,
+            repeats_answers: false,
         }
     }
 
--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -9,6 +9,7 @@
 pub mod connection;
 mod dispatch;
 pub mod domains;
+pub mod endpoint_answers;
 pub mod entries;
 pub mod evacuation;
 mod events;
--- a/src/core/proxy/pool.rs
+++ b/src/core/proxy/pool.rs
@@ -149,6 +149,8 @@
             last_used: now,
             variables: BTreeMap::new(),
             prepared: PreparedStatements::default(),
+            uses: 0,
+            is_spent: false,
         };
         self.connections.insert(connection, pooled);
         self.out.push(ProxyEffect::Connect {
@@ -167,6 +169,22 @@
         }
     }
 
+    /// Makes a connection idle after its job, or closes it if it must not run another one.
+    pub(super) fn make_idle(&mut self, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.fire(PooledEvent::Answered);
+        if connection.is_used_up() {
+            self.close_connection(id);
+        }
+    }
+
+    /// Closes a connection whose job was answered.
+    pub(super) fn discard_connection(&mut self, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.is_spent = true;
+        self.make_idle(id);
+    }
+
     /// Removes a connection from the pool without closing its socket.
     pub(super) fn remove_connection(&mut self, id: ConnectionId) -> Option<PooledConnection> {
         let mut connection = self.connections.remove(&id)?;
@@ -210,6 +228,7 @@
         connection.fire(PooledEvent::Run);
         connection.task = Some(super::connection::Task::Order(order));
         connection.ends_with_rollback = false;
+        connection.uses += 1;
         (connection.started, connection.last_used) = (now, now);
         self.expect_answer(now, id);
         let job = match order {
--- a/src/net/proxy/endpoint.rs
+++ b/src/net/proxy/endpoint.rs
@@ -1,7 +1,5 @@
 //! Actor of one connection to an endpoint: owns the socket and runs one job at a time.
 
-use std::collections::BTreeSet;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
@@ -11,9 +9,11 @@
 use stakker_mio::{MioPoll, Ready};
 
 use crate::core::proxy::connection::Owner;
-use crate::core::proxy::job::{Job, JobAnswer, JobEnd, Refusal, Setup, Work};
+use crate::core::proxy::endpoint_answers::{
+    AnswerResult, AnswersState, Attribution, EndpointAnswer, EndpointAnswers,
+};
+use crate::core::proxy::job::{Job, JobAnswer, JobEnd, Refusal, StatusReport, Work};
 use crate::core::proxy::LossReport;
-use crate::core::transaction::TransactionState;
 use crate::net::stream::{Stream, StreamState};
 use crate::platform::line::{self, EndpointMessage, LineReader};
 use crate::types::{EndpointId, GroupId, HostId, Position};
@@ -43,27 +43,21 @@
     Opened,
     /// A job's read-write transaction has begun on the primary, at this log position.
     TransactionBegan(Position),
+    /// The endpoint has sent an answer again, which was dropped.
+    Repeated,
+    /// The connection is closed, because an answer may be a repeated one. The endpoint is up.
+    Unclear {
+        /// Whether the statement of the job was sent.
+        sent: bool,
+        /// The refusal in the answer.
+        refusal: Refusal,
+    },
     /// A job ended, or its rollback did.
     JobEnded(JobEnd),
     /// The connection is closed.
     Lost(LossReport),
 }
 
-/// What the next answer of the endpoint is for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Expecting {
-    /// The startup message.
-    Startup,
-    /// Nothing; the connection is idle.
-    Nothing,
-    /// A setup step; the number of setup steps without an answer.
-    Setup(usize),
-    /// The statement or order of the job.
-    Work,
-    /// The rollback of the job.
-    Rollback,
-}
-
 /// Actor of one connection to an endpoint.
 pub struct LineEndpoint {
     target: Target,
@@ -71,17 +65,14 @@
     stream: Stream,
     /// Reads the lines of the stream's input.
     lines: LineReader,
-    expecting: Expecting,
     startup_sent: bool,
     /// Whether the statement or order of the last job was sent.
     work_sent: bool,
     job: Option<Job>,
+    answers: EndpointAnswers,
     rows: Vec<Bytes>,
-    result: Option<Result<CompactString, (Refusal, CompactString)>>,
-    /// First refusal of a setup step of the current job.
-    setup_refusal: Option<Refusal>,
-    /// Hashes of the signatures of the connection's answers.
-    signatures: BTreeSet<u64>,
+    /// Result of the answer that is being received.
+    result: AnswerResult,
 }
 
 impl LineEndpoint {
@@ -97,14 +88,12 @@
                 hub,
                 stream,
                 lines: LineReader::default(),
-                expecting: Expecting::Startup,
                 startup_sent: false,
                 work_sent: false,
                 job: None,
+                answers: EndpointAnswers::default(),
                 rows: Vec::new(),
-                result: None,
-                setup_refusal: None,
-                signatures: BTreeSet::new(),
+                result: AnswerResult::None,
             }),
             Err(error) => {
                 let cause = error.to_string();
@@ -117,22 +106,19 @@
 
     /// Runs a job; the connection must be idle.
     pub fn run(&mut self, cx: CX![], job: Job) {
-        if self.expecting != Expecting::Nothing {
+        let state = self.answers.state();
+        if state != AnswersState::Idle {
             // Answers could be attributed to the wrong statement.
-            tracing::error!(expecting = ?self.expecting,
-                "endpoint: received a job while another is running");
+            tracing::error!(?state, "endpoint: received a job while another is running");
             return self.report_lost(cx, None, "received a job while another is running".into());
         }
         self.work_sent = false;
-        self.setup_refusal = None;
-        let steps = job.setup.len();
+        self.answers.start(&job);
         for step in &job.setup {
             line::write_setup(&mut self.stream.output, step);
         }
         self.job = Some(job);
-        if steps > 0 {
-            self.expecting = Expecting::Setup(steps);
-        } else {
+        if !self.answers.awaits_setup() {
             self.send_work();
         }
         self.flush(cx);
@@ -154,14 +140,14 @@
             return self.send_rollback();
         }
         line::write_work(&mut self.stream.output, &job.work);
-        self.expecting = Expecting::Work;
+        self.answers.send_work();
     }
 
     /// Sends the rollback. Must not be called before the statement was answered: an endpoint runs a
     /// rollback at once, ahead of a statement that waits for a slot.
     fn send_rollback(&mut self) {
         line::write_rollback(&mut self.stream.output);
-        self.expecting = Expecting::Rollback;
+        self.answers.send_rollback();
     }
 
     fn ready(&mut self, cx: CX![], _: Ready) {
@@ -216,123 +202,103 @@
     }
 
     fn handle_message(&mut self, cx: CX![], message: EndpointMessage) -> bool {
-        if self.expecting == Expecting::Nothing {
-            self.report_lost(cx, None, "received a message without a request".into());
-            return false;
-        }
         match message {
             EndpointMessage::Row(row) => self.rows.push(row),
-            EndpointMessage::Complete(signature) => self.result = Some(Ok(signature)),
-            EndpointMessage::Error(refusal, text) if self.expecting == Expecting::Startup => {
-                self.report_lost(cx, Some(refusal), format!("startup was refused: {text}"));
-                return false;
-            }
-            EndpointMessage::Error(refusal, text) => self.result = Some(Err((refusal, text))),
-            EndpointMessage::Ready(state, position) => self.finish_answer(cx, state, position),
-        }
-        true
-    }
-
-    fn finish_answer(
-        &mut self,
-        cx: CX![],
-        transaction: TransactionState,
-        position: Option<Position>,
-    ) {
-        let rows = std::mem::take(&mut self.rows);
-        let result = self.result.take();
-        match self.expecting {
-            Expecting::Nothing => {}
-            Expecting::Startup => {
-                self.expecting = Expecting::Nothing;
-                fwd!([self.hub], EndpointEvent::Opened);
+            EndpointMessage::Complete(signature) if line::is_signature(&signature) => {
+                self.result = AnswerResult::Signed(signature);
             }
-            Expecting::Setup(remaining) => self.finish_setup_step(cx, remaining, result, position),
-            Expecting::Work => {
-                let Some(result) = result else {
-                    return self.report_lost(cx, None, "answer has no result".into());
-                };
-                self.log_repetition(&result);
-                let status = self.read_status(&rows, &result);
-                let rollback = self.job.as_ref().is_some_and(|job| job.rollback);
-                self.expecting = Expecting::Nothing;
-                if rollback {
-                    self.send_rollback();
-                    self.flush(cx);
+            EndpointMessage::Complete(_) => self.result = AnswerResult::Done,
+            EndpointMessage::Error(refusal, text) => {
+                if self.answers.state() == AnswersState::Starting {
+                    self.report_lost(cx, Some(refusal), format!("startup was refused: {text}"));
+                    return false;
                 }
-                let answer = JobAnswer { rows, result, transaction, position, status };
-                fwd!([self.hub], EndpointEvent::JobEnded(JobEnd::Answered(answer)));
+                self.result = AnswerResult::Refused(refusal, text);
             }
-            Expecting::Rollback if transaction == TransactionState::Idle => {
-                self.expecting = Expecting::Nothing;
-                fwd!([self.hub], EndpointEvent::JobEnded(JobEnd::RolledBack));
+            EndpointMessage::Ready(transaction, position) => {
+                let rows = std::mem::take(&mut self.rows);
+                let result = std::mem::replace(&mut self.result, AnswerResult::None);
+                let answer = EndpointAnswer { rows, result, transaction, position };
+                return self.handle_answer(cx, answer);
             }
-            Expecting::Rollback => self.report_lost(cx, None, "rollback failed".into()),
         }
+        true
     }
 
-    fn finish_setup_step(
-        &mut self,
-        cx: CX![],
-        remaining: usize,
-        result: Option<Result<CompactString, (Refusal, CompactString)>>,
-        position: Option<Position>,
-    ) {
-        match result {
-            Some(Ok(_)) => self.report_begin(remaining, position),
-            Some(Err((refusal, _))) => {
-                self.setup_refusal.get_or_insert(refusal);
+    /// Handles a complete answer; returns false once the connection is closed.
+    fn handle_answer(&mut self, cx: CX![], answer: EndpointAnswer) -> bool {
+        let state = self.answers.state();
+        match self.answers.on_answer(&answer) {
+            Attribution::Awaited => return self.finish_answer(cx, state, answer),
+            Attribution::Repeated => {
+                tracing::info!(endpoint = self.target.endpoint.as_str(), ?state,
+                    result = ?answer.result, "endpoint: dropped a repeated answer");
+                fwd!([self.hub], EndpointEvent::Repeated);
+                return true;
             }
-            None => return self.report_lost(cx, None, "answer has no result".into()),
-        }
-        if remaining > 1 {
-            self.expecting = Expecting::Setup(remaining - 1);
-            return;
-        }
-        match self.setup_refusal.take() {
-            None => {
-                self.send_work();
-                self.flush(cx);
+            Attribution::Unclear(refusal) => {
+                tracing::info!(
+                    endpoint = self.target.endpoint.as_str(),
+                    ?state,
+                    ?refusal,
+                    "endpoint: an answer may be a repeated one"
+                );
+                fwd!([self.hub], EndpointEvent::Unclear { sent: self.work_sent, refusal });
+                stop!(cx);
             }
-            Some(refusal) => {
-                self.expecting = Expecting::Nothing;
-                fwd!([self.hub], EndpointEvent::JobEnded(JobEnd::SetupRefused(refusal)));
+            Attribution::Unexpected => {
+                tracing::warn!(endpoint = self.target.endpoint.as_str(), ?state,
+                    result = ?answer.result, "endpoint: received an answer that fits nothing that was sent");
+                self.report_lost(cx, None, "received an answer that fits nothing".into());
             }
         }
+        false
     }
 
-    /// Reports the begin of a read-write transaction, which only a primary accepts.
-    fn report_begin(&self, remaining: usize, position: Option<Position>) {
-        let Some(job) = &self.job else { return };
-        let step = job.setup.len().checked_sub(remaining).and_then(|index| job.setup.get(index));
-        if let (Some(Setup::Begin { read_only: false, .. }), Some(position)) = (step, position) {
+    /// Handles the answer that was awaited in `state`; returns false once the connection is closed.
+    fn finish_answer(&mut self, cx: CX![], state: AnswersState, answer: EndpointAnswer) -> bool {
+        if let Some(position) = self.answers.take_begin() {
             fwd!([self.hub], EndpointEvent::TransactionBegan(position));
         }
-    }
-
-    /// Logs that the endpoint has given the signature of this answer before on the connection.
-    fn log_repetition(&mut self, result: &Result<CompactString, (Refusal, CompactString)>) {
-        let Some(Job { work: Work::Statement { id, .. }, .. }) = &self.job else { return };
-        let Ok(signature) = result else { return };
-        let mut hasher = DefaultHasher::new();
-        signature.hash(&mut hasher);
-        if !self.signatures.insert(hasher.finish()) {
-            tracing::warn!(
-                endpoint = self.target.endpoint.as_str(),
-                request = id.as_str(),
-                signature = signature.as_str(),
-                "endpoint: repeated an answer"
-            );
+        match state {
+            AnswersState::Idle => {}
+            AnswersState::Starting => fwd!([self.hub], EndpointEvent::Opened),
+            AnswersState::Setup if self.answers.awaits_setup() => {}
+            AnswersState::Setup => match self.answers.take_refusal() {
+                None => {
+                    self.send_work();
+                    self.flush(cx);
+                }
+                Some(refusal) => {
+                    fwd!([self.hub], EndpointEvent::JobEnded(JobEnd::SetupRefused(refusal)));
+                }
+            },
+            AnswersState::Work => {
+                let status = self.read_status(&answer);
+                if self.job.as_ref().is_some_and(|job| job.rollback) {
+                    self.send_rollback();
+                    self.flush(cx);
+                }
+                let EndpointAnswer { rows, result, transaction, position } = answer;
+                let result = match result {
+                    AnswerResult::Signed(signature) => Ok(signature),
+                    AnswerResult::Refused(refusal, text) => Err((refusal, text)),
+                    AnswerResult::Done | AnswerResult::None => Ok(CompactString::default()),
+                };
+                let answer = JobAnswer { rows, result, transaction, position, status };
+                fwd!([self.hub], EndpointEvent::JobEnded(JobEnd::Answered(answer)));
+            }
+            AnswersState::Rollback => {
+                fwd!([self.hub], EndpointEvent::JobEnded(JobEnd::RolledBack));
+            }
         }
+        true
     }
 
-    fn read_status(
-        &self,
-        rows: &[Bytes],
-        result: &Result<CompactString, (Refusal, CompactString)>,
-    ) -> Option<crate::core::proxy::job::StatusReport> {
+    fn read_status(&self, answer: &EndpointAnswer) -> Option<StatusReport> {
         let is_order = matches!(self.job.as_ref()?.work, Work::Order(_));
-        let row = rows.first().filter(|_| is_order && result.is_ok())?;
+        let row =
+            answer.rows.first().filter(|_| is_order && answer.result == AnswerResult::Done)?;
         match line::read_status(row) {
             Ok(status) => Some(status),
             Err(error) => {
--- a/src/net/proxy/host.rs
+++ b/src/net/proxy/host.rs
@@ -431,6 +431,14 @@
                 self.core.on_transaction_began(now, id, position)
             }
             EndpointEvent::JobEnded(end) => self.core.on_job_end(now, id, end),
+            EndpointEvent::Repeated => {
+                self.report.on_repeated_answer();
+                self.core.on_repeated_answer(id);
+            }
+            EndpointEvent::Unclear { sent, refusal } => {
+                self.report.on_unclear_answer();
+                self.core.on_unclear_refusal(now, id, sent, refusal);
+            }
             EndpointEvent::Lost(report) => self.core.on_lost(now, id, &report),
         }
         self.carry_out(cx);
--- a/src/net/proxy/report.rs
+++ b/src/net/proxy/report.rs
@@ -81,6 +81,8 @@
     replica_reads: Counter,
     retries: Counter,
     connects: Counter,
+    repeated_answers: Counter,
+    unclear_answers: Counter,
     promotions: Counter,
     calls: Family<CallLabels, Counter>,
     reads: Family<ReadLabels, Counter>,
@@ -122,6 +124,8 @@
             replica_reads: Counter::default(),
             retries: Counter::default(),
             connects: Counter::default(),
+            repeated_answers: Counter::default(),
+            unclear_answers: Counter::default(),
             promotions: Counter::default(),
             calls: Family::default(),
             reads: Family::default(),
@@ -179,6 +183,16 @@
             self.retries.clone(),
         );
         registry.register("connects", "Connections opened to endpoints", self.connects.clone());
+        registry.register(
+            "repeated_answers",
+            "Answers that endpoints sent again, which were dropped",
+            self.repeated_answers.clone(),
+        );
+        registry.register(
+            "unclear_answers",
+            "Connections closed because an answer may have been sent again",
+            self.unclear_answers.clone(),
+        );
         registry.register("promotions", "Promotions ordered", self.promotions.clone());
         registry.register("calls", "Writes to the store and promotions", self.calls.clone());
         registry.register("store_reads", "Reads of a table of the store", self.reads.clone());
@@ -290,6 +304,16 @@
         self.connects.inc();
     }
 
+    /// Records that an endpoint sent an answer again.
+    pub fn on_repeated_answer(&self) {
+        self.repeated_answers.inc();
+    }
+
+    /// Records that a connection was closed because an answer may have been sent again.
+    pub fn on_unclear_answer(&self) {
+        self.unclear_answers.inc();
+    }
+
     /// Records that a caller was disconnected for the sake of others.
     pub fn on_eviction(&self, reason: Eviction) {
         let labels = EvictionLabels { reason: reason.to_string() };
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -17,6 +17,8 @@
 pub const MAX_LINE_BYTES: usize = 1024 * 1024;
 /// End of a message.
 pub const LINE_END: &[u8] = b"\r\n";
+/// Stands for the signature in answers to what neither reads, writes nor commits.
+const NO_SIGNATURE: &str = "-";
 /// Stands for the client account on connections for callers without one.
 const NO_ACCOUNT: &str = "-";
 
@@ -279,6 +281,11 @@
     }
 }
 
+/// Whether the last field of an answer's `COMPLETE` is a signature.
+pub fn is_signature(field: &str) -> bool {
+    field != NO_SIGNATURE
+}
+
 fn read_position(text: &str) -> Result<Option<Position>, LineError> {
     if text == "-" {
         return Ok(None);
@@ -369,7 +376,7 @@
 pub fn write_answer(out: &mut BytesMut, answer: &Answer, state: TransactionState) {
     let mut answer_position = None;
     match answer {
-        Answer::Done => put_line(out, &["COMPLETE", "-"]),
+        Answer::Done => put_line(out, &["COMPLETE", NO_SIGNATURE]),
         Answer::Endpoint { rows, signature, position } => {
             for row in rows {
                 out.extend_from_slice(b"ROW ");
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -255,6 +255,8 @@
         if begins_transaction {
             self.core.on_transaction_began(self.now, connection, at(1, 10));
         }
+        // A read inside a transaction of the host is answered before the transaction ends.
+        let state = if job.rollback { TransactionState::Open } else { state };
         self.end(connection, Ok("signed".into()), state);
         if job.rollback {
             self.core.on_job_end(self.now, connection, JobEnd::RolledBack);
@@ -262,6 +264,11 @@
         }
     }
 
+    /// Answers the statement of a job with success, but outside of any transaction.
+    pub fn succeed_outside(&mut self, connection: ConnectionId) {
+        self.end(connection, Ok("signed".into()), TransactionState::Idle);
+    }
+
     /// Refuses the statement of a job, because the endpoint has applied only `position` of the log.
     pub fn refuse_lagging(&mut self, connection: ConnectionId, position: Position) {
         let answer = JobAnswer {
