Soak: endpoints that answer twice, texts with line ends, small pieces

A run on real machines had endpoints that answer a message twice, the second time late, and texts with a CR or LF in them. The soak could show neither: its endpoints answered once, and both sides ended a message at a lone LF.

Endpoints and callers end messages at CR LF only and keep all other bytes. Data of writes, items, session values, prepared texts and rows hold a LF, a CR or LF CR at times.

A success whose rows or signature differ from what the endpoint sent is MIXED; a text that differs from the one that the caller sent is UNASKED. Session values and preparations arrive without the caller's id and are compared with all that callers have sent; a value or text of another session is PINNED, as before.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -1,19 +1,19 @@
 //! Callers: sessions that read, write and run transactions, and note what they were told.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use medlarstile::platform::line::{read_endpoint, EndpointMessage};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::world::{Asked, Shared, ACCOUNTS};
+use super::wire::{send_in_pieces, with_line_end, Messages, Wire};
+use super::world::{comparable, excerpt, Asked, Rows, Shared, ACCOUNTS};
 
 /// Databases with the age that their reads may have.
 pub const DATABASES: [(&str, Option<u64>); 3] =
@@ -23,9 +23,13 @@
 /// Codes that promise that nothing of the attempt is kept.
 const PROMISES: [&str; 6] = ["BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"];
 
+/// Probability that a message is sent in pieces.
+const PIECES_CHANCE: f64 = 0.2;
+
 /// How a statement ended.
 enum End {
-    Done(String),
+    /// A signature, and the rows before it.
+    Done(String, Rows),
     /// A code.
     Refused(String),
     /// The connection is gone, or there was no answer.
@@ -45,7 +49,9 @@
     /// Signatures of the statements of the transaction.
     signatures: Vec<String>,
     stream: TcpStream,
-    lines: BufReader<TcpStream>,
+    messages: Messages,
+    /// Draws the pieces of messages and the line ends in texts.
+    wire_rng: ChaCha8Rng,
     next: u64,
 }
 
@@ -54,10 +60,12 @@
     shared: &Shared,
     number: u64,
     seed: u64,
+    wire: &Wire,
     hosts: &[SocketAddr],
     stop: &Arc<AtomicBool>,
 ) -> JoinHandle<()> {
     let (shared, hosts, stop) = (shared.clone(), hosts.to_vec(), Arc::clone(stop));
+    let wire = wire.clone();
     thread::spawn(move || {
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (number << 32));
         let mut sessions = 0;
@@ -65,7 +73,8 @@
             sessions += 1;
             let name = format!("c{number}-{sessions}");
             let host = hosts.choose(&mut rng).expect("a host");
-            match Session::open(&shared, name, number, *host, &mut rng) {
+            let wire_rng = wire.generator(((number + 1) << 32) + sessions);
+            match Session::open(&shared, name, number, *host, &mut rng, wire_rng) {
                 Some(mut session) => {
                     while !stop.load(Ordering::Relaxed) && session.act(&mut rng) {}
                 }
@@ -82,6 +91,7 @@
         number: u64,
         host: SocketAddr,
         rng: &mut ChaCha8Rng,
+        wire_rng: ChaCha8Rng,
     ) -> Option<Self> {
         let (account, key, _) =
             ACCOUNTS[usize::try_from(number).expect("a number") % ACCOUNTS.len()];
@@ -89,7 +99,7 @@
         let stream = TcpStream::connect_timeout(&host, PATIENCE).ok()?;
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(PATIENCE)).ok()?;
-        let lines = BufReader::new(stream.try_clone().ok()?);
+        let messages = Messages::from(stream.try_clone().ok()?);
         let (shared, tag, shape) = (shared.clone(), String::new(), String::new());
         let mut session = Self {
             shared,
@@ -102,19 +112,20 @@
             shape,
             signatures: Vec::new(),
             stream,
-            lines,
+            messages,
+            wire_rng,
             next: 0,
         };
-        session.stream.write_all(format!("STARTUP {database} {key}\r\n").as_bytes()).ok()?;
-        matches!(session.message()?, EndpointMessage::Ready(..)).then_some(session)
+        session.send(&format!("STARTUP {database} {key}\r\n")).ok()?;
+        let answer = read_endpoint(&session.messages.next().ok()??);
+        matches!(answer, Ok(EndpointMessage::Ready(..))).then_some(session)
     }
 
-    fn message(&mut self) -> Option<EndpointMessage> {
-        let mut line = String::new();
-        if self.lines.read_line(&mut line).ok()? == 0 {
-            return None;
+    fn send(&mut self, message: &str) -> std::io::Result<()> {
+        if self.wire_rng.random_bool(PIECES_CHANCE) {
+            return send_in_pieces(&mut self.stream, message.as_bytes(), &mut self.wire_rng);
         }
-        read_endpoint(&Bytes::from(line.trim_end().to_owned())).ok()
+        self.stream.write_all(message.as_bytes())
     }
 
     /// Sends a statement and reads its answer; the second value is false if the session is over.
@@ -127,43 +138,51 @@
             key: self.key,
             tag: self.tag.clone(),
             shape: if text.starts_with("EXECUTE") { self.shape.clone() } else { String::new() },
+            text: comparable(text),
             sent: Instant::now(),
         };
         let sent = asked.sent;
-        self.shared.lock().asked.insert(id.clone(), asked);
-        if self.stream.write_all(format!("QUERY {id} {text}\r\n").as_bytes()).is_err() {
+        {
+            let mut world = self.shared.lock();
+            if text.starts_with("SET ") || text.starts_with("PREPARE ") {
+                world.setups.insert(asked.text.clone());
+            }
+            world.asked.insert(id.clone(), asked);
+        }
+        if self.send(&format!("QUERY {id} {text}\r\n")).is_err() {
             return (id, End::Unknown, false);
         }
-        let mut end = None;
+        let (mut end, mut rows) = (None, Rows::default());
         loop {
-            match self.line() {
-                Some((EndpointMessage::Row(_), _)) => {}
-                Some((EndpointMessage::Complete(signature), _)) => {
-                    end = Some(End::Done(signature.to_string()));
+            let Some(message) = self.messages.next().ok().flatten() else {
+                self.shared.lock().cut(&id, sent);
+                return (id, end.unwrap_or(End::Unknown), false);
+            };
+            match read_endpoint(&message) {
+                Ok(EndpointMessage::Row(row)) => match &mut end {
+                    Some(End::Done(_, rows)) => rows.add(&row),
+                    _ => rows.add(&row),
+                },
+                Ok(EndpointMessage::Complete(signature)) => {
+                    end = Some(End::Done(signature.to_string(), rows));
+                }
+                Ok(EndpointMessage::Error(..)) => {
+                    let message = String::from_utf8_lossy(&message);
+                    end = Some(End::Refused(message.split(' ').nth(1).unwrap_or("").to_owned()));
                 }
-                Some((EndpointMessage::Error(..), code)) => end = Some(End::Refused(code)),
-                Some((EndpointMessage::Ready(..), _)) => {
+                Ok(EndpointMessage::Ready(..)) => {
                     return (id, end.unwrap_or(End::Unknown), true);
                 }
-                None => {
-                    self.shared.lock().cut(&id, sent);
-                    return (id, end.unwrap_or(End::Unknown), false);
+                Err(error) => {
+                    let message = excerpt(&String::from_utf8_lossy(&message));
+                    let text = format!("MIXED: {id} was answered with {message}: {error}");
+                    self.shared.lock().violation(text);
+                    return (id, End::Unknown, false);
                 }
             }
         }
     }
 
-    /// A message, and the code if it is an error.
-    fn line(&mut self) -> Option<(EndpointMessage, String)> {
-        let mut line = String::new();
-        if self.lines.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        let line = line.trim_end();
-        let code = line.split(' ').nth(1).unwrap_or("").to_owned();
-        Some((read_endpoint(&Bytes::from(line.to_owned())).ok()?, code))
-    }
-
     /// One operation; false ends the session.
     fn act(&mut self, rng: &mut ChaCha8Rng) -> bool {
         thread::sleep(Duration::from_millis(rng.random_range(0..15)));
@@ -185,8 +204,9 @@
 
     fn set(&mut self, rng: &mut ChaCha8Rng) -> bool {
         let tag = format!("t{}", rng.random_range(0..4));
+        let tag = with_line_end(&tag, &mut self.wire_rng);
         let (_, end, alive) = self.ask(&format!("SET tag {tag}"));
-        if matches!(end, End::Done(_)) {
+        if matches!(end, End::Done(..)) {
             self.tag = tag;
             return alive;
         }
@@ -197,10 +217,11 @@
     fn read(&mut self, began: Instant, inside: bool, rng: &mut ChaCha8Rng) -> bool {
         let prepared = rng.random_bool(0.2);
         let long = rng.random_bool(0.03);
+        let item = with_line_end("1", &mut self.wire_rng);
         let text = match (prepared, long) {
-            (true, _) => "EXECUTE s 1",
-            (false, true) => "READ list",
-            (false, false) => "READ 1",
+            (true, _) => format!("EXECUTE s {item}"),
+            (false, true) => "READ list".into(),
+            (false, false) => format!("READ {item}"),
         };
         if prepared {
             // Shapes differ, so that the connection of a transaction often lacks one.
@@ -212,15 +233,16 @@
                 2 => format!("READ shape{number} WRITE to"),
                 _ => format!("READ  {number} "),
             };
+            let shape = with_line_end(&shape, &mut self.wire_rng);
             let (_, end, alive) = self.ask(&format!("PREPARE s {shape}"));
-            if !alive || !matches!(end, End::Done(_)) {
+            if !alive || !matches!(end, End::Done(..)) {
                 return false;
             }
             self.shape = shape;
         }
         let began = if inside { began } else { Instant::now() };
-        let (id, end, alive) = self.ask(text);
-        let End::Done(signature) = end else { return alive && !inside };
+        let (id, end, alive) = self.ask(&text);
+        let End::Done(signature, rows) = end else { return alive && !inside };
         if inside {
             self.signatures.push(signature.clone());
         }
@@ -229,13 +251,10 @@
         if world.count_after.is_some_and(|after| began > after) {
             world.served_after += 1;
         }
-        match world.runs.get(&signature).cloned() {
-            Some(run) if run.query == id => {
-                let age = Duration::from_millis(self.max_age.unwrap_or(0));
-                let own = (self.database == "plans").then_some(self.name.as_str());
-                world.check_fresh(&id, run.applied, began, age, own);
-            }
-            _ => world.violation(format!("MIXED: {id} was answered with {signature}")),
+        if let Some(run) = world.check_answer(&id, &signature, rows) {
+            let age = Duration::from_millis(self.max_age.unwrap_or(0));
+            let own = (self.database == "plans").then_some(self.name.as_str());
+            world.check_fresh(&id, run.applied, began, age, own);
         }
         alive
     }
@@ -243,6 +262,7 @@
     fn write(&mut self, rng: &mut ChaCha8Rng) -> bool {
         let length = if rng.random_bool(0.03) { 100_000 } else { 0 };
         let data = format!("{}-{}{}", self.name, rng.random::<u64>(), "d".repeat(length));
+        let data = with_line_end(&data, &mut self.wire_rng);
         let (id, end, alive) = self.ask(&format!("WRITE 1 {data}"));
         self.note_commit(&id, &end, &[data]);
         alive
@@ -254,7 +274,7 @@
         self.signatures.clear();
         let read_only = rng.random_bool(0.4);
         let (_, end, alive) = self.ask(if read_only { "BEGIN READ" } else { "BEGIN" });
-        if !alive || !matches!(end, End::Done(_)) {
+        if !alive || !matches!(end, End::Done(..)) {
             return alive;
         }
         let mut data = Vec::new();
@@ -265,12 +285,14 @@
                 self.read(began, true, rng)
             } else {
                 let one = format!("{}-{}", self.name, rng.random::<u64>());
-                let (_, end, alive) = self.ask(&format!("WRITE 1 {one}"));
+                let one = with_line_end(&one, &mut self.wire_rng);
+                let (id, end, alive) = self.ask(&format!("WRITE 1 {one}"));
                 data.push(one);
-                if let End::Done(signature) = &end {
+                if let End::Done(signature, rows) = &end {
+                    self.shared.lock().check_answer(&id, signature, *rows);
                     self.signatures.push(signature.clone());
                 }
-                alive && matches!(end, End::Done(_))
+                alive && matches!(end, End::Done(..))
             };
             if !alive {
                 // The caller leaves; its commit was never asked for.
@@ -283,7 +305,7 @@
             return self.ask("ROLLBACK").2;
         }
         let (id, end, alive) = self.ask("COMMIT");
-        if let End::Done(signature) = &end {
+        if let End::Done(signature, _) = &end {
             self.signatures.push(signature.clone());
             let signatures = std::mem::take(&mut self.signatures);
             self.shared.lock().check_pinned(&signatures);
@@ -296,12 +318,9 @@
     fn note_commit(&self, id: &str, end: &End, data: &[String]) {
         let mut world = self.shared.lock();
         match end {
-            End::Done(signature) => {
+            End::Done(signature, rows) => {
                 world.served += 1;
-                let run = world.runs.get(signature).cloned().filter(|run| run.query == id);
-                let Some(run) = run else {
-                    return world.violation(format!("MIXED: {id} was answered with {signature}"));
-                };
+                let Some(run) = world.check_answer(id, signature, *rows) else { return };
                 let number = run.commit.and_then(|number| usize::try_from(number).ok());
                 let now = Instant::now();
                 let commit = number.and_then(|number| world.log.get_mut(number - 1));
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,5 +1,6 @@
 //! Randomized soak: real host processes under faults that come from outside, and a check of the
-//! promises from what callers and endpoints see.
+//! promises from what callers and endpoints see. Endpoints may also send an answer again later, and
+//! texts and rows may hold line ends; see `wire.rs`.
 //!
 //! `MEDLARSTILE_SOAK_SEEDS=1-50` runs these seeds, `MEDLARSTILE_SOAK_JOBS=4` so many at a time.
 //! Without the variables, a few seeds and the cases that have failed before are run for a short
@@ -12,8 +13,10 @@
 mod platform;
 #[path = "../ports/mod.rs"]
 mod ports;
+mod wire;
 mod world;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -28,6 +31,7 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use serde_json::{json, Value};
+use wire::Wire;
 use world::{Shared, ACCOUNTS, CALM_AFTER, GROUP};
 
 /// Hosts of a run.
@@ -84,10 +88,11 @@
 }
 
 impl Run {
-    fn start(seed: u64, folder: &std::path::Path) -> Self {
+    fn start(seed: u64, wire: &Wire, folder: &std::path::Path) -> Self {
         let shared = Shared::new();
         let platform = Platform::new(&shared);
-        let endpoints: Vec<SocketAddr> = (0..3).map(|n| endpoint::serve(&shared, n)).collect();
+        let endpoints: Vec<SocketAddr> =
+            (0..3).map(|n| endpoint::serve(&shared, n, wire)).collect();
         let (mut hosts, mut links) = (Vec::new(), Vec::new());
         for number in 0..HOSTS {
             let mut own: Vec<Link> = endpoints.iter().map(|address| Link::to(*address)).collect();
@@ -372,12 +377,13 @@
     let folder: PathBuf =
         std::env::temp_dir().join(format!("medlarstile-soak-{}-{seed}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
-    let mut run = Run::start(seed, &folder);
+    let wire = Wire::of(seed);
+    let mut run = Run::start(seed, &wire, &folder);
     run.pass(Duration::from_secs(2), false);
     let stop = Arc::new(AtomicBool::new(false));
     let fronts: Vec<SocketAddr> = run.hosts.iter().map(|host| host.front).collect();
     let callers: Vec<_> = (0..CALLERS)
-        .map(|number| caller::start(&run.shared, number, seed, &fronts, &stop))
+        .map(|number| caller::start(&run.shared, number, seed, &wire, &fronts, &stop))
         .collect();
     run.pass(chaos, true);
     while !run.due.is_empty() {
@@ -410,8 +416,12 @@
         world.violation(text);
     }
     let found = world.violations.clone();
+    let mut rules: BTreeMap<&str, u64> = BTreeMap::new();
+    for text in &found {
+        *rules.entry(text.split(':').next().unwrap_or(text)).or_default() += 1;
+    }
     println!(
-        "seed {seed}: {} served, term {}, {} restores, {} violations",
+        "seed {seed}: {} served, term {}, {} restores, {} violations {rules:?}, {wire:?}",
         world.served,
         world.term,
         run.platform.restores(),
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -1,6 +1,7 @@
 //! What the emulated endpoints, the emulated platform and the callers share: logs, runs, promises.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -52,6 +53,8 @@
     pub tag: String,
     /// What the caller prepared under the name that it executes; empty for other statements.
     pub shape: String,
+    /// The text, as [`comparable`] returns it.
+    pub text: String,
     pub sent: Instant,
 }
 
@@ -63,6 +66,35 @@
     pub commit: Option<u64>,
     /// Number of the transaction that it was part of.
     pub transaction: Option<u64>,
+    pub rows: Rows,
+}
+
+/// Number and hash of an answer's rows.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
+pub struct Rows {
+    count: u64,
+    hash: u64,
+}
+
+impl Rows {
+    pub fn add(&mut self, row: &[u8]) {
+        let mut hasher = DefaultHasher::new();
+        (self.hash, row).hash(&mut hasher);
+        (self.count, self.hash) = (self.count + 1, hasher.finish());
+    }
+}
+
+/// A statement's text without the name of a prepared statement, which the hosts may change.
+pub fn comparable(text: &str) -> String {
+    match text.splitn(3, ' ').collect::<Vec<&str>>()[..] {
+        [word @ ("PREPARE" | "EXECUTE"), _, rest] => format!("{word} {rest}"),
+        _ => text.to_owned(),
+    }
+}
+
+/// The start of a text, for violations.
+pub fn excerpt(text: &str) -> String {
+    format!("{:?} ({} bytes)", text.chars().take(80).collect::<String>(), text.len())
 }
 
 /// Everything.
@@ -75,6 +107,8 @@
     pub log: Vec<Commit>,
     /// Statements of callers by id.
     pub asked: BTreeMap<String, Asked>,
+    /// Texts of the settings and preparations that callers sent; hosts pass them on without the id.
+    pub setups: BTreeSet<String>,
     /// Runs by signature.
     pub runs: BTreeMap<String, Run>,
     /// Data of writes that callers were promised not to be kept.
@@ -124,6 +158,7 @@
             term: 1,
             log: Vec::new(),
             asked: BTreeMap::new(),
+            setups: BTreeSet::new(),
             runs: BTreeMap::new(),
             promised: BTreeSet::new(),
             committed: BTreeSet::new(),
@@ -222,6 +257,32 @@
         }
     }
 
+    /// Checks that a caller sent the text that an endpoint runs under this id.
+    pub fn check_text(&mut self, id: &str, text: &str) {
+        let found = comparable(text);
+        let is_sent = match id {
+            "-" => self.setups.contains(&found),
+            _ => self.asked.get(id).is_some_and(|asked| asked.text == found),
+        };
+        if !is_sent {
+            self.violation(format!("UNASKED: {id} ran {}", excerpt(text)));
+        }
+    }
+
+    /// Checks that a successful answer is the one that an endpoint sent for the statement; its run.
+    pub fn check_answer(&mut self, id: &str, signature: &str, rows: Rows) -> Option<Run> {
+        let run = self.runs.get(signature).cloned().filter(|run| run.query == id);
+        let Some(run) = run else {
+            self.violation(format!("MIXED: {id} was answered with {signature}"));
+            return None;
+        };
+        if run.rows != rows {
+            let sent = run.rows;
+            self.violation(format!("MIXED: {id} was answered with {rows:?}, not {sent:?}"));
+        }
+        Some(run)
+    }
+
     /// Checks that the statements of an acknowledged transaction ran in one at an endpoint.
     pub fn check_pinned(&mut self, signatures: &[String]) {
         let runs = signatures.iter().filter_map(|signature| self.runs.get(signature));
