--- a/src/core/proxy/mod.rs
+++ b/src/core/proxy/mod.rs
@@ -27,6 +27,7 @@
 pub mod quota;
 mod refusals;
 pub mod relay;
+mod repetition;
 pub mod request;
 pub mod roster;
 pub mod session;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 pub mod configuration;
 pub mod discovery;
 pub mod line;
+pub mod line_reader;
 mod number;
 pub mod settings;
 pub mod store;
