Recognize displaced answers, and what ran outside of its transaction

- An answer that was dropped, because a repeated one had taken its place, was not remembered.
Sent again it proved a lead at a later time.
The digest of every answer is kept now, and an unknown answer that fits nothing closes the connection instead of being dropped.
- After a repeated acceptance of an earlier transaction the first read of a read-only one was sent although the replica refused its begin as lagging; it ran outside of the transaction.
It names the log position as well now, so the replica refuses it too.
- A write with a result from outside of its transaction was run again, or its caller was promised that nothing is kept.
It is told as unknown, and so is a single write that ran inside of a transaction that the host does not know, which closing the connection rolls back.
- Probes could be proven by two repeated answers.
At an endpoint that is known to send answers again each order runs on a new connection.
- A connection that was closed in the middle of a job after an answer counted as two running statements less for its endpoint, so that its silence could be noticed late.

proxy_repeated_answers and proxy_endpoint_answers have a case for each but the last.

--- a/src/core/proxy/connection.rs
+++ b/src/core/proxy/connection.rs
@@ -97,7 +97,7 @@
     pub uses: u32,
     /// Whether it is closed instead of becoming idle, because a later statement could get an answer
     /// that cannot be told from one that the endpoint has sent before.
-    pub is_spent: bool,
+    pub must_close: bool,
 }
 
 /// Statements prepared on a connection. Sessions that prepare the same statement share it.
@@ -139,8 +139,8 @@
     }
 
     /// Whether it must not run another job.
-    pub fn is_used_up(&self) -> bool {
-        self.is_spent || self.uses >= MAX_USES
+    pub fn is_to_be_closed(&self) -> bool {
+        self.must_close || self.uses >= MAX_USES
     }
 
     /// Fires an event on its state chart.
--- a/src/core/proxy/dispatch.rs
+++ b/src/core/proxy/dispatch.rs
@@ -188,12 +188,12 @@
                 JobPayload::Execute(id, arguments.clone())
             }
         };
+        let begins_read_only = request.starts_transaction
+            && !request.at_primary
+            && request.route.rule != ReadRule::Primary;
         if request.wrapped_in_transaction || request.starts_transaction {
-            let read_only = request.starts_transaction
-                && !request.at_primary
-                && request.route.rule != ReadRule::Primary;
-            let after = request.after.filter(|_| read_only);
-            setup.push(Setup::Begin { read_only, after });
+            let after = request.after.filter(|_| begins_read_only);
+            setup.push(Setup::Begin { read_only: begins_read_only, after });
         }
         connection.fire(PooledEvent::Run);
         connection.uses += 1;
@@ -208,7 +208,14 @@
                 transaction.at_primary |= request.at_primary;
             }
         }
-        let after = request.after.filter(|_| request.statement_kind == StatementKind::SingleRead);
+        // A transaction's first read names the position too, in case an earlier answer is taken for the
+        // one to the begin, which the endpoint refuses.
+        let names_position = match request.statement_kind {
+            StatementKind::SingleRead => true,
+            StatementKind::InTransaction => begins_read_only,
+            StatementKind::SingleWrite | StatementKind::Commit => false,
+        };
+        let after = request.after.filter(|_| names_position);
         let work = Work::Statement { id: request.statement_id.clone(), payload, after };
         let job = Job { setup, work, rollback: request.wrapped_in_transaction };
         self.expect_answer(now, connection_id);
--- a/src/core/proxy/endpoint_answers.rs
+++ b/src/core/proxy/endpoint_answers.rs
@@ -88,7 +88,8 @@
                 (*refusal as u8, text, self.transaction as u8, self.position).hash(&mut hasher);
             }
             AnswerResult::None | AnswerResult::Done => {
-                (self.transaction as u8, self.position).hash(&mut hasher);
+                let is_done = self.result == AnswerResult::Done;
+                (is_done, self.transaction as u8, self.position).hash(&mut hasher);
             }
         }
         hasher.finish()
@@ -117,7 +118,7 @@
     Begin { is_read_only: bool },
 }
 
-/// What was sent on a connection to an endpoint and has no answer yet.
+/// The answers of a connection to an endpoint: those that were received, and those that are awaited.
 #[derive(Debug)]
 pub struct EndpointAnswers {
     machine: Machine<AnswersState, AnswersEvent, NoGuard, AnswersAction>,
@@ -129,8 +130,11 @@
     is_probe: bool,
     /// Whether a transaction is open after what was answered.
     in_transaction: bool,
-    /// Digests of the answers so far, of those that can be told from each other.
+    /// Digests of all answers so far.
     seen: BTreeSet<u64>,
+    /// Answers that were accepted although they equal earlier ones. If they were repeated ones, as many
+    /// awaited answers are still to come.
+    ambiguous: u32,
     /// Position at the start of the job's read-write transaction, while its answer may be that of an
     /// earlier one.
     unproven_begin: Option<Position>,
@@ -149,6 +153,7 @@
             is_probe: false,
             in_transaction: false,
             seen: BTreeSet::new(),
+            ambiguous: 0,
             unproven_begin: None,
             proven_begin: None,
             refusal: None,
@@ -210,28 +215,35 @@
 
     /// Tells what an answer belongs to, and records it if it was awaited.
     pub fn on_answer(&mut self, answer: &EndpointAnswer) -> Attribution {
-        let attribution = self.attribute(answer);
+        let is_known = self.seen.contains(&answer.digest());
+        let attribution = self.attribute(answer, is_known);
+        self.seen.insert(answer.digest());
         match attribution {
-            Attribution::Awaited => self.record(answer),
-            Attribution::Repeated => self.unproven_begin = None,
+            Attribution::Awaited => self.record(answer, is_known),
+            Attribution::Repeated => {
+                self.unproven_begin = None;
+                if !is_known {
+                    self.ambiguous -= 1;
+                }
+            }
             Attribution::Unclear(_) | Attribution::Unexpected => {}
         }
         attribution
     }
 
-    fn attribute(&self, answer: &EndpointAnswer) -> Attribution {
+    fn attribute(&self, answer: &EndpointAnswer, is_known: bool) -> Attribution {
         use Attribution::{Awaited, Repeated, Unclear, Unexpected};
-        let is_known = self.seen.contains(&answer.digest());
         let is_idle = answer.transaction == TransactionState::Idle;
-        let awaited_if = |fits: bool| if fits { Awaited } else { Repeated };
+        let is_late = answer.result == AnswerResult::Done && self.ambiguous > 0;
+        let other = if is_known || is_late { Repeated } else { Unexpected };
+        let awaited_if = |fits: bool| if fits { Awaited } else { other };
         match (&answer.result, self.state()) {
             (AnswerResult::None, AnswersState::Starting) => Awaited,
             (_, AnswersState::Starting) => Unexpected,
-            (AnswerResult::None, _) => Repeated,
+            (AnswerResult::None, _) => other,
 
-            (AnswerResult::Signed(_), _) if is_known => Repeated,
-            (AnswerResult::Signed(_), AnswersState::Work) => Awaited,
-            (AnswerResult::Signed(_), _) => Unexpected,
+            (AnswerResult::Signed(_), AnswersState::Work) => awaited_if(!is_known),
+            (AnswerResult::Signed(_), _) => other,
 
             (AnswerResult::Done, AnswersState::Setup) => {
                 let begins = matches!(self.steps.front(), Some(Step::Begin { .. }));
@@ -241,13 +253,7 @@
                 awaited_if(self.is_order && answer.rows.len() == 1)
             }
             (AnswerResult::Done, AnswersState::Rollback) => awaited_if(is_idle),
-            // The endpoint would run the next statement in a transaction that this host does not know.
-            (AnswerResult::Done, AnswersState::Idle)
-                if !is_idle && !self.in_transaction && !is_known =>
-            {
-                Unexpected
-            }
-            (AnswerResult::Done, AnswersState::Idle) => Repeated,
+            (AnswerResult::Done, AnswersState::Idle) => other,
 
             // Taking an earlier refusal for this one only delays the proof until the next probe.
             (AnswerResult::Refused(..), AnswersState::Setup) if self.is_probe => Awaited,
@@ -257,34 +263,25 @@
                 Unclear(*refusal)
             }
             (AnswerResult::Refused(..), AnswersState::Setup | AnswersState::Work) => Awaited,
-            (AnswerResult::Refused(..), _) if is_known => Repeated,
-            (AnswerResult::Refused(..), AnswersState::Rollback) if is_idle => Awaited,
-            (AnswerResult::Refused(..), _) => Unexpected,
+            (AnswerResult::Refused(..), AnswersState::Rollback) => awaited_if(!is_known && is_idle),
+            (AnswerResult::Refused(..), _) => other,
         }
     }
 
-    fn record(&mut self, answer: &EndpointAnswer) {
-        let is_new = self.seen.insert(answer.digest());
+    fn record(&mut self, answer: &EndpointAnswer, is_known: bool) {
         let refusal = match &answer.result {
             AnswerResult::Refused(refusal, _) => Some(*refusal),
             _ => None,
         };
+        self.ambiguous += u32::from(is_known);
         match self.state() {
-            AnswersState::Setup => {
-                let step = self.steps.pop_front();
-                if let Some(refusal) = refusal {
-                    self.refusal.get_or_insert(refusal);
-                    return;
-                }
-                let Some(Step::Begin { is_read_only }) = step else { return };
-                self.in_transaction = true;
-                let position = answer.position.filter(|_| !is_read_only);
-                *(if is_new { &mut self.proven_begin } else { &mut self.unproven_begin }) =
-                    position;
-                return;
-            }
+            AnswersState::Setup => return self.record_step(answer, refusal, is_known),
             AnswersState::Work => {
-                self.in_transaction = answer.transaction != TransactionState::Idle
+                self.in_transaction = answer.transaction != TransactionState::Idle;
+                if matches!(answer.result, AnswerResult::Signed(_)) {
+                    // All that was sent before it has been answered before it.
+                    self.ambiguous = 0;
+                }
             }
             AnswersState::Rollback => self.in_transaction = false,
             AnswersState::Starting | AnswersState::Idle => {}
@@ -298,6 +295,22 @@
         self.fire(AnswersEvent::Answered);
     }
 
+    fn record_step(&mut self, answer: &EndpointAnswer, refusal: Option<Refusal>, is_known: bool) {
+        let step = self.steps.pop_front();
+        if let Some(refusal) = refusal {
+            self.refusal.get_or_insert(refusal);
+            return;
+        }
+        let Some(Step::Begin { is_read_only }) = step else { return };
+        self.in_transaction = true;
+        let position = answer.position.filter(|_| !is_read_only);
+        if is_known {
+            self.unproven_begin = position;
+        } else {
+            self.proven_begin = position;
+        }
+    }
+
     fn fire(&mut self, event: AnswersEvent) {
         let step = self.machine.fire(event, |guard| match guard {});
         if !step.handled {
--- a/src/core/proxy/events.rs
+++ b/src/core/proxy/events.rs
@@ -76,16 +76,21 @@
         self.dirty.insert(connection.group.clone());
         match end {
             JobEnd::RolledBack => {
-                connection.task = None;
-                self.make_idle(id);
+                let was_probe = matches!(connection.task.take(), Some(Task::Order(_)));
+                // A repeated begin could be taken for the answer to the next probe.
+                if was_probe && self.repeats_answers(id) {
+                    self.discard_connection(id);
+                    return self.dispatch_changed_groups(now);
+                }
+                self.make_idle_or_close(id);
             }
             JobEnd::SetupRefused(refusal) => self.on_setup_refused(now, id, refusal),
             JobEnd::Answered(answer) => match connection.task.take() {
                 Some(Task::Order(order)) => {
                     // A repeated status could be taken for the answer to the next order.
-                    connection.is_spent = true;
+                    connection.must_close = true;
                     self.on_order_answered(now, id, order, &answer);
-                    self.make_idle(id);
+                    self.make_idle_or_close(id);
                 }
                 Some(Task::Request(request)) => self.on_answered(now, id, request, answer),
                 None => tracing::warn!(connection = id.0, "pool: answer without a job"),
@@ -101,28 +106,28 @@
             Some(Task::Request(request)) => request,
             _ => {
                 if refusal != Refusal::ReadOnly {
-                    return self.close_connection(id);
+                    return self.discard_connection(id);
                 }
                 self.mark_not_primary(now, id);
                 if self.repeats_answers(id) {
                     return self.discard_connection(id);
                 }
-                return self.make_idle(id);
+                return self.make_idle_or_close(id);
             }
         };
         if self.requests.get(&request).is_some_and(Request::continues_transaction) {
             return self.refuse_in_transaction(now, id, request, refusal);
         }
-        self.spend_on_refusal(id, refusal);
+        self.close_after_refusal(id, refusal);
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let endpoint = connection.endpoint.clone();
         connection.session = None;
         // A refused BEGIN leaves the connection unchanged. After any other refused step the state
         // of the connection is unknown.
         if matches!(refusal, Refusal::Lagging | Refusal::ReadOnly) {
-            self.make_idle(id);
+            self.make_idle_or_close(id);
         } else {
-            self.close_connection(id);
+            self.discard_connection(id);
         }
         self.detach(request);
         tracing::debug!(endpoint = endpoint.as_str(), ?refusal, "pool: setup step was refused");
@@ -142,7 +147,7 @@
             self.mark_not_primary(now, id);
         }
         // Which variables and statements the connection has is unknown; closing it rolls back.
-        self.close_connection(id);
+        self.discard_connection(id);
         self.end_waiting_transaction(now, request);
         tracing::info!(?refusal, "request: a setup step was refused in an open transaction");
         let detail = "the endpoint of the transaction refused a setup step of the statement";
@@ -171,20 +176,15 @@
         let Some(connection) = self.connections.get(&id) else { return };
         let (endpoint, group_id) = (connection.endpoint.clone(), connection.group.clone());
         let latency_us = now.0.saturating_sub(connection.started.0);
+        if let Err((refusal, _)) = &answer.result {
+            self.close_after_refusal(id, *refusal);
+        }
         let Some(request) = self.requests.get(&request_id) else {
             return self.release_connection(now, id, answer.transaction);
         };
         let ok = answer.result.is_ok();
-        let in_transaction = request.wrapped_in_transaction
-            || request.statement_kind == StatementKind::InTransaction;
-        if ok && in_transaction && answer.transaction == TransactionState::Idle {
-            tracing::warn!(
-                endpoint = endpoint.as_str(),
-                request = request.statement_id.as_str(),
-                "pool: a statement ran outside of its transaction"
-            );
-            self.discard_connection(id);
-            return self.request_lost(now, request_id, true);
+        if ok && request.ran_elsewhere(answer.transaction) {
+            return self.on_ran_elsewhere(now, id, request_id);
         }
         let proves_primary = ok
             && (request.wrapped_in_transaction
@@ -250,7 +250,7 @@
     }
 
     /// Ends a write or a commit whose outcome is unknown.
-    fn refuse_commit(&mut self, now: Timestamp, id: RequestId, detail: &str) {
+    pub(super) fn refuse_commit(&mut self, now: Timestamp, id: RequestId, detail: &str) {
         let session = self.requests.get(&id).map(|request| request.session);
         if let Some(session) = session.and_then(|session| self.sessions.get_mut(&session)) {
             session.transaction = None;
@@ -277,7 +277,7 @@
         }
         if transaction == TransactionState::Idle {
             connection.session = None;
-            self.make_idle(id);
+            self.make_idle_or_close(id);
         } else if in_transaction {
             connection.fire(PooledEvent::Hold);
         } else {
@@ -285,7 +285,7 @@
                 connection = id.0,
                 "pool: endpoint reports a transaction that this host did not begin"
             );
-            self.close_connection(id);
+            self.discard_connection(id);
         }
     }
 
@@ -311,7 +311,7 @@
             return self.await_roll_back(now, id);
         }
         if state == TransactionState::Idle {
-            self.make_idle(id);
+            self.make_idle_or_close(id);
         } else {
             connection.fire(PooledEvent::Hold);
             self.roll_back_connection(now, id);
--- a/src/core/proxy/order.rs
+++ b/src/core/proxy/order.rs
@@ -28,7 +28,7 @@
             if state.is_none_or(|state| self.is_closed(now, state)) {
                 continue;
             }
-            if let Some(id) = self.idle_connection(&group, &endpoint, None) {
+            if let Some(id) = self.connection_for_order(&group, &endpoint) {
                 self.run_order(now, id, order);
                 continue;
             }
@@ -39,6 +39,25 @@
         }
     }
 
+    /// An idle connection for an order. Answers to orders have no signature, so at an endpoint that sends
+    /// answers again only a new connection can run one.
+    fn connection_for_order(
+        &mut self,
+        group: &GroupId,
+        endpoint: &EndpointId,
+    ) -> Option<ConnectionId> {
+        let state = self.groups.get(group)?.endpoints.get(endpoint)?;
+        if !state.repeats_answers {
+            return self.idle_connection(group, endpoint, None);
+        }
+        let id = self.idle_connection(group, endpoint, Some(&Owner::Host))?;
+        if self.connections.get(&id)?.uses > 0 {
+            self.close_connection(id);
+            return None;
+        }
+        Some(id)
+    }
+
     pub(super) fn on_order_answered(
         &mut self,
         now: Timestamp,
--- a/src/core/proxy/pool.rs
+++ b/src/core/proxy/pool.rs
@@ -150,7 +150,7 @@
             variables: BTreeMap::new(),
             prepared: PreparedStatements::default(),
             uses: 0,
-            is_spent: false,
+            must_close: false,
         };
         self.connections.insert(connection, pooled);
         self.out.push(ProxyEffect::Connect {
@@ -170,10 +170,10 @@
     }
 
     /// Makes a connection idle after its job, or closes it if it must not run another one.
-    pub(super) fn make_idle(&mut self, id: ConnectionId) {
+    pub(super) fn make_idle_or_close(&mut self, id: ConnectionId) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.fire(PooledEvent::Answered);
-        if connection.is_used_up() {
+        if connection.is_to_be_closed() {
             self.close_connection(id);
         }
     }
@@ -181,8 +181,8 @@
     /// Closes a connection whose job was answered.
     pub(super) fn discard_connection(&mut self, id: ConnectionId) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        connection.is_spent = true;
-        self.make_idle(id);
+        connection.must_close = true;
+        self.make_idle_or_close(id);
     }
 
     /// Removes a connection from the pool without closing its socket.
--- a/src/core/proxy/refusals.rs
+++ b/src/core/proxy/refusals.rs
@@ -31,7 +31,6 @@
         let may_retry = request.retries < MAX_FAILED_READ_RETRIES;
         let endpoint = self.connections.get(&id).map(|found| found.endpoint.clone());
         let Some(endpoint) = endpoint else { return };
-        self.spend_on_refusal(id, refusal);
         let not_run = matches!(
             refusal,
             Refusal::Busy | Refusal::UnknownStatement | Refusal::Lagging | Refusal::ReadOnly
--- a/src/core/proxy/repetition.rs
+++ b/src/core/proxy/repetition.rs
@@ -1,19 +1,35 @@
 //! Connections on which the endpoint may send an answer again.
 
-use super::connection::Task;
+use super::connection::{PooledEvent, Task};
 use super::job::Refusal;
+use super::request::Request;
 use super::{Proxy, StatementKind};
+use crate::core::transaction::TransactionState;
+use crate::error::{Error, ErrorKind};
 use crate::types::{ConnectionId, RequestId, Timestamp};
 
+impl Request {
+    /// Whether the transaction state that an endpoint reports with a result shows that the statement did
+    /// not run where it was to.
+    pub(super) fn ran_elsewhere(&self, transaction: TransactionState) -> bool {
+        let is_open = transaction != TransactionState::Idle;
+        match self.statement_kind {
+            StatementKind::SingleRead => is_open != self.wrapped_in_transaction,
+            StatementKind::InTransaction => !is_open,
+            StatementKind::SingleWrite | StatementKind::Commit => is_open,
+        }
+    }
+}
+
 impl Proxy {
     /// Closes a connection when its job is over, if a refusal on it could be taken for the answer to a
     /// later statement. Replicas refuse many reads as lagging; such a refusal tells the log position,
     /// which mostly differs from the last one, so they keep their connections unless the endpoint is
     /// known to send answers again.
-    pub(super) fn spend_on_refusal(&mut self, id: ConnectionId, refusal: Refusal) {
+    pub(super) fn close_after_refusal(&mut self, id: ConnectionId, refusal: Refusal) {
         let repeats = self.repeats_answers(id);
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        connection.is_spent |= repeats || refusal != Refusal::Lagging;
+        connection.must_close |= repeats || refusal != Refusal::Lagging;
     }
 
     /// Whether the endpoint of a connection has sent an answer again.
@@ -43,14 +59,13 @@
         sent: bool,
         refusal: Refusal,
     ) {
+        self.record_answer(now, id);
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.fire(PooledEvent::Answered);
         let Some(connection) = self.remove_connection(id) else { return };
         let endpoint = connection.endpoint.clone();
-        let group = self.groups.get_mut(&connection.group);
-        if let Some(state) = group.and_then(|group| group.endpoints.get_mut(&endpoint)) {
-            state.on_received(now);
-        }
         match &connection.task {
-            // A second run does no harm, so the refusal is taken at its word.
+            // A second run does no harm, so the refusal is accepted.
             Some(Task::Request(request)) if self.may_run_again(*request) => {
                 self.detach(*request);
                 self.requeue_refused(now, *request, id, &endpoint, refusal);
@@ -60,6 +75,36 @@
         self.dispatch_changed_groups(now);
     }
 
+    /// Handles a statement that the endpoint has run outside of its transaction or inside of one that
+    /// this host does not know. Closing the connection rolls back what is open.
+    pub(super) fn on_ran_elsewhere(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        request: RequestId,
+    ) {
+        let Some(found) = self.requests.get(&request) else { return };
+        tracing::warn!(
+            request = found.statement_id.as_str(),
+            endpoint = self.connections.get(&id).map(|found| found.endpoint.as_str()),
+            "pool: a statement ran outside of its transaction"
+        );
+        let (kind, may_be_kept) = (found.statement_kind, found.writes || self.commits(found));
+        self.discard_connection(id);
+        let detail = "the endpoint has run the statement outside of its transaction";
+        match kind {
+            StatementKind::InTransaction if may_be_kept => {
+                self.fail_transaction(request);
+                let error = Error::new(ErrorKind::OutcomeUnknown, detail);
+                self.refuse_request(now, request, error);
+            }
+            StatementKind::SingleWrite | StatementKind::Commit if may_be_kept => {
+                self.refuse_commit(now, request, detail);
+            }
+            _ => self.request_lost(now, request, true),
+        }
+    }
+
     /// Whether a statement changes nothing, and its transaction, if any, has run nothing before it.
     fn may_run_again(&self, id: RequestId) -> bool {
         self.requests.get(&id).is_some_and(|request| {
--- a/tests/proxy_endpoint_answers.rs
+++ b/tests/proxy_endpoint_answers.rs
@@ -184,7 +184,42 @@
     assert!(connection.answers.take_begin().is_some());
 }
 
-/// Guards against a refusal that is taken at its word although the endpoint may have sent it before:
+/// Guards against an answer that is not recognized when it comes again, because a repeated one had been
+/// taken for it the first time: it would prove a lead at a time that is long over.
+#[test]
+fn an_answer_that_was_displaced_is_remembered() {
+    let mut connection = Connection::open();
+    connection.run_wrapped_read("s1");
+    assert!(connection.answers.take_begin().is_some());
+    connection.start(vec![BEGIN], statement(), true);
+    connection.expect(&done(Open), Attribution::Awaited);
+    connection.send_work();
+    // The endpoint's answer to this begin, whose place was taken.
+    connection.expect(&answer(AnswerResult::Done, Open, 2), Attribution::Repeated);
+    connection.expect(&signed("s2", Open), Attribution::Awaited);
+    assert_eq!(connection.answers.take_begin(), None);
+    connection.answers.send_rollback();
+    connection.expect(&done(Idle), Attribution::Awaited);
+    connection.start(vec![BEGIN], statement(), true);
+    connection.expect(&answer(AnswerResult::Done, Open, 2), Attribution::Awaited);
+    assert_eq!(connection.answers.take_begin(), None, "it may be the earlier one");
+}
+
+/// Guards against a statement that waits for its time limit because the endpoint's answer fits nothing
+/// and is dropped.
+#[parameterized(
+    success_without_a_signature = { statement(), answer(AnswerResult::Done, Idle, 9) },
+    no_result = { statement(), answer(AnswerResult::None, Idle, 9) },
+    order_without_a_row = { Work::Order(Order::Status), answer(AnswerResult::Done, Idle, 9) },
+)]
+fn an_unknown_answer_is_not_dropped(work: Work, found: EndpointAnswer) {
+    let mut connection = Connection::open();
+    connection.start(Vec::new(), work, false);
+    connection.send_work();
+    connection.expect(&found, Attribution::Unexpected);
+}
+
+/// Guards against a refusal that is accepted although the endpoint may have sent it before:
 /// the statement would run twice, or its caller would be told that it did not run.
 #[parameterized(
     busy = { Refusal::Busy },
--- a/tests/proxy_repeated_answers.rs
+++ b/tests/proxy_repeated_answers.rs
@@ -2,12 +2,12 @@
 
 mod proxy_rig;
 
-use medlarstile::core::proxy::job::{Refusal, Work};
+use medlarstile::core::proxy::job::{Refusal, Setup, Work};
 use medlarstile::core::proxy::statement::Statement;
 use medlarstile::core::proxy::Answer;
-use medlarstile::core::transaction::TransactionState::{Idle, Open};
+use medlarstile::core::transaction::TransactionState::{self, Idle, Open};
 use medlarstile::error::ErrorKind;
-use proxy_rig::{at, id, refused, Rig, BEGIN, READ, WRITE};
+use proxy_rig::{id, refused, Rig, BEGIN, READ, WRITE};
 use yare::parameterized;
 
 /// Guards against a refusal that the endpoint sends again on a connection which is still in use: it
@@ -118,23 +118,79 @@
     assert_eq!(refused(&rig.last_answer().1), Some(ErrorKind::TransactionLost));
 }
 
-/// Guards against a statement that ran outside of its transaction, whose result is passed on.
-#[parameterized(of_the_host = { false }, of_the_caller = { true })]
-fn a_result_from_outside_of_the_transaction_is_not_passed_on(begins: bool) {
+/// Guards against the result of a statement that ran outside of its transaction, or inside of one that
+/// the host does not know, and against a write that runs again or is promised not to be kept then.
+#[parameterized(
+    read_of_the_host = { false, READ, Idle, None },
+    read = { true, READ, Idle, None },
+    write = { true, WRITE, Idle, Some(ErrorKind::OutcomeUnknown) },
+    single_write = { false, WRITE, Open, Some(ErrorKind::OutcomeUnknown) },
+)]
+fn a_result_from_elsewhere_is_not_passed_on(
+    begins: bool,
+    statement: Statement,
+    state: TransactionState,
+    kind: Option<ErrorKind>,
+) {
     let mut rig = Rig::new();
     let session = rig.session(1, "orders");
     if begins {
         rig.send(session, BEGIN);
         rig.answers.clear();
     }
-    rig.send(session, READ);
+    rig.send(session, statement);
     let (connection, _, job) = rig.next_job();
-    rig.core.on_transaction_began(rig.now, connection, at(1, 10));
-    rig.succeed_outside(connection);
+    rig.succeed_in(connection, state);
     let passed_on =
         rig.answers.iter().any(|(_, answer, _)| matches!(answer, Answer::Endpoint { .. }));
     assert!(!passed_on, "{job:?}");
     assert!(rig.closed.contains(&connection));
+    assert_eq!(rig.answers.first().and_then(|(_, answer, _)| refused(answer)), kind);
+    rig.pass(100);
+    let again = rig.jobs.iter().any(|(_, _, job)| matches!(job.work, Work::Statement { .. }));
+    assert_eq!(again, kind.is_none());
+}
+
+/// Guards against an order whose answer could be an earlier one: at an endpoint that sends answers
+/// again each order runs on a connection of its own.
+#[test]
+fn orders_to_an_endpoint_that_repeats_answers_run_on_new_connections() {
+    let mut rig = Rig::new();
+    let session = rig.session(1, "orders");
+    rig.send(session, WRITE);
+    let (connection, _, job) = rig.next_job();
+    rig.core.on_repeated_answer(connection);
+    rig.succeed(connection, &job, Idle);
+    rig.closed.clear();
+    rig.host_jobs.clear();
+    // Without other answers the primary is probed again and again.
+    rig.pass(3_000);
+    let mut used: Vec<_> = rig.host_jobs.iter().map(|(id, _)| *id).collect();
+    let count = used.len();
+    assert!(count >= 3, "{count} orders");
+    used.sort();
+    used.dedup();
+    assert_eq!(used.len(), count);
+    assert!(!used.contains(&connection));
+}
+
+/// Guards against the first read of a read-only transaction that runs at a replica which has refused
+/// the transaction: it must not run there either.
+#[test]
+fn the_first_read_of_a_transaction_names_the_position() {
+    let mut rig = Rig::new();
+    let session = rig.session(1, "lookups");
+    rig.send(session, Statement::Begin { read_only: true });
+    rig.send(session, READ);
+    let (connection, _, job) = rig.next_job();
+    let [Setup::Begin { read_only: true, after: Some(position) }] = job.setup[..] else {
+        panic!("{job:?}");
+    };
+    assert!(matches!(job.work, Work::Statement { after: Some(found), .. } if found == position));
+    rig.succeed(connection, &job, Open);
+    rig.send(session, READ);
+    let (_, _, job) = rig.next_job();
+    assert!(matches!(job.work, Work::Statement { after: None, .. }));
 }
 
 /// Guards against a connection that stays occupied after an endpoint has refused a probe: each probe
--- a/tests/proxy_rig/mod.rs
+++ b/tests/proxy_rig/mod.rs
@@ -105,6 +105,8 @@
     pub answers: Vec<(SessionId, Answer, TransactionState)>,
     pub closed: Vec<ConnectionId>,
     pub other: Vec<ProxyEffect>,
+    /// Orders and rollbacks of the host, which were answered.
+    pub host_jobs: Vec<(ConnectionId, Job)>,
     /// The primary.
     pub leads: EndpointId,
     /// Endpoints that do not answer.
@@ -141,6 +143,7 @@
             answers: Vec::new(),
             closed: Vec::new(),
             other: Vec::new(),
+            host_jobs: Vec::new(),
             leads: id("a"),
             unresponsive: Vec::new(),
             open: std::collections::BTreeMap::new(),
@@ -203,6 +206,7 @@
             std::mem::take(&mut self.jobs).into_iter().partition(|(_, _, job)| is_host_job(job));
         self.jobs = kept.into();
         for (connection, endpoint, job) in host_jobs {
+            self.host_jobs.push((connection, job.clone()));
             let begins_transaction =
                 job.setup.iter().any(|step| matches!(step, Setup::Begin { .. }));
             if self.unresponsive.contains(&endpoint) {
@@ -264,9 +268,9 @@
         }
     }
 
-    /// Answers the statement of a job with success, but outside of any transaction.
-    pub fn succeed_outside(&mut self, connection: ConnectionId) {
-        self.end(connection, Ok("signed".into()), TransactionState::Idle);
+    /// Answers the statement of a job with success, in this state whatever its transaction is.
+    pub fn succeed_in(&mut self, connection: ConnectionId, state: TransactionState) {
+        self.end(connection, Ok("signed".into()), state);
     }
 
     /// Refuses the statement of a job, because the endpoint has applied only `position` of the log.
