--- a/tests/line_endpoint_double/mod.rs
+++ b/tests/line_endpoint_double/mod.rs
@@ -1,5 +1,6 @@
 //! Test double of an endpoint that speaks the platform's lines and accepts all work as a primary.
 
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -28,12 +29,14 @@
     set_up: Arc<Mutex<Vec<Vec<u8>>>>,
     /// Data of the last write.
     stored: Arc<Mutex<Vec<u8>>>,
+    /// Items of the reads that were refused once.
+    refused: Arc<Mutex<BTreeSet<String>>>,
 }
 
 /// Starts an endpoint, which signs the results of reads with `signature` and a number that rises with
 /// each statement, as the platform's endpoints sign no two alike. `READ list-N` is answered with N rows
 /// of [`ROW_BYTES`] bytes, `READ wait-N` after N milliseconds, `READ name-N` with its own item,
-/// `READ stored-0` with the data of the last write, and a write with the length of its text as the
+/// `READ busy-N` likewise once it has refused it the first time, `READ stored-0` with the data of the last write, and a write with the length of its text as the
 /// signature.
 pub fn serve(signature: &'static str) -> SocketAddr {
     Endpoint::start(signature, None, false).address
@@ -52,6 +55,7 @@
             ran: Arc::default(),
             set_up: Arc::default(),
             stored: Arc::default(),
+            refused: Arc::default(),
         };
         let running = endpoint.clone();
         thread::spawn(move || {
@@ -139,8 +143,11 @@
         let row = |row: &[u8]| [b"ROW ", row, b"\r\n"].concat();
         match words {
             [b"READ", item] => {
-                let number = self.record(words);
                 let item = String::from_utf8_lossy(item);
+                if item.starts_with("busy-") && self.is_first(&item) {
+                    return b"ERROR BUSY e0\r\n".to_vec();
+                }
+                let number = self.record(words);
                 let (kind, count) = item.split_once('-').unwrap_or((&item, "0"));
                 let count: usize = count.parse().expect("a number");
                 if kind == "wait" {
@@ -148,7 +155,7 @@
                 }
                 let rows = match kind {
                     "list" => row("x".repeat(ROW_BYTES).as_bytes()).repeat(count),
-                    "name" => row(item.as_bytes()),
+                    "name" | "busy" => row(item.as_bytes()),
                     "stored" => row(&self.stored.lock().expect("the data")),
                     _ => row("x".repeat(ROW_BYTES).as_bytes()),
                 };
@@ -173,6 +180,11 @@
         }
     }
 
+    /// Whether an item is read for the first time.
+    fn is_first(&self, item: &str) -> bool {
+        self.refused.lock().expect("the items").insert(item.to_owned())
+    }
+
     /// Records the start of the text of a statement; returns how many have run.
     fn record(&self, words: &[&[u8]]) -> usize {
         let mut ran = self.ran.lock().expect("the texts");
--- a/tests/platform_answers.rs
+++ b/tests/platform_answers.rs
@@ -70,3 +70,25 @@
     }
     hosts[0].wait_for("endpoint: dropped a repeated answer");
 }
+
+/// Guards against a refusal that is taken for the answer to another caller's statement, or repeated
+/// answers that reach other callers of the same account.
+#[parameterized(own_soon = { 1, 3 }, own_late = { 1, 25 }, relayed = { 4, 25 })]
+fn refusals_beside_repeated_answers(hosts: usize, repeat_after_ms: u64) {
+    let repeat_after = Some(Duration::from_millis(repeat_after_ms));
+    let endpoint = Endpoint::start("read", repeat_after, false);
+    let hosts = start_hosts(&endpoint, hosts);
+    std::thread::scope(|scope| {
+        for number in 0..4 {
+            let mut caller = open(&hosts);
+            scope.spawn(move || {
+                for item in 0..40 {
+                    let kind = if item % 3 == 0 { "busy" } else { "name" };
+                    let item = format!("{kind}-{}", number * 100 + item);
+                    let answer = caller.ask(format!("READ {item}").as_bytes());
+                    assert_own(&answer.expect("an answer"), &item);
+                }
+            });
+        }
+    });
+}
