--- a/tests/line_endpoint_double/mod.rs
+++ b/tests/line_endpoint_double/mod.rs
@@ -36,8 +36,8 @@
 /// Starts an endpoint, which signs the results of reads with `signature` and a number that rises with
 /// each statement, as the platform's endpoints sign no two alike. `READ list-N` is answered with N rows
 /// of [`ROW_BYTES`] bytes, `READ wait-N` after N milliseconds, `READ name-N` with its own item,
-/// `READ busy-N` likewise once it has refused it the first time, `READ stored-0` with the data of the last write, and a write with the length of its text as the
-/// signature.
+/// `READ busy-N` likewise once it was refused, `READ stored-0` with the data of the last write, and a
+/// write with the length of its text as the signature.
 pub fn serve(signature: &'static str) -> SocketAddr {
     Endpoint::start(signature, None, false).address
 }
