--- a/review/standin-3/src/cases/pipeline.rs
+++ b/review/standin-3/src/cases/pipeline.rs
@@ -67,10 +67,12 @@
                     continue;
                 }
                 match stream.write(&piece) {
-                    Ok(count) => own += count,
+                    Ok(count) => {
+                        own += count;
+                        sent.fetch_add(count, Ordering::Relaxed);
+                    }
                     Err(_) => return,
                 }
-                sent.fetch_add(piece.len(), Ordering::Relaxed);
             }
         });
     }
